--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# The two commands of the README are `make demo` and `make test`.
+GO ?= go
+DEPLOYMENT ?= qalhat
+BIN := bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X goldcrestseam.dev/goldcrestseam/internal/version.Version=$(VERSION)
+BINARIES := goldcrest-entry goldcrest-control goldcrestctl goldcrest-load goldcrest-engine
+
+.PHONY: all build test fmt fmt-check lint vet generate generate-check demo clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -trimpath -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
+
+# Fixed seeds and counts: the same verdict every time.
+test:
+	$(GO) test -race -count=1 -timeout 9m ./...
+
+fmt:
+	gofmt -w $$(git ls-files -co --exclude-standard '*.go')
+
+fmt-check:
+	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); \
+	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+lint:
+	$(GO) tool staticcheck ./...
+
+generate:
+	./proto/generate.sh
+
+# Where protoc is at hand, the committed code must be what it generates.
+generate-check:
+	@if ! command -v protoc >/dev/null; then echo "generate-check: no protoc here, not run"; exit 0; fi; \
+	out=$$(mktemp -d) && trap 'rm -rf "$$out"' EXIT && ./proto/generate.sh "$$out" && \
+	diff -r "$$out/internal/rpc/pb" internal/rpc/pb
+
+demo: build
+	$(BIN)/goldcrest-load demo --deployment $(DEPLOYMENT) --bin $(BIN) --deploy deploy
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/control/effect.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// Effect is what the runner must do after a step, in the order given.
+type Effect interface{ isEffect() }
+
+// ConsensusEffect wraps an effect of the consensus node that the runner must
+// carry out: Send, Persist, RestoreSnapshot or Removed.
+type ConsensusEffect struct{ Effect consensus.Effect }
+
+// SaveSnapshot asks the runner to sync a snapshot of the state, then to step
+// with consensus.SnapshotTaken.
+type SaveSnapshot struct{ Snapshot consensus.SnapshotTaken }
+
+// Reply answers a Call.
+type Reply struct {
+	ID       uint64
+	Response proto.Message
+	// Err is a twirp error, nil when Response counts.
+	Err error
+}
+
+// SendOrder sends an order to an engine. The runner checks LeaseUntil right
+// before it writes, and gives the call Timeout.
+type SendOrder struct {
+	Address string
+	Order   engineapi.Order
+	// LeaseUntil is when this leader's authority ends, since boot.
+	LeaseUntil time.Duration
+	Timeout    time.Duration
+}
+
+// Log writes one log line.
+type Log struct {
+	Kind    string
+	Message string
+	Fields  []Field
+}
+
+// Field is one value of a log line.
+type Field struct {
+	Name  string
+	Value any
+}
+
+func (ConsensusEffect) isEffect() {}
+func (SaveSnapshot) isEffect()    {}
+func (Reply) isEffect()           {}
+func (SendOrder) isEffect()       {}
+func (Log) isEffect()             {}
--- /dev/null
+++ b/internal/decision/decision.go
@@ -0,0 +1,85 @@
+// Package decision holds the types that the decisions under load share. The
+// decisions themselves are in its sub-packages admission, queue, placement and
+// roles: pure code that takes times as arguments and does no I/O.
+package decision
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// Work is one request as the decisions see it. Times are since boot
+// (clock.Boot).
+type Work struct {
+	RequestID string
+	Member    string
+	// MemberWeight is the member's fair share against others.
+	MemberWeight float64
+	Service      string
+	Profile      string
+	// ProfileShare is the profile's guaranteed share as a weight.
+	ProfileShare float64
+	Class        declaration.Class
+	// Kind is declaration.KindModel or declaration.KindPlain.
+	Kind string
+	// Model and Adapter are for model services.
+	Model   string
+	Adapter string
+	// PromptTokens and OutputTokens are estimates; zero for plain services.
+	PromptTokens int
+	OutputTokens int
+	// Prefix is the chain of prompt block hashes, salted by member.
+	Prefix []uint64
+	// Arrived is when the request came in; FirstTokenBy and FinishBy are its
+	// deadlines.
+	Arrived      time.Duration
+	FirstTokenBy time.Duration
+	FinishBy     time.Duration
+	// Resumed work has been accepted before; it is never refused for load.
+	Resumed bool
+}
+
+// Server is one backend server as the decisions see it.
+type Server struct {
+	ID          string
+	Incarnation string
+	Address     string
+	DataCentre  string
+	// Kind is declaration.KindModel or declaration.KindPlain.
+	Kind     string
+	Services []string
+	Model    string
+	Adapters []string
+	Role     engineapi.Role
+	// Usable is false while it leaves, changes, is drained or unconfirmed.
+	Usable bool
+	Slots  int
+	// Load is its last report, ReportedAt when that was true (since boot, lag
+	// taken off).
+	Load       engineapi.Load
+	ReportedAt time.Duration
+	// Sent is what this entry has sent and not seen finished.
+	Sent Sent
+}
+
+// Sent sums up what this entry has running or waiting at one server.
+type Sent struct {
+	Requests      int
+	PrefillTokens int
+	DecodeTokens  int
+	// Since sums what was sent after the server's last report was true.
+	SinceRequests      int
+	SincePrefillTokens int
+	SinceDecodeTokens  int
+}
+
+// Fleet is the backend servers in order of id.
+type Fleet struct {
+	// DataCentre is the entry's own.
+	DataCentre string
+	// Entries is how many entries share the servers, at least 1.
+	Entries int
+	Servers []Server
+}
--- /dev/null
+++ b/internal/declaration/objects.go
@@ -0,0 +1,130 @@
+package declaration
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/joomcode/errorx"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Namespace holds the error types of this package.
+var Namespace = errorx.NewNamespace("declaration")
+
+// BadObject is the type of errors about objects that can't be read.
+var BadObject = Namespace.NewType("bad_object")
+
+// Object kinds; Limits and Roles are one object each, with an empty name.
+const (
+	objectLimits  = "limits"
+	objectProfile = "profile"
+	objectModel   = "model"
+	objectService = "service"
+	objectMember  = "member"
+	objectServers = "backend_servers"
+	objectRoles   = "roles"
+)
+
+// ToProto gives the declaration as objects in a fixed order, with their digest.
+func (d *Declaration) ToProto() *pb.Declaration {
+	b := &objectBuilder{revision: d.Revision}
+	b.add(objectLimits, "", d.Limits)
+	for _, p := range d.Profiles {
+		b.add(objectProfile, p.Name, p)
+	}
+	for _, m := range d.Models {
+		b.add(objectModel, m.Name, m)
+	}
+	for _, s := range d.Services {
+		b.add(objectService, s.Name, s)
+	}
+	for _, m := range d.Members {
+		b.add(objectMember, m.Name, m)
+	}
+	b.add(objectServers, "", d.BackendServers)
+	b.add(objectRoles, "", d.Roles)
+	SortObjects(b.objects)
+	return &pb.Declaration{
+		Revision: d.Revision, Base: d.Base, Author: d.Author,
+		Digest: Digest(b.objects), Objects: b.objects,
+	}
+}
+
+type objectBuilder struct {
+	revision uint64
+	objects  []*pb.Object
+}
+
+func (b *objectBuilder) add(kind, name string, content any) {
+	data, err := json.Marshal(content)
+	if err != nil {
+		// Only channels, functions and NaN can't be marshalled; the structs
+		// have none and the checks bound the numbers.
+		panic("declaration: " + err.Error())
+	}
+	b.objects = append(b.objects, &pb.Object{Kind: kind, Name: name, Content: data, Revision: b.revision})
+}
+
+// SortObjects puts objects into the order that Digest expects.
+func SortObjects(objects []*pb.Object) {
+	slices.SortFunc(objects, func(a, b *pb.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// Digest is the hex SHA-256 over sorted objects, their revisions left out.
+func Digest(objects []*pb.Object) string {
+	hash := sha256.New()
+	for _, o := range objects {
+		for _, part := range [][]byte{[]byte(o.Kind), []byte(o.Name), o.Content} {
+			sum := sha256.Sum256(part)
+			hash.Write(sum[:])
+		}
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+// FromObjects puts a declaration together again. Errors: BadObject.
+func FromObjects(revision uint64, objects []*pb.Object) (*Declaration, error) {
+	d := &Declaration{Revision: revision}
+	for _, o := range objects {
+		if err := d.take(o); err != nil {
+			return nil, BadObject.Wrap(err, "%s %q", o.Kind, o.Name)
+		}
+	}
+	return d, nil
+}
+
+func (d *Declaration) take(o *pb.Object) error {
+	switch o.Kind {
+	case objectLimits:
+		return json.Unmarshal(o.Content, &d.Limits)
+	case objectProfile:
+		return appendJSON(&d.Profiles, o.Content)
+	case objectModel:
+		return appendJSON(&d.Models, o.Content)
+	case objectService:
+		return appendJSON(&d.Services, o.Content)
+	case objectMember:
+		return appendJSON(&d.Members, o.Content)
+	case objectServers:
+		return json.Unmarshal(o.Content, &d.BackendServers)
+	case objectRoles:
+		return json.Unmarshal(o.Content, &d.Roles)
+	default:
+		return BadObject.New("unknown kind")
+	}
+}
+
+func appendJSON[T any](list *[]T, content []byte) error {
+	var item T
+	if err := json.Unmarshal(content, &item); err != nil {
+		return err
+	}
+	*list = append(*list, item)
+	return nil
+}
--- /dev/null
+++ b/internal/declaration/parse.go
@@ -0,0 +1,295 @@
+package declaration
+
+import (
+	"encoding/hex"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/finding"
+	"goldcrestseam.dev/goldcrestseam/internal/yamlfile"
+)
+
+// Defaults of fields that a file leaves out.
+const (
+	DefaultOnceWindow       = 24 * time.Hour
+	DefaultOnceAnswerBytes  = 16384
+	DefaultQuarantineTime   = time.Hour
+	DefaultQuarantineDeaths = 2
+	DefaultShare            = 1.0
+	DefaultRetryBudget      = 0.1
+	DefaultRoleChangePrice  = 10 * time.Second
+	DefaultMaxAway          = 1
+	DefaultMinMixedShare    = 0.34
+	DefaultChangeTime       = 5 * time.Second
+	DefaultWeight           = 1.0
+)
+
+// Bounds of sizes that a declaration may name.
+const (
+	maxWindow      = 7 * 24 * time.Hour
+	maxAnswerBytes = 1 << 20
+	maxDeadline    = 24 * time.Hour
+	maxTokens      = 1 << 20
+	sha256HexLen   = 64
+)
+
+// Load reads and checks a declaration file. The declaration is nil when the
+// file can't be read, and must not be used when there are findings.
+func Load(path string) (*Declaration, finding.List) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, finding.List{{File: path, Problem: err.Error()}}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the declaration in data; name is for findings.
+func Parse(name string, data []byte) (*Declaration, finding.List) {
+	d := &Declaration{Roles: Roles{Automatic: true, MinMixedShare: DefaultMinMixedShare}}
+	file := yamlfile.Decode(name, data, d)
+	d.setDefaults()
+	c := &checker{d: d, file: file}
+	c.check()
+	return d, file.Findings()
+}
+
+func (d *Declaration) setDefaults() {
+	setDefault(&d.Limits.OnceWindow, DefaultOnceWindow)
+	setDefault(&d.Limits.OnceAnswerBytes, DefaultOnceAnswerBytes)
+	setDefault(&d.Limits.QuarantineTime, DefaultQuarantineTime)
+	setDefault(&d.Limits.QuarantineDeaths, DefaultQuarantineDeaths)
+	for i := range d.Profiles {
+		setDefault(&d.Profiles[i].Share, DefaultShare)
+		setDefault(&d.Profiles[i].RetryBudget, DefaultRetryBudget)
+		setDefault(&d.Profiles[i].RoleChangePrice, DefaultRoleChangePrice)
+	}
+	for i := range d.Members {
+		setDefault(&d.Members[i].Weight, DefaultWeight)
+	}
+	setDefault(&d.Roles.MaxAway, DefaultMaxAway)
+	setDefault(&d.Roles.ChangeTime, DefaultChangeTime)
+	setDefault(&d.Roles.GoodputWeight, DefaultWeight)
+	setDefault(&d.Roles.ChangeWeight, DefaultWeight)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// checker looks for what is wrong in one declaration.
+type checker struct {
+	d    *Declaration
+	file *yamlfile.File
+}
+
+func (c *checker) check() {
+	if c.d.Revision == 0 {
+		c.file.Add("revision", "must be at least 1")
+	}
+	if c.d.Base >= c.d.Revision && c.d.Revision > 0 {
+		c.file.Add("base", "is %d; it must be lower than revision %d", c.d.Base, c.d.Revision)
+	}
+	if c.d.Author == "" {
+		c.file.Add("author", "is missing; name who answers for this revision")
+	}
+	c.limits()
+	c.profiles()
+	c.models()
+	c.services()
+	c.members()
+	c.servers()
+	c.roles()
+}
+
+func (c *checker) limits() {
+	l := c.d.Limits
+	c.duration("limits.once_window", l.OnceWindow, time.Minute, maxWindow)
+	c.duration("limits.quarantine_time", l.QuarantineTime, time.Second, maxWindow)
+	c.between("limits.once_answer_bytes", float64(l.OnceAnswerBytes), 1, maxAnswerBytes)
+	c.between("limits.quarantine_deaths", float64(l.QuarantineDeaths), 1, 100)
+}
+
+func (c *checker) profiles() {
+	if len(c.d.Profiles) == 0 {
+		c.file.Add("profiles", "is empty; declare at least one")
+	}
+	names := newNames(c.file, "profiles")
+	for i, p := range c.d.Profiles {
+		path := names.add(i, p.Name)
+		switch p.Class {
+		case ClassUrgent, ClassLookup, ClassBulk:
+		default:
+			c.file.Add(path+".class", "%q is none of urgent, lookup, bulk", p.Class)
+		}
+		c.duration(path+".first_token", p.FirstToken, time.Millisecond, maxDeadline)
+		c.duration(path+".deadline", p.Deadline, time.Millisecond, maxDeadline)
+		if p.FirstToken > p.Deadline {
+			c.file.Add(path+".first_token", "%v is longer than deadline %v", p.FirstToken, p.Deadline)
+		}
+		c.between(path+".max_prompt_tokens", float64(p.MaxPromptTokens), 0, maxTokens)
+		c.between(path+".max_output_tokens", float64(p.MaxOutputTokens), 0, maxTokens)
+		c.between(path+".share", p.Share, 0.001, 1000)
+		c.between(path+".retry_budget", p.RetryBudget, 0, 1)
+		c.duration(path+".role_change_price", p.RoleChangePrice, 0, maxDeadline)
+	}
+}
+
+func (c *checker) models() {
+	names := newNames(c.file, "models")
+	for i, m := range c.d.Models {
+		path := names.add(i, m.Name)
+		if m.Version == "" {
+			c.file.Add(path+".version", "is missing")
+		}
+	}
+}
+
+func (c *checker) services() {
+	names := newNames(c.file, "services")
+	for i, s := range c.d.Services {
+		path := names.add(i, s.Name)
+		if c.d.Profile(s.Profile) == nil {
+			c.file.Add(path+".profile", "%q is not declared under profiles", s.Profile)
+		}
+		switch s.Kind {
+		case KindModel:
+			c.modelService(path, s)
+		case KindPlain:
+			c.plainService(path, s)
+		default:
+			c.file.Add(path+".kind", "%q is neither model nor plain", s.Kind)
+		}
+	}
+}
+
+func (c *checker) modelService(path string, s Service) {
+	if c.d.Model(s.Model) == nil {
+		c.file.Add(path+".model", "%q is not declared under models", s.Model)
+	}
+	if len(s.Routes) > 0 {
+		c.file.Add(path+".routes", "are for plain services only")
+	}
+	if p := c.d.Profile(s.Profile); p != nil && (p.MaxPromptTokens == 0 || p.MaxOutputTokens == 0) {
+		c.file.Add(path+".profile", "%q has no max_prompt_tokens or max_output_tokens; a model service needs both", s.Profile)
+	}
+}
+
+func (c *checker) plainService(path string, s Service) {
+	if s.Model != "" || s.Adapter != "" {
+		c.file.Add(path+".model", "is for model services only")
+	}
+	if len(s.Routes) == 0 {
+		c.file.Add(path+".routes", "is empty; no call would fit")
+	}
+	seen := make(map[string]int)
+	for i, r := range s.Routes {
+		route := path + ".routes[" + strconv.Itoa(i) + "]"
+		c.route(route, r)
+		key := r.Method + " " + r.Path
+		if first, ok := seen[key]; ok {
+			c.file.Add(route, "%s stands at routes[%d] too", key, first)
+		}
+		seen[key] = i
+	}
+}
+
+func (c *checker) route(path string, r Route) {
+	switch r.Method {
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE":
+	default:
+		c.file.Add(path+".method", "%q is none of GET, HEAD, POST, PUT, PATCH, DELETE", r.Method)
+	}
+	if !strings.HasPrefix(r.Path, "/") {
+		c.file.Add(path+".path", "%q does not begin with a slash", r.Path)
+	}
+	if r.Repeat != RepeatAllowed && r.Repeat != RepeatOnce {
+		c.file.Add(path+".repeat", "%q is neither allowed nor once", r.Repeat)
+	}
+}
+
+func (c *checker) members() {
+	names := newNames(c.file, "members")
+	credentials := make(map[string]string)
+	for i, m := range c.d.Members {
+		path := names.add(i, m.Name)
+		if raw, err := hex.DecodeString(m.CredentialSHA256); err != nil || len(raw) != sha256HexLen/2 {
+			c.file.Add(path+".credential_sha256", "is not the hex SHA-256 of a token; a member without credential can't call")
+		}
+		if other, ok := credentials[m.CredentialSHA256]; ok && m.CredentialSHA256 != "" {
+			c.file.Add(path+".credential_sha256", "is member %s's too; each needs its own", other)
+		}
+		credentials[m.CredentialSHA256] = m.Name
+		c.between(path+".weight", m.Weight, 0.001, 1000)
+		for j, s := range m.Services {
+			if c.d.Service(s) == nil {
+				c.file.Add(path+".services["+strconv.Itoa(j)+"]", "%q is not declared under services", s)
+			}
+		}
+	}
+}
+
+func (c *checker) servers() {
+	seen := make(map[string]int)
+	for i, r := range c.d.BackendServers {
+		path := "backend_servers[" + strconv.Itoa(i) + "]"
+		if r.Fencing != FencingChecked && r.Fencing != FencingIgnored {
+			c.file.Add(path+".fencing", "%q is neither checked nor ignored", r.Fencing)
+		}
+		if first, ok := seen[r.Prefix]; ok {
+			c.file.Add(path+".prefix", "%q stands at backend_servers[%d] too", r.Prefix, first)
+		}
+		seen[r.Prefix] = i
+	}
+}
+
+func (c *checker) roles() {
+	r := c.d.Roles
+	c.between("roles.max_away", float64(r.MaxAway), 1, 1000)
+	c.between("roles.min_mixed_share", r.MinMixedShare, 0, 1)
+	c.duration("roles.change_time", r.ChangeTime, 0, time.Hour)
+	c.between("roles.goodput_weight", r.GoodputWeight, 0.001, 1000)
+	c.between("roles.change_weight", r.ChangeWeight, 0.001, 1000)
+}
+
+func (c *checker) duration(path string, d, low, high time.Duration) {
+	if d < low || d > high {
+		c.file.Add(path, "%v is not between %v and %v", d, low, high)
+	}
+}
+
+func (c *checker) between(path string, v, low, high float64) {
+	if v < low || v > high {
+		c.file.Add(path, "%v is not between %v and %v", v, low, high)
+	}
+}
+
+// names notices names that are missing or stand twice in a list.
+type names struct {
+	file *yamlfile.File
+	list string
+	seen map[string]int
+}
+
+func newNames(file *yamlfile.File, list string) *names {
+	return &names{file: file, list: list, seen: make(map[string]int)}
+}
+
+// add checks the name of element i and gives the element's path.
+func (n *names) add(i int, name string) string {
+	path := n.list + "[" + strconv.Itoa(i) + "]"
+	first, doubled := n.seen[name]
+	switch {
+	case name == "":
+		n.file.Add(path+".name", "is missing")
+	case doubled:
+		n.file.Add(path+".name", "%q stands at %s[%d] too", name, n.list, first)
+	default:
+		n.seen[name] = i
+	}
+	return path
+}
