--- /dev/null
+++ b/cmd/goldcrest-load/main.go
@@ -0,0 +1,11 @@
+// Command goldcrest-load plays workloads against a deployment, runs the demo
+// and measures policies and slopes. It runs on test machines only.
+package main
+
+import "goldcrestseam.dev/goldcrestseam/internal/cli"
+
+func main() {
+	root := cli.NewRoot("goldcrest-load", "Play workloads and measure",
+		"goldcrest-load plays workload files against entries, runs the demo on loopback and\nmeasures the decisions under load on a model of the engines.")
+	cli.Main(root)
+}
