Add the first working decisions: admission, queue, placement, roles

Entry and control need interfaces to build on. Each package has its types and a simple implementation: admission by estimated wait, a queue shared by stride over profiles and deficit round robin over members, placement by cost in seconds, role planning by gain over a fixed horizon. Thresholds are not yet measured.

--- /dev/null
+++ b/internal/decision/admission/supply.go
@@ -0,0 +1,62 @@
+package admission
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// supply sums up the servers that can run a work and what they have to do.
+type supply struct {
+	servers       int
+	slots         int
+	running       float64
+	prefillRate   float64 // tokens/s of all
+	decodeRate    float64 // tokens/s of all
+	prefillTokens float64 // that wait at servers
+	decodeTokens  float64 // that run or wait at servers
+	// bestPrefill and bestToken are what one request gets at best: tokens/s
+	// and time per token.
+	bestPrefill float64
+}
+
+// supplyFor adds the servers up. A server's report is as old as its lag; what
+// was sent since, by this entry and presumably by each of the others, is added.
+func supplyFor(now time.Duration, w *decision.Work, fleet *decision.Fleet) supply {
+	var s supply
+	for i := range fleet.Servers {
+		server := &fleet.Servers[i]
+		if server.Serves(w) {
+			s.add(now, server, float64(max(1, fleet.Entries)))
+		}
+	}
+	return s
+}
+
+func (s *supply) add(now time.Duration, server *decision.Server, entries float64) {
+	load := &server.Load
+	s.servers++
+	s.slots += max(1, server.Slots)
+	s.running += float64(load.Running+load.Queued) + float64(server.Sent.SinceRequests)*entries
+	if server.Kind == declaration.KindPlain {
+		return
+	}
+	age := max(0, (now - server.ReportedAt).Seconds())
+	prefillRate, decodeRate := server.PrefillRate(), server.DecodeRate()
+	if server.Role != engineapi.RoleDecode {
+		s.prefillRate += prefillRate
+		s.bestPrefill = max(s.bestPrefill, prefillRate)
+		s.prefillTokens += left(float64(load.QueuedPrefillTokens), prefillRate, age) +
+			float64(server.Sent.SincePrefillTokens)*entries
+	}
+	if server.Role != engineapi.RolePrefill {
+		s.decodeRate += decodeRate
+		s.decodeTokens += left(float64(load.RunningDecodeTokens), decodeRate, age) +
+			float64(server.Sent.SinceDecodeTokens)*entries
+	}
+}
+
+// left is what remains of reported tokens after age seconds of work at rate.
+func left(tokens, rate, age float64) float64 { return max(0, tokens-rate*age) }
--- /dev/null
+++ b/internal/decision/figure.go
@@ -0,0 +1,51 @@
+package decision
+
+import "goldcrestseam.dev/goldcrestseam/internal/declaration"
+
+// Figure is one number that a decision was taken on, for its log line.
+type Figure struct {
+	Name  string
+	Value float64
+}
+
+// BlockTokens is how many prompt tokens one hash of Work.Prefix covers. 256
+// keeps a 60,000 token dossier at 235 hashes, while a counter question of 1,000
+// tokens still has four blocks to match on.
+const BlockTokens = 256
+
+// OutputCost is how many prompt tokens one output token weighs as in Cost. An
+// engine prefills 10,000 tokens a second and decodes 890 in a full batch.
+const OutputCost = 11
+
+// PlainCost is the Cost of a call of a plain service, in prompt tokens: about
+// 10 ms of a backend server.
+const PlainCost = 100
+
+// Cost is the work in prompt tokens, output tokens weighed with OutputCost; at
+// least 1.
+func (w *Work) Cost() float64 {
+	if w.Kind == declaration.KindPlain {
+		return PlainCost
+	}
+	return max(1, float64(w.PromptTokens)+OutputCost*float64(w.OutputTokens))
+}
+
+// Serves tells whether the server can run the work at all, load left aside.
+func (s *Server) Serves(w *Work) bool {
+	if !s.Usable || s.Kind != w.Kind {
+		return false
+	}
+	if w.Kind == declaration.KindPlain {
+		return contains(s.Services, w.Service)
+	}
+	return s.Model == w.Model && (w.Adapter == "" || contains(s.Adapters, w.Adapter))
+}
+
+func contains(list []string, name string) bool {
+	for _, item := range list {
+		if item == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decision/placement/cost.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// whole is a candidate that does prefill and decode.
+type whole struct {
+	index int
+	cost  float64
+	held  int // blocks of the prompt in its cache
+}
+
+// pair is a candidate with prefill and decode apart.
+type pair struct {
+	prefill, decode int
+	cost            float64
+	held            int
+}
+
+// near is the part of the cost within which servers count as alike.
+const near = 0.05
+
+// remotePenalty is the cost in seconds of another data centre: a millisecond
+// each way, and its loss is more likely seen as silence.
+const remotePenalty = 0.005
+
+// kvTokenRate is how many tokens' KV cache move between two engines a second:
+// 160 kB a token over 25 Gbit/s.
+const kvTokenRate = 20000
+
+// pickWhole looks at every server that does both parts.
+func (p *Picker) pickWhole(now time.Duration, w *decision.Work, fleet *decision.Fleet, held []int) whole {
+	best := noEnd
+	turn := spread(w.RequestID)
+	for i := range fleet.Servers {
+		server := &fleet.Servers[i]
+		if !server.Serves(w) || !doesWhole(server, w) {
+			continue
+		}
+		l := loadOf(now, server, fleet.Entries)
+		if l.requests >= p.limits.aligned[i].slots(server) {
+			continue
+		}
+		best.offer(i, p.wholeCost(i, w, server, l, held[i])+distance(fleet, server), turn)
+	}
+	if best.index < 0 {
+		return whole{index: -1}
+	}
+	return whole{index: best.index, cost: best.cost, held: held[best.index]}
+}
+
+func doesWhole(server *decision.Server, w *decision.Work) bool {
+	return w.Kind == declaration.KindPlain || server.Role == engineapi.RoleMixed || server.Role == ""
+}
+
+func (p *Picker) wholeCost(i int, w *decision.Work, server *decision.Server, l load, held int) float64 {
+	if w.Kind == declaration.KindPlain {
+		return plainCost(p.limits.aligned[i], server, l)
+	}
+	return prefillCost(w, server, l, held) + p.decodeCost(i, w, server, l)
+}
+
+// plainCost is the time of a call with the others before it.
+func plainCost(known *limit, server *decision.Server, l load) float64 {
+	time := known.tokenTime
+	if time == 0 {
+		time = 0.01
+	}
+	return time * (1 + l.requests/float64(max(1, server.Slots)))
+}
+
+// urgentWait is the part of the prefill backlog that urgent work waits for:
+// engines prefill by priority.
+const urgentWait = 0.1
+
+// prefillCost is the wait behind the server's prefill and the own prefill
+// without the blocks that it holds. Affinity is so bounded by what it saves: a
+// server with the prefix and a longer queue than that is not chosen.
+func prefillCost(w *decision.Work, server *decision.Server, l load, held int) float64 {
+	rate := max(1, server.PrefillRate())
+	wait := l.prefill / rate
+	if w.Class != declaration.ClassBulk {
+		wait *= urgentWait
+	}
+	own := max(0, w.PromptTokens-held*decision.BlockTokens)
+	return wait + float64(own)/rate
+}
+
+// decodeCost is the own decode at the server's fill. A step takes longer with
+// more streams, and with prefill beside it.
+func (p *Picker) decodeCost(i int, w *decision.Work, server *decision.Server, l load) float64 {
+	slots := float64(max(1, server.Slots))
+	fill := min(1, (l.requests+1)/slots)
+	perToken := slots / max(1, server.DecodeRate()) * (stepBase + (1-stepBase)*fill)
+	slow := 1 / max(minFactor, p.limits.aligned[i].factor)
+	return float64(w.OutputTokens) * perToken * slow
+}
+
+// stepBase is the part of a full batch's step that one stream alone takes.
+const stepBase = 0.56
+
+// distance is the cost of another data centre.
+func distance(fleet *decision.Fleet, server *decision.Server) float64 {
+	if fleet.DataCentre == "" || server.DataCentre == fleet.DataCentre {
+		return 0
+	}
+	return remotePenalty
+}
+
+// rank orders servers differently for each request.
+func rank(turn uint32, index int) uint32 {
+	h := (turn ^ uint32(index)) * 2654435761
+	return h ^ h>>15
+}
+
+// spread gives a number that only depends on the id (FNV-1a).
+func spread(id string) uint32 {
+	hash := uint32(2166136261)
+	for i := range len(id) {
+		hash = (hash ^ uint32(id[i])) * 16777619
+	}
+	return hash
+}
--- /dev/null
+++ b/internal/decision/placement/placement.go
@@ -0,0 +1,115 @@
+// Package placement picks the backend server for a request.
+//
+// It answers load that is uneven over servers: prompts that share a prefix, a
+// server that has become slow, reports that are older than what was sent since.
+// Filters take out servers that can't or should not get the work; a cost in
+// seconds, the same unit for everything, is worked out for those that are left:
+// the wait behind their prefill, the own prefill less what their cache holds, the
+// own decode at their fill, and the transfer of KV cache where prefill and decode
+// are at two engines. The lowest cost wins; among servers of nearly the same
+// cost the request's id decides, so that nine entries with the same reports do
+// not all choose the same server.
+//
+// Without it the least loaded server of the last report gets everything until
+// the next report (herding), a slow server gets as much as the others, and a
+// dossier's follow-up question prefills 60,000 tokens again.
+//
+// docs/design/placement.md has the ways weighed and the figures.
+package placement
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// Choice is where a request goes.
+type Choice struct {
+	// Server runs it, or only its decode when Prefill is set.
+	Server *decision.Server
+	// Prefill is the engine that prefills first, nil when Server does.
+	Prefill *decision.Server
+	Reason  string
+	Figures []decision.Figure
+}
+
+// Result is how an attempt at a server went.
+type Result struct {
+	// Failed: it ended without a whole answer through the server's fault.
+	Failed bool
+	// FirstToken is the time to the first token; zero when not known.
+	FirstToken time.Duration
+	// Expected is the time to the first token that the choice reckoned with;
+	// zero when not known.
+	Expected time.Duration
+	// Decode is the time from the first token to the last, for Tokens tokens.
+	Decode time.Duration
+	Tokens int
+	// Took is the whole time, for plain services.
+	Took time.Duration
+}
+
+// Picker is not safe for concurrent use; the reducer's goroutine owns it.
+type Picker struct {
+	limits limits
+	cache  *prefixIndex
+	// scratch holds how many blocks of the prompt each server has; it is used
+	// again for each pick.
+	scratch []int
+}
+
+// New gives a picker without history.
+func New() *Picker {
+	return &Picker{limits: newLimits(), cache: newPrefixIndex()}
+}
+
+// Pick chooses a server, or none when no server has room. The fleet is only
+// read; the choice points into it.
+func (p *Picker) Pick(now time.Duration, w *decision.Work, fleet *decision.Fleet) (Choice, bool) {
+	p.limits.align(fleet)
+	held := p.held(now, w, fleet)
+	best := p.pickWhole(now, w, fleet, held)
+	pair := p.pickPair(now, w, fleet, held)
+	switch {
+	case best.index < 0 && pair.decode < 0:
+		return Choice{}, false
+	case pair.decode >= 0 && (best.index < 0 || pair.cost < best.cost):
+		return p.pairChoice(fleet, pair), true
+	default:
+		return p.wholeChoice(fleet, best), true
+	}
+}
+
+// Sent notes that the choice was carried out: the server will hold the prompt.
+func (p *Picker) Sent(now time.Duration, w *decision.Work, choice Choice) {
+	server := choice.Server
+	if choice.Prefill != nil {
+		p.cache.add(now, choice.Prefill.ID, w.Prefix)
+	}
+	p.cache.add(now, server.ID, w.Prefix)
+}
+
+// Observe adapts the server's concurrency limit to how an attempt went.
+func (p *Picker) Observe(now time.Duration, server string, result Result) {
+	p.limits.observe(now, server, result)
+}
+
+// CacheChanged takes in a server's cache events. They come late and with gaps;
+// with a gap nothing more is done than what the events say, since a block that
+// is wrongly believed to be there costs its prefill and no error.
+func (p *Picker) CacheChanged(now time.Duration, server string, events []engineapi.CacheEvent) {
+	for _, e := range events {
+		if e.Dropped {
+			p.cache.drop(server, e.Hash)
+			continue
+		}
+		p.cache.addBlock(now, server, e.Hash)
+	}
+}
+
+// Forget drops what is known of a server: it is gone or has a new incarnation.
+func (p *Picker) Forget(server string) {
+	p.limits.forget(server)
+	p.cache.forget(server)
+}
--- /dev/null
+++ b/internal/decision/placement/prefix.go
@@ -0,0 +1,140 @@
+package placement
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
+
+// maxBlocks bounds the index. A block takes some 120 bytes: 8 MB in all.
+const maxBlocks = 1 << 16
+
+// holdersPerBlock bounds the servers that are remembered per block; more do not
+// make the choice better and would make hot prefixes costly.
+const holdersPerBlock = 4
+
+// believeFor is how long a block is believed to be cached without news. Cache
+// events come late and with gaps, so a dropped block may never be told of.
+const believeFor = 5 * time.Minute
+
+// holder is a server that is believed to hold a block.
+type holder struct {
+	server string
+	at     time.Duration
+}
+
+type block struct {
+	hash       uint64
+	holders    []holder
+	prev, next *block
+}
+
+// prefixIndex knows which server holds which prompt blocks, the block used last
+// at the front. Hashes are salted by member, so members never share one.
+type prefixIndex struct {
+	blocks map[uint64]*block
+	// list is the ring's anchor.
+	list block
+}
+
+func newPrefixIndex() *prefixIndex {
+	x := &prefixIndex{blocks: make(map[uint64]*block)}
+	x.list.prev, x.list.next = &x.list, &x.list
+	return x
+}
+
+func (x *prefixIndex) add(now time.Duration, server string, chain []uint64) {
+	for _, hash := range chain {
+		x.addBlock(now, server, hash)
+	}
+}
+
+func (x *prefixIndex) addBlock(now time.Duration, server string, hash uint64) {
+	b := x.blocks[hash]
+	if b == nil {
+		x.makeRoom()
+		b = &block{hash: hash}
+		x.blocks[hash] = b
+	} else {
+		b.unlink()
+	}
+	x.toFront(b)
+	b.set(now, server)
+}
+
+func (x *prefixIndex) makeRoom() {
+	if len(x.blocks) < maxBlocks {
+		return
+	}
+	oldest := x.list.prev
+	oldest.unlink()
+	delete(x.blocks, oldest.hash)
+}
+
+func (b *block) unlink() {
+	b.prev.next, b.next.prev = b.next, b.prev
+}
+
+func (x *prefixIndex) toFront(b *block) {
+	b.prev, b.next = &x.list, x.list.next
+	b.prev.next, b.next.prev = b, b
+}
+
+func (b *block) set(now time.Duration, server string) {
+	oldest := 0
+	for i := range b.holders {
+		if b.holders[i].server == server {
+			b.holders[i].at = now
+			return
+		}
+		if b.holders[i].at < b.holders[oldest].at {
+			oldest = i
+		}
+	}
+	if len(b.holders) < holdersPerBlock {
+		b.holders = append(b.holders, holder{server, now})
+		return
+	}
+	b.holders[oldest] = holder{server, now}
+}
+
+func (x *prefixIndex) drop(server string, hash uint64) {
+	b := x.blocks[hash]
+	if b == nil {
+		return
+	}
+	for i := range b.holders {
+		if b.holders[i].server == server {
+			b.holders = append(b.holders[:i], b.holders[i+1:]...)
+			return
+		}
+	}
+}
+
+func (x *prefixIndex) forget(server string) {
+	for hash := range x.blocks {
+		x.drop(server, hash)
+	}
+}
+
+// held gives for each server of the fleet how many leading blocks of the prompt
+// it is believed to hold. The result is valid until the next call.
+func (p *Picker) held(now time.Duration, w *decision.Work, fleet *decision.Fleet) []int {
+	if len(p.scratch) != len(fleet.Servers) {
+		p.scratch = make([]int, len(fleet.Servers))
+	}
+	clear(p.scratch)
+	for depth, hash := range w.Prefix {
+		b := p.cache.blocks[hash]
+		if b == nil {
+			break
+		}
+		for _, h := range b.holders {
+			i, ok := p.limits.indexOf(fleet, h.server)
+			if ok && p.scratch[i] == depth && now-h.at < believeFor {
+				p.scratch[i] = depth + 1
+			}
+		}
+	}
+	return p.scratch
+}
--- /dev/null
+++ b/internal/decision/queue/flow.go
@@ -0,0 +1,89 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
+
+// item is one work that waits.
+type item struct {
+	work        decision.Work
+	seq         uint64
+	latest      time.Duration
+	expires     time.Duration
+	flow        *flow
+	flowIndex   int
+	expiryIndex int
+}
+
+// flow is one member's work under one profile, the earliest deadline first.
+type flow struct {
+	member  string
+	weight  float64
+	deficit float64
+	items   flowHeap
+	owner   *profileQueue
+}
+
+func (f *flow) push(it *item) {
+	it.flow = f
+	heap.Push(&f.items, it)
+}
+
+func (f *flow) remove(it *item) {
+	heap.Remove(&f.items, it.flowIndex)
+	if len(f.items) == 0 {
+		f.owner.idle(f)
+	}
+}
+
+func (f *flow) head() *item { return f.items[0] }
+
+type flowHeap []*item
+
+func (h flowHeap) Len() int { return len(h) }
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].work.FinishBy != h[j].work.FinishBy {
+		return h[i].work.FinishBy < h[j].work.FinishBy
+	}
+	return h[i].seq < h[j].seq
+}
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].flowIndex, h[j].flowIndex = i, j
+}
+func (h *flowHeap) Push(x any) {
+	it := x.(*item)
+	it.flowIndex = len(*h)
+	*h = append(*h, it)
+}
+func (h *flowHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
+
+type expiryHeap []*item
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex, h[j].expiryIndex = i, j
+}
+func (h *expiryHeap) Push(x any) {
+	it := x.(*item)
+	it.expiryIndex = len(*h)
+	*h = append(*h, it)
+}
+func (h *expiryHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/decision/queue/pool.go
@@ -0,0 +1,94 @@
+package queue
+
+import (
+	"math"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
+
+// pool holds the profiles that compete for the same servers.
+type pool struct {
+	profiles []*profileQueue
+	byName   map[string]*profileQueue
+	// virtual is the pass of the profile served last.
+	virtual float64
+}
+
+func newPool() *pool { return &pool{byName: make(map[string]*profileQueue)} }
+
+func (p *pool) push(it *item) {
+	pq := p.byName[it.work.Profile]
+	if pq == nil {
+		pq = &profileQueue{name: it.work.Profile, flows: make(map[string]*flow)}
+		p.byName[it.work.Profile] = pq
+		p.profiles = append(p.profiles, pq)
+	}
+	pq.share = positive(it.work.ProfileShare)
+	if len(pq.active) == 0 {
+		// Guards against a profile that was idle for an hour and then holds all
+		// others back with the turns it saved up: it starts where they are.
+		pq.pass = max(pq.pass, p.virtual)
+	}
+	pq.push(it)
+}
+
+// pop takes the next item that fits: first one that must start now, then by
+// the profiles' shares.
+func (p *pool) pop(now time.Duration, fits func(*decision.Work) bool, tries *int) *item {
+	for _, pq := range p.profiles {
+		if it := pq.critical(now, fits, tries); it != nil {
+			it.flow.deficit -= it.work.Cost()
+			return p.take(pq, it)
+		}
+	}
+	var tried uint64
+	for range p.profiles {
+		pq, bit := p.lowest(tried)
+		if pq == nil {
+			return nil
+		}
+		tried |= bit
+		share := max(1, *tries/2)
+		left := share
+		if it := pq.next(fits, &left); it != nil {
+			return p.take(pq, it)
+		}
+		*tries -= share - left
+	}
+	return nil
+}
+
+// lowest gives the profile with work and the smallest pass that was not tried;
+// tried has a bit per profile, profiles beyond 64 share the last one.
+func (p *pool) lowest(tried uint64) (*profileQueue, uint64) {
+	var best *profileQueue
+	var bestBit uint64
+	for i, pq := range p.profiles {
+		bit := uint64(1) << min(i, 63)
+		if len(pq.active) == 0 || tried&bit != 0 {
+			continue
+		}
+		if best == nil || pq.pass < best.pass {
+			best, bestBit = pq, bit
+		}
+	}
+	return best, bestBit
+}
+
+func (p *pool) take(pq *profileQueue, it *item) *item {
+	p.virtual = max(p.virtual, pq.pass)
+	pq.pass += it.work.Cost() / pq.share
+	it.flow.remove(it)
+	return it
+}
+
+// positive gives 1 for a weight that was left out.
+func positive(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
+
+func ceil(v float64) float64 { return math.Ceil(v) }
--- /dev/null
+++ b/internal/decision/queue/profile.go
@@ -0,0 +1,144 @@
+package queue
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
+
+// quantum is what a member of weight 1 may have served in one round, in tokens
+// of Work.Cost. A counter question costs about 3,500, so a round gives each
+// member one; a dossier of 40,000 waits for ten rounds of the others.
+const quantum = 4000
+
+// profileQueue shares one profile's turn among its members.
+type profileQueue struct {
+	name  string
+	share float64
+	// pass is the profile's virtual time: cost served over share.
+	pass   float64
+	flows  map[string]*flow
+	active []*flow
+	turn   int
+}
+
+func (p *profileQueue) push(it *item) {
+	f := p.flows[it.work.Member]
+	if f == nil {
+		f = &flow{member: it.work.Member, owner: p}
+		p.flows[it.work.Member] = f
+	}
+	f.weight = positive(it.work.MemberWeight)
+	if len(f.items) == 0 {
+		p.active = append(p.active, f)
+	}
+	f.push(it)
+}
+
+// idle takes a flow without work out of the round. Its deficit is forgotten, so
+// that a member can't save up turns while it is silent.
+func (p *profileQueue) idle(f *flow) {
+	for i, other := range p.active {
+		if other != f {
+			continue
+		}
+		p.active = append(p.active[:i], p.active[i+1:]...)
+		if i < p.turn {
+			p.turn--
+		}
+		break
+	}
+	if len(p.active) > 0 {
+		p.turn %= len(p.active)
+	} else {
+		p.turn = 0
+	}
+	delete(p.flows, f.member)
+}
+
+// critical gives the fitting head that is furthest past its latest start, nil
+// when none is. It looks at the heads of at most maxTries members.
+func (p *profileQueue) critical(now time.Duration, fits func(*decision.Work) bool, tries *int) *item {
+	var first *item
+	for i := range p.active[:min(len(p.active), maxTries)] {
+		it := p.active[(p.turn+i)%len(p.active)].head()
+		if it.latest <= now && (first == nil || it.latest < first.latest) {
+			first = it
+		}
+	}
+	if first == nil || !try(first, fits, tries) {
+		return nil
+	}
+	return first
+}
+
+// next gives the member's head whose turn it is by deficit round robin. Rounds
+// in which nobody can afford its head are passed over in one step.
+func (p *profileQueue) next(fits func(*decision.Work) bool, tries *int) *item {
+	best, rounds := -1, 0.0
+	for i := range p.active {
+		index := (p.turn + i) % len(p.active)
+		f := p.active[index]
+		need := f.roundsToAfford()
+		if best >= 0 && need >= rounds {
+			continue
+		}
+		if !try(f.head(), fits, tries) {
+			if *tries <= 0 {
+				break
+			}
+			continue
+		}
+		best, rounds = index, need
+		if need == 0 {
+			break
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return p.serve(best, rounds)
+}
+
+// serve charges the member's head after giving all members their rounds.
+func (p *profileQueue) serve(index int, rounds float64) *item {
+	if rounds > 0 {
+		for _, f := range p.active {
+			f.deficit += rounds * quantum * f.weight
+		}
+	}
+	f := p.active[index]
+	it := f.head()
+	f.deficit -= it.work.Cost()
+	p.turn = index
+	if len(f.items) > 1 && f.deficit < f.items.second().work.Cost() {
+		p.turn = (index + 1) % len(p.active)
+	}
+	return it
+}
+
+// roundsToAfford is how many more rounds the member needs for its head.
+func (f *flow) roundsToAfford() float64 {
+	missing := f.head().work.Cost() - f.deficit
+	if missing <= 0 {
+		return 0
+	}
+	return ceil(missing / (quantum * f.weight))
+}
+
+// second gives the item that is head when the first has gone; the heap has two
+// items or more.
+func (h flowHeap) second() *item {
+	if len(h) > 2 && h.Less(2, 1) {
+		return h[2]
+	}
+	return h[1]
+}
+
+func try(it *item, fits func(*decision.Work) bool, tries *int) bool {
+	if *tries <= 0 {
+		return false
+	}
+	*tries--
+	return fits(&it.work)
+}
--- /dev/null
+++ b/internal/decision/queue/queue_test.go
@@ -0,0 +1,117 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+)
+
+func any1(*decision.Work) bool { return true }
+
+func question(id, member string, arrived time.Duration) decision.Work {
+	return decision.Work{
+		RequestID: id, Member: member, Profile: "counter", ProfileShare: 3,
+		Class: declaration.ClassUrgent, Kind: declaration.KindModel, Model: "m",
+		PromptTokens: 1000, OutputTokens: 200, Arrived: arrived,
+		FirstTokenBy: arrived + 2*time.Second, FinishBy: arrived + 30*time.Second,
+	}
+}
+
+func dossier(id, member string, arrived time.Duration) decision.Work {
+	return decision.Work{
+		RequestID: id, Member: member, Profile: "dossier", ProfileShare: 2,
+		Class: declaration.ClassBulk, Kind: declaration.KindModel, Model: "m",
+		PromptTokens: 30000, OutputTokens: 1000, Arrived: arrived,
+		FirstTokenBy: arrived + 5*time.Minute, FinishBy: arrived + 15*time.Minute,
+	}
+}
+
+func drain(q *Queue, now time.Duration) []decision.Work {
+	var out []decision.Work
+	for {
+		w, ok := q.Pop(now, any1)
+		if !ok {
+			return out
+		}
+		out = append(out, w)
+	}
+}
+
+// A member sends forty questions at once and another one a second later. The
+// other's clerk must not wait for all forty.
+func TestHeavyMemberDoesNotHoldOthersBack(t *testing.T) {
+	q := New()
+	for i := range 40 {
+		q.Push(question(fmt.Sprint("heavy", i), "heavy", 0))
+	}
+	q.Push(question("light", "light", time.Second))
+	for i, w := range drain(q, time.Second) {
+		if w.RequestID == "light" {
+			if i > 2 {
+				t.Fatalf("served as number %d", i)
+			}
+			return
+		}
+	}
+	t.Fatal("never served")
+}
+
+// Clerks ask without a pause, so that their queue never empties. A dossier must
+// still get its profile's share, and all of it once its deadline presses.
+func TestSteadyQuestionsDoNotStarveADossier(t *testing.T) {
+	q := New()
+	q.Push(dossier("d", "m", 0))
+	for i := range 200 {
+		q.Push(question(fmt.Sprint("q", i), "m", 0))
+	}
+	out := drain(q, 0)
+	for i, w := range out {
+		if w.RequestID == "d" && i > 30 {
+			t.Fatalf("served as number %d", i)
+		}
+	}
+	q.Push(question("q", "m", 14*time.Minute))
+	q.Push(dossier("late", "m", 0))
+	if w, _ := q.Pop(14*time.Minute, any1); w.RequestID != "late" {
+		t.Fatalf("%s before the dossier that must start now", w.RequestID)
+	}
+}
+
+func TestRemoveExpireAndSummaryAgree(t *testing.T) {
+	q := New()
+	for i := range 10 {
+		q.Push(question(fmt.Sprint("q", i), fmt.Sprint("m", i%3), time.Duration(i)*time.Second))
+	}
+	w := question("q0", "m0", 0)
+	key := KeyOf(&w)
+	if got := q.Summary().Get(key).Requests; got != 4 {
+		t.Fatalf("%d waiting of m0, want 4", got)
+	}
+	if !q.Remove("q9") || q.Remove("q9") {
+		t.Fatal("remove")
+	}
+	if got := len(q.Expire(4 * time.Second)); got != 3 {
+		t.Fatalf("%d expired, want 3", got)
+	}
+	if got := len(drain(q, 4*time.Second)); got != 6 || q.Len() != 0 {
+		t.Fatalf("%d left", got)
+	}
+	if len(q.summary.totals) != 0 {
+		t.Fatalf("totals left: %v", q.summary.totals)
+	}
+}
+
+func TestHeadThatDoesNotFitHoldsNoOtherPoolBack(t *testing.T) {
+	q := New()
+	q.Push(question("a", "m", 0))
+	other := question("b", "m", 0)
+	other.Model = "n"
+	q.Push(other)
+	w, ok := q.Pop(0, func(w *decision.Work) bool { return w.Model == "n" })
+	if !ok || w.RequestID != "b" {
+		t.Fatalf("%v %v", w.RequestID, ok)
+	}
+}
--- /dev/null
+++ b/internal/decision/roles/split.go
@@ -0,0 +1,71 @@
+package roles
+
+import "goldcrestseam.dev/goldcrestseam/internal/engineapi"
+
+// Split is how many engines have each role.
+type Split struct{ Prefill, Mixed, Decode int }
+
+// Size is the number of engines.
+func (s Split) Size() int { return s.Prefill + s.Mixed + s.Decode }
+
+// Changes is how many engines must change to get from s to o of the same size.
+func (s Split) Changes(o Split) int {
+	return max(0, o.Prefill-s.Prefill) + max(0, o.Mixed-s.Mixed) + max(0, o.Decode-s.Decode)
+}
+
+func (s *Split) count(role engineapi.Role, by int) {
+	switch role {
+	case engineapi.RolePrefill:
+		s.Prefill += by
+	case engineapi.RoleDecode:
+		s.Decode += by
+	default:
+		s.Mixed += by
+	}
+}
+
+// Demand is offered work in engines' worth: 1 keeps one engine of that role
+// fully busy.
+type Demand struct{ Prefill, Decode float64 }
+
+// Total is the engines' worth of both.
+func (d Demand) Total() float64 { return d.Prefill + d.Decode }
+
+// Served is how many engines' worth of d the split can serve, prefill and
+// decode in the proportion of d: a request needs both. mixed is the efficiency of
+// mixed engines.
+func Served(s Split, d Demand, mixed float64) float64 {
+	if d.Total() <= 0 {
+		return 0
+	}
+	return d.Total() * min(1, reach(s, d, mixed))
+}
+
+// reach is the largest factor by which d can be multiplied so that the split
+// still serves it all. Mixed engines take what the others leave.
+func reach(s Split, d Demand, mixed float64) float64 {
+	prefill, band, decode := float64(s.Prefill), float64(s.Mixed)*mixed, float64(s.Decode)
+	both := (prefill + band + decode) / d.Total()
+	if d.Prefill > 0 {
+		both = min(both, (prefill+band)/d.Prefill)
+	}
+	if d.Decode > 0 {
+		both = min(both, (decode+band)/d.Decode)
+	}
+	return both
+}
+
+// splits lists all splits of size engines with at least minMixed mixed ones and
+// that can serve both parts at all.
+func splits(size, minMixed int) []Split {
+	var out []Split
+	for prefill := 0; prefill <= size-minMixed; prefill++ {
+		for decode := 0; decode+prefill <= size-minMixed; decode++ {
+			s := Split{Prefill: prefill, Mixed: size - prefill - decode, Decode: decode}
+			if s.Mixed > 0 || (prefill > 0 && decode > 0) {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
