Add the engine model in virtual time

The stand-in engine and the policy experiment need the same engine. It models continuous batching, priorities, roles, a prefix cache of limited memory, KV import and export and load with a lag. Tests pass; they check times, token counts and that memory is given back.

--- /dev/null
+++ b/internal/enginemodel/engine_test.go
@@ -0,0 +1,146 @@
+package enginemodel
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// run advances to the end of all work and gives tokens and finish times.
+func run(t *testing.T, e *Engine) (map[string]int, map[string]time.Duration) {
+	t.Helper()
+	tokens, ends := map[string]int{}, map[string]time.Duration{}
+	for i := 0; e.NextAt() != Never; i++ {
+		if i > 100000 {
+			t.Fatal("does not end")
+		}
+		for _, p := range e.Advance(e.NextAt()) {
+			tokens[p.ID] += p.Tokens
+			if p.Finished {
+				ends[p.ID] = p.LastAt
+			}
+		}
+	}
+	return tokens, ends
+}
+
+func near(t *testing.T, what string, got, want time.Duration) {
+	t.Helper()
+	if d := got - want; d < -time.Millisecond || d > time.Millisecond {
+		t.Errorf("%s: %v, want %v", what, got, want)
+	}
+}
+
+func TestPrefillAndDecodeAloneTakeTheirTimes(t *testing.T) {
+	e := New(0, Config{}, engineapi.RolePrefill)
+	submit(t, e, 0, Request{ID: "a", PromptTokens: 20000, OutputTokens: 100, PrefillOnly: true})
+	tokens, ends := run(t, e)
+	near(t, "prefill", ends["a"], 2*time.Second)
+	if kv, ok := e.KVTokens("a"); tokens["a"] != 1 || !ok || kv != 20001 {
+		t.Fatalf("%d tokens, KV of %d", tokens["a"], kv)
+	}
+	d := New(0, Config{}, engineapi.RoleDecode)
+	submit(t, d, 0, Request{ID: "a", PromptTokens: 20000, OutputTokens: 101, GeneratedTokens: 1, KVImported: true})
+	tokens, ends = run(t, d)
+	near(t, "import and decode", ends["a"], 20001*time.Second/DefaultKVRate+100*20500*time.Microsecond)
+	if tokens["a"] != 100 {
+		t.Fatalf("%d tokens", tokens["a"])
+	}
+}
+
+func submit(t *testing.T, e *Engine, now time.Duration, r Request) {
+	t.Helper()
+	if err := e.Submit(now, r); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEveryRequestGetsExactlyItsTokens(t *testing.T) {
+	for _, role := range []engineapi.Role{engineapi.RoleMixed, engineapi.RolePrefill, engineapi.RoleDecode} {
+		e := New(0, Config{}, role)
+		for i := range 80 {
+			submit(t, e, 0, Request{ID: fmt.Sprint(i), PromptTokens: 100 * i, OutputTokens: 1 + 7*i, Priority: i % 3})
+		}
+		tokens, _ := run(t, e)
+		for i := range 80 {
+			if got := tokens[fmt.Sprint(i)]; got != 1+7*i {
+				t.Errorf("%s: request %d got %d tokens, want %d", role, i, got, 1+7*i)
+			}
+		}
+		if e.Len() != 0 || e.slots != 0 || e.kv != 0 {
+			t.Errorf("%s: left over: %d requests, %d slots, %d KV", role, e.Len(), e.slots, e.kv)
+		}
+	}
+}
+
+func TestPriorityPassesALongPrefill(t *testing.T) {
+	e := New(0, Config{}, engineapi.RoleMixed)
+	submit(t, e, 0, Request{ID: "dossier", PromptTokens: 50000, OutputTokens: 10})
+	e.Advance(time.Second)
+	submit(t, e, time.Second, Request{ID: "question", PromptTokens: 950, OutputTokens: 10, Priority: 2})
+	_, ends := run(t, e)
+	if ends["question"] > 2*time.Second || ends["dossier"] < 5*time.Second {
+		t.Fatalf("question at %v, dossier at %v", ends["question"], ends["dossier"])
+	}
+}
+
+func TestCacheShortensPrefillWithinASaltOnly(t *testing.T) {
+	e := New(0, Config{RecordCache: true, CacheTokens: 256 * 10}, engineapi.RolePrefill)
+	chain := []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	ask := func(id, salt string, chain []uint64) time.Duration {
+		start := e.now
+		submit(t, e, start, Request{ID: id, PromptTokens: 2560, OutputTokens: 1, Salt: salt, Prefix: chain})
+		_, ends := run(t, e)
+		return ends[id] - start
+	}
+	near(t, "first", ask("a", "m", chain), 256*time.Millisecond)
+	near(t, "again", ask("b", "m", chain), 51200*time.Microsecond)
+	near(t, "other member", ask("c", "n", chain), 256*time.Millisecond)
+	if held := e.cache.held("m", chain); held != 2 {
+		t.Fatalf("%d blocks of the first member left, want the 2 leading ones", held)
+	}
+	if events := e.CacheEvents(0); len(events.Events) != 16+6 || events.Next != 23 {
+		t.Fatalf("%d events, next %d", len(events.Events), events.Next)
+	}
+}
+
+func TestRoleChangeTakesItsTimeAndRefusesWork(t *testing.T) {
+	e := New(0, Config{}, engineapi.RoleMixed)
+	submit(t, e, 0, Request{ID: "a", PromptTokens: 100, OutputTokens: 2})
+	if err := e.SetRole(0, engineapi.RoleDecode); !errorx.IsOfType(err, Busy) {
+		t.Fatalf("while busy: %v", err)
+	}
+	run(t, e)
+	start := e.now
+	if err := e.SetRole(start, engineapi.RoleDecode); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Submit(start, Request{ID: "b"}); !errorx.IsOfType(err, Changing) {
+		t.Fatalf("while changing: %v", err)
+	}
+	e.Advance(start + DefaultChangeTime)
+	if e.Role() != engineapi.RoleDecode || e.Changing() {
+		t.Fatalf("role %s, changing %v", e.Role(), e.Changing())
+	}
+}
+
+func TestLoadIsToldWithItsLag(t *testing.T) {
+	e := New(0, Config{}, engineapi.RoleMixed)
+	for at := time.Duration(0); at < 3*time.Second; at += sampleEvery {
+		e.Advance(at)
+	}
+	submit(t, e, e.now, Request{ID: "a", PromptTokens: 90000, OutputTokens: 1})
+	e.Advance(3500 * time.Millisecond)
+	if l := e.Load(e.now); l.Running != 0 || l.AgeMS < 1000 {
+		t.Fatalf("already told: %+v", l)
+	}
+	e.Advance(4200 * time.Millisecond)
+	e.Advance(5300 * time.Millisecond)
+	if l := e.Load(e.now); l.Running != 1 || l.QueuedPrefillTokens == 0 {
+		t.Fatalf("not told: %+v", l)
+	}
+}
