Add the entry: reducer, callers' HTTP, engine client, goldcrest-entry

Change: the reducer takes views, own words of backend servers and requests, and asks admission, queue and placement; package traffic carries out its effects: completions streamed over fiber, plain and once-only calls, resume at any entry, stream records at a peer, claims and settlements in batches, planned stop.

--- /dev/null
+++ b/internal/entry/decide.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/queue"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
+
+// decider holds the decisions under load that the reducer asks.
+type decider struct {
+	admission *admission.Controller
+	queue     *queue.Queue
+	picker    *placement.Picker
+}
+
+func newDecider() decider {
+	return decider{admission: admission.New(), queue: queue.New(), picker: placement.New()}
+}
+
+// admit gives the refusal of work that can't be served in time, or nil.
+func (d *decider) admit(now time.Duration, w *decision.Work, fleet *decision.Fleet) *outcome.Refusal {
+	v := d.admission.Admit(now, w, fleet, d.queue.Summary())
+	if v.Admit {
+		return nil
+	}
+	return &outcome.Refusal{
+		Status: statusOf(v.Code), Code: v.Code, Message: v.Reason,
+		Outcome: outcome.NotRun, RetryAfter: v.RetryAfter,
+	}
+}
+
+func statusOf(code outcome.Code) int {
+	if code == outcome.CodeOverloaded {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// observe lets placement learn from how an attempt went.
+func (d *decider) observe(now time.Duration, s *server, ev AttemptEnded) {
+	if ev.Outcome == outcome.NotRun && !ev.ServerDied {
+		return
+	}
+	d.picker.Observe(now, s.pb.Id, placement.Result{
+		Failed: !ev.Whole && !ev.Invalid, FirstToken: ev.FirstToken,
+		Decode: ev.Decode, Tokens: ev.Tokens, Took: ev.Took,
+	})
+}
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -1,24 +1,37 @@
 package entry
 
 import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // Effect is what the runner must do after a step, in the order given.
+//
+// Each Arrived is followed by any number of Dispatch and then by exactly one
+// Refuse or Finish.
 type Effect interface{ isEffect() }
 
 // Dispatch sends an attempt of a request to a backend server.
 type Dispatch struct {
 	RequestID string
-	Attempt   uint32
-	Server    string
+	// Attempt names this try towards the reducer, EngineAttempt towards the
+	// server: a reconnect goes on with the attempt that runs there.
+	Attempt       uint32
+	EngineAttempt uint32
+	Server        string
 	// Incarnation and Address name the life of the server that is meant.
 	Incarnation string
 	Address     string
+	// Reconnect is set when the server already runs the request: the attempt
+	// goes on with it there and does not start it anew.
+	Reconnect bool
 	// PrefillServer is set when another engine is to prefill first.
-	PrefillServer  string
-	PrefillAddress string
+	PrefillServer      string
+	PrefillIncarnation string
+	PrefillAddress     string
 }
 
 // Refuse gives a request its final answer, at once.
@@ -27,11 +40,16 @@
 	Refusal   *outcome.Refusal
 }
 
-// Cancel stops an attempt at its server.
+// Finish ends a request whose answer is whole or whose caller is gone.
+type Finish struct{ RequestID string }
+
+// Cancel stops an attempt, and all before it, at its server.
 type Cancel struct {
 	RequestID string
 	Attempt   uint32
 	Address   string
+	// After is how long to wait before it is sent.
+	After time.Duration
 }
 
 // Probe asks a server for its health.
@@ -49,7 +67,7 @@
 
 // LogDecision writes one log line.
 type LogDecision struct {
-	// Kind is route, refuse, view or server.
+	// Kind is route, refuse, wait, view or server.
 	Kind      string
 	RequestID string
 	Member    string
@@ -60,14 +78,21 @@
 	Figures   []Figure
 }
 
+// Kinds of LogDecision. Only LogRoute and LogWait may be sampled.
+const (
+	LogRoute  = "route"
+	LogWait   = "wait"
+	LogRefuse = "refuse"
+	LogView   = "view"
+	LogServer = "server"
+)
+
 // Figure is one number that a decision was taken on.
-type Figure struct {
-	Name  string
-	Value float64
-}
+type Figure = decision.Figure
 
 func (Dispatch) isEffect()    {}
 func (Refuse) isEffect()      {}
+func (Finish) isEffect()      {}
 func (Cancel) isEffect()      {}
 func (Probe) isEffect()       {}
 func (Report) isEffect()      {}
--- /dev/null
+++ b/internal/entry/ended.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
+
+const (
+	// maxReconnects bounds fresh connections to a server that gives no token: a
+	// frozen process still lets its kernel accept connections.
+	maxReconnects = 1
+	// retryPause holds a retry back when the profile's budget is used up.
+	// Accepted model work is never cut off for the budget: it waits.
+	retryPause = time.Second
+	// refusedPause keeps work off a server that has just said "not started".
+	refusedPause = 100 * time.Millisecond
+)
+
+// attemptEnded finishes a request, sends it on or ends it truthfully. Word of
+// an older attempt is dropped.
+func (r *Reducer) attemptEnded(ev AttemptEnded) {
+	q := r.requests[ev.RequestID]
+	if q == nil || q.attempt != ev.Attempt || q.server == nil {
+		return
+	}
+	s := q.server
+	if ev.AtPrefill && q.prefill != nil {
+		s = q.prefill
+	}
+	q.done += ev.Tokens
+	q.got = 0
+	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
+	if ev.ServerDied {
+		r.serverDied(s, q, ev)
+	}
+	r.detach(q)
+	r.decide.observe(r.now, s, ev)
+	r.settle(q, s, ev)
+	r.startWaiting()
+}
+
+func (r *Reducer) settle(q *request, s *server, ev AttemptEnded) {
+	switch {
+	case ev.Whole:
+		r.decide.admission.Served(q.work.Profile, q.retryBudget)
+		r.suspects.cleared(q)
+		r.finish(q)
+	case ev.Invalid:
+		r.refuse(q, refuseInvalid(q))
+	case r.quarantined(q):
+		r.refuse(q, refuseQuarantined(q))
+	case q.attempts >= maxAttempts:
+		r.refuse(q, refuseFailed(q))
+	case ev.Outcome == outcome.NotRun:
+		r.elsewhere(q, s, ev)
+	case q.repeat == RepeatOnce:
+		r.refuse(q, refuseUnknown())
+	case q.repeat == RepeatAllowed:
+		r.retryCall(q, s)
+	default:
+		r.goOn(q, s, ev)
+	}
+}
+
+// elsewhere waits for another place after a server did not start the request.
+func (r *Reducer) elsewhere(q *request, s *server, ev AttemptEnded) {
+	if !ev.ServerDied {
+		s.coolUntil = max(s.coolUntil, r.now+refusedPause)
+	}
+	r.waitAgain(q)
+}
+
+// retryCall sends an idempotent call again while the profile's budget lasts.
+// Without the budget a slow service would get its load doubled by retries just
+// when it is slow.
+func (r *Reducer) retryCall(q *request, s *server) {
+	s.fail(r.now)
+	if !r.decide.admission.Retry(q.work.Profile) {
+		r.refuse(q, refuseFailed(q))
+		return
+	}
+	r.waitAgain(q)
+}
+
+// goOn resumes model work. A connection can go silent or break while the
+// engine goes on: first a fresh connection to it. When that gives no token
+// either, or the engine is gone, another engine goes on from the tokens so far.
+func (r *Reducer) goOn(q *request, s *server, ev AttemptEnded) {
+	gone := ev.ServerDied || ev.StreamUnknown || ev.AtPrefill
+	if !gone && q.reconnects < maxReconnects {
+		q.reconnects++
+		r.dispatch(q, s, placement.Choice{Reason: "fresh connection"}, true)
+		return
+	}
+	if !gone {
+		s.fail(r.now)
+		r.emit(Cancel{RequestID: q.work.RequestID, Attempt: q.engineAttempt, Address: s.pb.Address})
+	}
+	q.reconnects = 0
+	if !r.decide.admission.Retry(q.work.Profile) {
+		q.notBefore = r.now + retryPause
+	}
+	r.waitAgain(q)
+}
+
+// waitAgain puts accepted work back into the queue.
+func (r *Reducer) waitAgain(q *request) {
+	q.work.Resumed = true
+	q.waitsSince = r.now
+	r.decide.queue.Push(q.work)
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -39,18 +39,46 @@
 	Incarnation string
 }
 
-// Arrived is a new request that a member may make.
+// ReportFailed tells that control may not have got a report.
+type ReportFailed struct{ Request *pb.ReportRequest }
+
+// Repeat says how often a request may be sent.
+type Repeat int
+
+// Rules of repeating.
+const (
+	// RepeatResumable: model work; it goes on from the tokens it has.
+	RepeatResumable Repeat = iota
+	// RepeatAllowed: an idempotent call of a plain service.
+	RepeatAllowed
+	// RepeatOnce: at most one send.
+	RepeatOnce
+)
+
+// Arrived is a new request that a member may make. Work.RequestID is its wire
+// id (engineapi.WireID).
 type Arrived struct {
-	Work decision.Work
+	Work   decision.Work
+	Repeat Repeat
 	// Fingerprint names the request's content under its member, for quarantine.
 	Fingerprint uint64
+	// RetryBudget is the profile's.
+	RetryBudget float64
+	// Attempt is the last attempt that another entry may have used, 0 for none.
+	Attempt uint32
+	// Offset is how many tokens the caller has already.
+	Offset int
+	// Server and Incarnation name the engine that runs a resumed request.
+	Server      string
+	Incarnation string
 }
 
-// AttemptProgress tells that tokens or heartbeats came.
+// AttemptProgress tells that tokens came.
 type AttemptProgress struct {
 	RequestID string
 	Attempt   uint32
-	Tokens    int
+	// Tokens is how many came with this attempt so far.
+	Tokens int
 }
 
 // AttemptEnded tells how an attempt at a backend server ended.
@@ -65,21 +93,33 @@
 	// ServerDied tells that the server's process seems gone (connection
 	// refused or reset), and not only this connection.
 	ServerDied bool
-	Tokens     int
+	// StreamUnknown tells that the server does not know the stream to go on with.
+	StreamUnknown bool
+	// Invalid tells that the server will never take this request.
+	Invalid bool
+	// AtPrefill tells that all this is about the engine that was to prefill.
+	AtPrefill bool
+	Tokens    int
+	// FirstToken and Decode are the times to the first token and from it to
+	// the last; Took is the whole time.
+	FirstToken time.Duration
+	Decode     time.Duration
 	Took       time.Duration
 }
 
 // CallerGone tells that the caller's connection is gone.
 type CallerGone struct{ RequestID string }
 
-// Stop begins the planned stop of the entry.
-type Stop struct{}
+// Stop begins the planned stop of the entry. Keep is how long callers may still
+// come that were told of it before.
+type Stop struct{ Keep time.Duration }
 
 func (Tick) isEvent()            {}
 func (ViewReceived) isEvent()    {}
 func (Announced) isEvent()       {}
 func (ServerSaid) isEvent()      {}
 func (ProbeFailed) isEvent()     {}
+func (ReportFailed) isEvent()    {}
 func (Arrived) isEvent()         {}
 func (AttemptProgress) isEvent() {}
 func (AttemptEnded) isEvent()    {}
--- /dev/null
+++ b/internal/entry/reducer.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Times and bounds that the reducer decides by.
+const (
+	// maxLease bounds how long a view counts. Together with the 0.4 s that a
+	// server's own word may take it keeps new work off a leaving server after 2 s.
+	maxLease = 1500 * time.Millisecond
+	// confirmFor is how long a server's own word counts while the view is stale.
+	confirmFor = 500 * time.Millisecond
+	// probeEvery is how often servers are asked while the view is stale or they
+	// failed; two answers fit into confirmFor, so that one may be lost.
+	probeEvery = 200 * time.Millisecond
+	// maxProbes bounds the servers asked at once.
+	maxProbes = 32
+	// maxAttempts bounds the attempts of one request at this entry. A request
+	// that outlives so many servers is ended truthfully.
+	maxAttempts = 12
+	// cancelGrace leaves a caller time to go on with its stream at another
+	// entry before it is stopped at the engine. The other entry's attempt has a
+	// higher number, so that the late cancel does not touch it.
+	cancelGrace = 2 * time.Second
+	// rampTime is how long an entry that came back gets less than its share.
+	rampTime = 10 * time.Second
+)
+
+// Config is what the reducer learns from the settings.
+type Config struct {
+	Cluster    string
+	Identity   *pb.EntryIdentity
+	MaxStreams int
+}
+
+// Reducer decides for one entry. Not safe for concurrent use.
+type Reducer struct {
+	cfg      Config
+	now      time.Duration
+	effects  []Effect
+	view     view
+	servers  serverTable
+	requests map[string]*request
+	decide   decider
+	suspects suspectTable
+	report   reportBuffer
+	leaving  bool
+	// closesAt is when a leaving entry takes no more requests.
+	closesAt time.Duration
+	// dirty asks for a new snapshot at the end of the step.
+	dirty       bool
+	lastProbe   time.Duration
+	lastWeights time.Duration
+}
+
+// New gives a reducer that knows nothing yet.
+func New(cfg Config) *Reducer {
+	return &Reducer{
+		cfg:      cfg,
+		view:     newView(),
+		servers:  newServerTable(),
+		requests: make(map[string]*request),
+		decide:   newDecider(),
+		suspects: newSuspectTable(),
+		report:   newReportBuffer(),
+	}
+}
+
+// Step takes one event at a time and gives what must be done about it. Time
+// must not go back.
+func (r *Reducer) Step(now time.Duration, ev Event) []Effect {
+	r.now = now
+	r.effects = nil
+	switch ev := ev.(type) {
+	case Tick:
+		r.tick()
+	case ViewReceived:
+		r.viewReceived(ev)
+	case Announced:
+		r.announced(ev)
+	case ServerSaid:
+		r.serverSaid(ev)
+	case ProbeFailed:
+		r.probeFailed(ev)
+	case ReportFailed:
+		r.report.again(ev.Request)
+	case Arrived:
+		r.arrived(ev)
+	case AttemptProgress:
+		r.progress(ev)
+	case AttemptEnded:
+		r.attemptEnded(ev)
+	case CallerGone:
+		r.callerGone(ev)
+	case Stop:
+		r.stop(ev)
+	}
+	r.publish()
+	return r.effects
+}
+
+func (r *Reducer) emit(e Effect) { r.effects = append(r.effects, e) }
+
+func (r *Reducer) tick() {
+	r.suspects.expire(r.now)
+	for _, s := range r.servers.sorted {
+		s.forgetSent(r.now - sentFor)
+	}
+	r.probe()
+	r.expireWaiting()
+	r.startWaiting()
+	r.sendReport()
+	r.refreshWeights()
+}
+
+// stale tells whether the view has run out.
+func (r *Reducer) stale() bool { return r.now >= r.view.leaseUntil }
+
+// stop keeps the entry open for callers that hold older address answers.
+func (r *Reducer) stop(ev Stop) {
+	if r.leaving {
+		return
+	}
+	r.leaving, r.dirty = true, true
+	r.closesAt = r.now + ev.Keep
+}
+
+func (r *Reducer) closed() bool { return r.leaving && r.now >= r.closesAt }
--- /dev/null
+++ b/internal/entry/requests.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
+
+// attemptHop is how far apart the attempt numbers of two entries lie that run
+// the same request one after the other. It is more than maxAttempts, so that a
+// later entry's number is higher than any that an earlier one has used.
+const attemptHop = 1 << 8
+
+// request is one request from its arrival to its final effect.
+type request struct {
+	work        decision.Work
+	repeat      Repeat
+	fingerprint uint64
+	retryBudget float64
+	attempt     uint32
+	// engineAttempt is the attempt that the server knows: a fresh connection
+	// goes on with the attempt that runs there.
+	engineAttempt uint32
+	attempts      int
+	// server is where the attempt runs; nil while the request waits. prefill
+	// is the engine that prefills for it, if another one does.
+	server  *server
+	prefill *server
+	// done is how many tokens earlier attempts gave, got those of this one.
+	done int
+	got  int
+	// reconnects counts fresh connections to the same server without a token.
+	reconnects int
+	// mayHaveRun is set once a server may have begun it.
+	mayHaveRun bool
+	// notBefore holds a retry back; waitsSince is when it began to wait.
+	notBefore  time.Duration
+	waitsSince time.Duration
+}
+
+func (q *request) prefillLeft() int {
+	if q.got > 0 {
+		return 0
+	}
+	return q.work.PromptTokens + q.done
+}
+
+func (q *request) decodeLeft() int { return max(0, q.work.OutputTokens-q.done-q.got) }
+
+func (q *request) key() quarantineKey { return quarantineKey{q.work.Member, q.fingerprint} }
+
+// arrived refuses at once or takes a request on. The same event twice is the
+// same request.
+func (r *Reducer) arrived(ev Arrived) {
+	id := ev.Work.RequestID
+	if r.requests[id] != nil {
+		return
+	}
+	if !ev.Work.Resumed {
+		r.report.offer(&ev.Work)
+	}
+	q := &request{
+		work: ev.Work, repeat: ev.Repeat, fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
+		attempt: ev.Attempt, done: ev.Offset, waitsSince: r.now,
+	}
+	if ev.Attempt > 0 {
+		q.attempt = (ev.Attempt/attemptHop + 1) * attemptHop
+		q.engineAttempt = ev.Attempt
+		q.mayHaveRun = true
+	}
+	if refusal := r.turnAway(q); refusal != nil {
+		r.report.refused(&ev.Work)
+		r.refuse(q, refusal)
+		return
+	}
+	r.requests[id] = q
+	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
+		r.dispatch(q, s, placement.Choice{Reason: "goes on where it runs"}, true)
+		return
+	}
+	r.decide.queue.Push(q.work)
+	r.startWaiting()
+}
+
+// turnAway gives the refusal for a request that is not taken on, or nil.
+func (r *Reducer) turnAway(q *request) *outcome.Refusal {
+	switch {
+	case r.view.declaration == nil:
+		return refuseNoView()
+	case r.closed():
+		return refuseLeaving()
+	case r.quarantined(q):
+		return refuseQuarantined(q)
+	case len(r.requests) >= r.cfg.MaxStreams:
+		return refuseFull()
+	}
+	fleet := r.fleet(q)
+	if r.stale() && !anyServes(&fleet, &q.work) {
+		return refuseStale()
+	}
+	return r.decide.admit(r.now, &q.work, &fleet)
+}
+
+func anyServes(fleet *decision.Fleet, w *decision.Work) bool {
+	return slices.ContainsFunc(fleet.Servers, func(s decision.Server) bool { return s.Serves(w) })
+}
+
+// startWaiting dispatches what waits and finds a place.
+func (r *Reducer) startWaiting() {
+	for {
+		var choice placement.Choice
+		w, ok := r.decide.queue.Pop(r.now, func(w *decision.Work) bool {
+			var fits bool
+			choice, fits = r.place(w)
+			return fits
+		})
+		if !ok {
+			return
+		}
+		q := r.requests[w.RequestID]
+		r.decide.picker.Sent(r.now, &w, choice)
+		r.dispatch(q, r.servers.byID[choice.Server.ID], choice, false)
+	}
+}
+
+func (r *Reducer) place(w *decision.Work) (placement.Choice, bool) {
+	q := r.requests[w.RequestID]
+	if r.now < q.notBefore {
+		return placement.Choice{}, false
+	}
+	fleet := r.fleet(q)
+	return r.decide.picker.Pick(r.now, w, &fleet)
+}
+
+func (r *Reducer) dispatch(q *request, s *server, choice placement.Choice, reconnect bool) {
+	q.attempt++
+	q.attempts++
+	q.got = 0
+	if !reconnect {
+		q.engineAttempt = q.attempt
+	}
+	q.server = s
+	s.running = append(s.running, q.work.RequestID)
+	s.since = append(s.since, sentWork{at: r.now, prefill: q.work.PromptTokens + q.done, decode: q.decodeLeft()})
+	d := Dispatch{
+		RequestID: q.work.RequestID, Attempt: q.attempt, EngineAttempt: q.engineAttempt, Server: s.pb.Id,
+		Incarnation: s.pb.Incarnation, Address: s.pb.Address, Reconnect: reconnect,
+	}
+	if choice.Prefill != nil {
+		p := r.servers.byID[choice.Prefill.ID]
+		q.prefill = p
+		p.running = append(p.running, q.work.RequestID)
+		d.PrefillServer, d.PrefillIncarnation, d.PrefillAddress = p.pb.Id, p.pb.Incarnation, p.pb.Address
+	}
+	r.emit(d)
+	r.log(LogRoute, q, s.pb.Id, choice.Reason, append(choice.Figures,
+		Figure{Name: "attempt", Value: float64(q.attempt)},
+		Figure{Name: "done_tokens", Value: float64(q.done)},
+		Figure{Name: "waited_ms", Value: float64((r.now - q.waitsSince).Milliseconds())}))
+}
+
+// detach takes the request off its server.
+func (r *Reducer) detach(q *request) {
+	for _, s := range []*server{q.server, q.prefill} {
+		if s != nil {
+			s.running = slices.DeleteFunc(s.running, func(id string) bool { return id == q.work.RequestID })
+		}
+	}
+	q.server, q.prefill = nil, nil
+}
+
+func (r *Reducer) progress(ev AttemptProgress) {
+	q := r.requests[ev.RequestID]
+	if q == nil || q.attempt != ev.Attempt || q.server == nil {
+		return
+	}
+	q.mayHaveRun = true
+	if ev.Tokens > q.got {
+		q.got, q.reconnects = ev.Tokens, 0
+		if r.suspects.progressed(q) {
+			r.startWaiting()
+		}
+	}
+}
+
+func (r *Reducer) callerGone(ev CallerGone) {
+	q := r.requests[ev.RequestID]
+	if q == nil {
+		return
+	}
+	if q.server != nil && q.repeat == RepeatResumable {
+		r.emit(Cancel{RequestID: ev.RequestID, Attempt: q.engineAttempt, Address: q.server.pb.Address, After: cancelGrace})
+	}
+	r.finish(q)
+	r.startWaiting()
+}
+
+// finish gives the final effect of a request that is not refused.
+func (r *Reducer) finish(q *request) {
+	r.forget(q)
+	r.emit(Finish{RequestID: q.work.RequestID})
+}
+
+func (r *Reducer) refuse(q *request, refusal *outcome.Refusal) {
+	r.forget(q)
+	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal})
+	r.log(LogRefuse, q, "", string(refusal.Code), []Figure{
+		{Name: "status", Value: float64(refusal.Status)},
+		{Name: "retry_after_s", Value: refusal.RetryAfter.Seconds()},
+		{Name: "attempts", Value: float64(q.attempts)},
+		{Name: "waiting", Value: float64(r.decide.queue.Len())},
+	})
+}
+
+func (r *Reducer) forget(q *request) {
+	r.detach(q)
+	r.decide.queue.Remove(q.work.RequestID)
+	delete(r.requests, q.work.RequestID)
+}
+
+// expireWaiting ends what can't be answered in time any more.
+func (r *Reducer) expireWaiting() {
+	for _, w := range r.decide.queue.Expire(r.now) {
+		if q := r.requests[w.RequestID]; q != nil {
+			r.refuse(q, refuseLate(q))
+		}
+	}
+}
+
+func (r *Reducer) log(kind string, q *request, server, reason string, figures []Figure) {
+	r.emit(LogDecision{
+		Kind: kind, RequestID: q.work.RequestID, Member: q.work.Member, Profile: q.work.Profile,
+		Class: string(q.work.Class), Server: server, Reason: reason, Figures: figures,
+	})
+}
--- /dev/null
+++ b/internal/entry/servers.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// firstCooling keeps new work off a server that refused a connection or
+	// gave no answer; it doubles with each failure up to maxCooling.
+	firstCooling = 500 * time.Millisecond
+	maxCooling   = 8 * time.Second
+	// sentFor bounds how long work counts as sent after the last load report,
+	// for servers that report no load.
+	sentFor = 5 * time.Second
+)
+
+// server is what is known of one backend server: control's word from the view
+// and its own word from announcements, answers and probes.
+type server struct {
+	pb *pb.BackendServer
+	// ownState is its own last word in this incarnation, ownAt when it came.
+	ownState engineapi.State
+	ownAt    time.Duration
+	// leaving is set for good once this incarnation said that it leaves.
+	leaving    bool
+	load       engineapi.Load
+	reportedAt time.Duration
+	failures   int
+	coolUntil  time.Duration
+	// died is set once this life was reported dead.
+	died bool
+	// running holds the ids of the requests that this entry has there.
+	running []string
+	// since sums what was sent after the load was measured.
+	since []sentWork
+}
+
+type sentWork struct {
+	at      time.Duration
+	prefill int
+	decode  int
+}
+
+type serverTable struct {
+	byID map[string]*server
+	// sorted holds them in order of id.
+	sorted []*server
+	// early keeps the own word of servers that the view does not name yet.
+	early map[string]engineapi.Announcement
+}
+
+func newServerTable() serverTable {
+	return serverTable{byID: make(map[string]*server), early: make(map[string]engineapi.Announcement)}
+}
+
+// applyView takes the servers of the view and gives the ids whose life is over.
+func (t *serverTable) applyView(resp *pb.WatchResponse, now time.Duration) []string {
+	old := t.byID
+	var over []string
+	if resp.Full {
+		t.byID = make(map[string]*server, len(resp.Servers))
+	}
+	for _, p := range resp.Servers {
+		s := old[p.Id]
+		if s == nil || s.pb.Incarnation != p.Incarnation {
+			s = t.newServer(p, now)
+			over = append(over, p.Id)
+		}
+		s.pb = p
+		t.byID[p.Id] = s
+	}
+	for _, id := range resp.RemovedServers {
+		delete(t.byID, id)
+		over = append(over, id)
+	}
+	t.sort()
+	return over
+}
+
+func (t *serverTable) newServer(p *pb.BackendServer, now time.Duration) *server {
+	s := &server{pb: p}
+	if a, ok := t.early[p.Id]; ok && a.Incarnation == p.Incarnation {
+		s.hear(a.State, now)
+		s.setLoad(a.Load, now)
+	}
+	delete(t.early, p.Id)
+	return s
+}
+
+func (t *serverTable) sort() {
+	t.sorted = t.sorted[:0]
+	for _, s := range t.byID {
+		t.sorted = append(t.sorted, s)
+	}
+	slices.SortFunc(t.sorted, func(a, b *server) int { return cmp.Compare(a.pb.Id, b.pb.Id) })
+}
+
+// life gives the server if that incarnation is the one in force, else nil.
+func (t *serverTable) life(id, incarnation string) *server {
+	s := t.byID[id]
+	if s == nil || s.pb.Incarnation != incarnation {
+		return nil
+	}
+	return s
+}
+
+// hear takes a server's own word. An answer that was under way when the server
+// began to leave may come after the word of leaving: leaving is never taken
+// back within an incarnation.
+func (s *server) hear(state engineapi.State, now time.Duration) {
+	s.ownState, s.ownAt = state, now
+	if state == engineapi.StateLeaving {
+		s.leaving = true
+	}
+	if state == engineapi.StateServing {
+		s.failures, s.coolUntil = 0, 0
+	}
+}
+
+// setLoad takes a load report and forgets what was sent before it was true.
+func (s *server) setLoad(load engineapi.Load, now time.Duration) {
+	at := now - time.Duration(load.AgeMS)*time.Millisecond
+	if at < s.reportedAt {
+		return
+	}
+	s.load, s.reportedAt = load, at
+	s.forgetSent(at)
+}
+
+func (s *server) forgetSent(before time.Duration) {
+	s.since = slices.DeleteFunc(s.since, func(w sentWork) bool { return w.at < before })
+}
+
+func (s *server) fail(now time.Duration) {
+	cooling := min(firstCooling<<min(s.failures, 5), maxCooling)
+	s.failures++
+	s.coolUntil = now + cooling
+}
+
+// mayTakeWork tells whether new work may go to the server.
+//
+// Two independent words say that a server leaves: the view's and its own. After
+// either nothing more is sent. A view whose lease has run out may hide that a
+// server leaves (the entry may be cut off from control), so that then only a
+// server counts that has said within confirmFor that it serves.
+func (s *server) mayTakeWork(now time.Duration, stale bool) bool {
+	if s.leaving || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
+		return false
+	}
+	if s.ownState == engineapi.StateChanging || now < s.coolUntil {
+		return false
+	}
+	if stale {
+		return s.confirmed(now)
+	}
+	return true
+}
+
+func (s *server) confirmed(now time.Duration) bool {
+	return s.ownState == engineapi.StateServing && now-s.ownAt < confirmFor
+}
+
+func (r *Reducer) announced(ev Announced) {
+	a := ev.Announcement
+	r.report.announce(a, r.now)
+	s := r.servers.byID[a.ID]
+	if s == nil || s.pb.Incarnation != a.Incarnation {
+		r.servers.keepEarly(a)
+		return
+	}
+	r.heard(s, a.State, a.Load, true)
+}
+
+// maxEarly bounds the servers whose word is kept before the view names them.
+const maxEarly = 4096
+
+func (t *serverTable) keepEarly(a engineapi.Announcement) {
+	if _, known := t.early[a.ID]; known || len(t.early) < maxEarly {
+		t.early[a.ID] = a
+	}
+}
+
+func (r *Reducer) serverSaid(ev ServerSaid) {
+	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
+		r.heard(s, ev.State, ev.Load, ev.HasLoad)
+	}
+}
+
+func (r *Reducer) heard(s *server, state engineapi.State, load engineapi.Load, hasLoad bool) {
+	if state != s.ownState {
+		r.logServer(s, "said "+string(state))
+	}
+	s.hear(state, r.now)
+	if hasLoad {
+		s.setLoad(load, r.now)
+	}
+	r.startWaiting()
+}
+
+func (r *Reducer) probeFailed(ev ProbeFailed) {
+	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
+		s.fail(r.now)
+	}
+}
+
+// probe asks servers for their own word: those that failed, and while the view
+// is stale all that could serve, so that work can go on without control.
+func (r *Reducer) probe() {
+	if r.now-r.lastProbe < probeEvery {
+		return
+	}
+	r.lastProbe = r.now
+	left := maxProbes
+	for _, s := range r.servers.sorted {
+		failed := s.failures > 0
+		if left > 0 && !s.leaving && (failed || r.stale()) {
+			r.emit(Probe{Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address})
+			left--
+		}
+	}
+}
+
+// fleet gives the servers as the decisions see them, for one request.
+func (r *Reducer) fleet(q *request) decision.Fleet {
+	f := decision.Fleet{DataCentre: r.cfg.Identity.DataCentre, Entries: max(1, len(r.view.entries))}
+	f.Servers = make([]decision.Server, 0, len(r.servers.sorted))
+	for _, s := range r.servers.sorted {
+		usable := s.mayTakeWork(r.now, r.stale()) && r.suspects.apart(r, q, s)
+		f.Servers = append(f.Servers, r.decisionServer(s, usable))
+	}
+	return f
+}
+
+func (r *Reducer) decisionServer(s *server, usable bool) decision.Server {
+	return decision.Server{
+		ID: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
+		DataCentre: s.pb.DataCentre, Kind: kindName(s.pb.Kind), Services: s.pb.Services,
+		Model: s.pb.Model, Adapters: s.pb.Adapters, Role: roleName(s.pb.Role),
+		Usable: usable, Slots: int(s.pb.Slots), Load: s.load, ReportedAt: s.reportedAt,
+		Sent: r.sent(s),
+	}
+}
+
+func (r *Reducer) sent(s *server) decision.Sent {
+	sent := decision.Sent{Requests: len(s.running)}
+	for _, id := range s.running {
+		q := r.requests[id]
+		sent.PrefillTokens += q.prefillLeft()
+		sent.DecodeTokens += q.decodeLeft()
+	}
+	for _, w := range s.since {
+		sent.SinceRequests++
+		sent.SincePrefillTokens += w.prefill
+		sent.SinceDecodeTokens += w.decode
+	}
+	return sent
+}
+
+func kindName(k pb.ServerKind) string {
+	if k == pb.ServerKind_SERVER_KIND_PLAIN {
+		return declaration.KindPlain
+	}
+	return declaration.KindModel
+}
+
+func roleName(role pb.EngineRole) engineapi.Role {
+	switch role {
+	case pb.EngineRole_ENGINE_ROLE_PREFILL:
+		return engineapi.RolePrefill
+	case pb.EngineRole_ENGINE_ROLE_DECODE:
+		return engineapi.RoleDecode
+	default:
+		return engineapi.RoleMixed
+	}
+}
+
+func (r *Reducer) logServer(s *server, reason string) {
+	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: reason, Figures: []Figure{
+		{Name: "running_here", Value: float64(len(s.running))},
+		{Name: "failures", Value: float64(s.failures)},
+	}})
+}
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
-	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // Snapshot is what the traffic goroutines may read. It is never changed.
@@ -13,9 +12,19 @@
 	// Members maps the hash of a credential to its member.
 	Members map[string]*declaration.Member
 	// Entries are the entries of the view, in order of name.
-	Entries     []*pb.EntryInfo
+	Entries     []EntryWeight
 	ViewVersion uint64
+	Revision    uint64
 	// LeaseUntil is when the view stops to count, since boot.
 	LeaseUntil time.Duration
-	Leaving    bool
+	// Drained holds the backend servers that operators drained.
+	Drained map[string]bool
+	// Control lists the control replicas that the view names.
+	Control []string
+	Leaving bool
+	// Load is the share of this entry's streams that is in use.
+	Load float64
 }
+
+// Ready tells whether the entry has a declaration to serve by.
+func (s *Snapshot) Ready() bool { return s.Declaration != nil }
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+type objectKey struct{ kind, name string }
+
+type quarantineKey struct {
+	member      string
+	fingerprint uint64
+}
+
+// entryState is an entry of the view and when its life was first seen.
+type entryState struct {
+	info  *pb.EntryInfo
+	since time.Duration
+}
+
+// view is what control last told.
+type view struct {
+	version     uint64
+	revision    uint64
+	leaseUntil  time.Duration
+	objects     map[objectKey]*pb.Object
+	declaration *declaration.Declaration
+	members     map[string]*declaration.Member
+	entries     map[string]*entryState
+	quarantine  map[quarantineKey]bool
+	control     []string
+}
+
+func newView() view {
+	return view{
+		objects:    make(map[objectKey]*pb.Object),
+		members:    make(map[string]*declaration.Member),
+		entries:    make(map[string]*entryState),
+		quarantine: make(map[quarantineKey]bool),
+	}
+}
+
+// viewReceived applies a whole view or a delta, and renews the lease.
+//
+// Answers can come late and out of order, and from a control replica that has
+// fallen behind. A delta against another version than the one in force, and
+// anything older than what is in force, is dropped together with its lease:
+// otherwise an accepted configuration would revert for a while.
+func (r *Reducer) viewReceived(ev ViewReceived) {
+	resp := ev.Response
+	v := &r.view
+	older := resp.Version < v.version || resp.Revision < v.revision
+	gap := !resp.Full && resp.KnownVersion != v.version
+	if older || gap {
+		r.logView("dropped", resp)
+		return
+	}
+	if resp.Version > v.version || resp.Full {
+		if !r.applyView(resp) {
+			return
+		}
+	}
+	lease := min(time.Duration(resp.LeaseMs)*time.Millisecond, maxLease)
+	if until := ev.SentAt + lease; until > v.leaseUntil {
+		wasStale := r.stale()
+		v.leaseUntil = until
+		r.dirty = r.dirty || wasStale
+	}
+	r.startWaiting()
+}
+
+// applyView gives false when the declaration in it can't be read; the view in
+// force stays then.
+func (r *Reducer) applyView(resp *pb.WatchResponse) bool {
+	v := &r.view
+	objects := nextObjects(v.objects, resp)
+	if resp.Full || len(resp.Objects) > 0 || len(resp.RemovedObjects) > 0 {
+		d, err := declaration.FromObjects(resp.Revision, sortedObjects(objects))
+		if err != nil {
+			r.logView("unreadable", resp)
+			return false
+		}
+		v.setDeclaration(d, resp.Revision)
+	}
+	v.objects = objects
+	r.applyEntries(resp)
+	v.applyQuarantine(resp)
+	for _, id := range r.servers.applyView(resp, r.now) {
+		r.decide.picker.Forget(id)
+	}
+	v.version, v.revision = resp.Version, resp.Revision
+	if len(resp.Control) > 0 {
+		v.control = resp.Control
+	}
+	r.dirty = true
+	r.logView("applied", resp)
+	return true
+}
+
+func nextObjects(old map[objectKey]*pb.Object, resp *pb.WatchResponse) map[objectKey]*pb.Object {
+	next := make(map[objectKey]*pb.Object, len(old)+len(resp.Objects))
+	if !resp.Full {
+		for k, o := range old {
+			next[k] = o
+		}
+	}
+	for _, o := range resp.Objects {
+		next[objectKey{o.Kind, o.Name}] = o
+	}
+	for _, ref := range resp.RemovedObjects {
+		delete(next, objectKey{ref.Kind, ref.Name})
+	}
+	return next
+}
+
+func sortedObjects(objects map[objectKey]*pb.Object) []*pb.Object {
+	list := make([]*pb.Object, 0, len(objects))
+	for _, o := range objects {
+		list = append(list, o)
+	}
+	declaration.SortObjects(list)
+	return list
+}
+
+func (v *view) setDeclaration(d *declaration.Declaration, revision uint64) {
+	if revision == 0 {
+		return
+	}
+	members := make(map[string]*declaration.Member, len(d.Members))
+	for i := range d.Members {
+		members[d.Members[i].CredentialSHA256] = &d.Members[i]
+	}
+	v.declaration, v.members = d, members
+}
+
+// applyEntries keeps since when each life of an entry is known. What a first
+// whole view names counts as long known: this entry is the newcomer then.
+func (r *Reducer) applyEntries(resp *pb.WatchResponse) {
+	v := &r.view
+	since := r.now
+	if v.version == 0 {
+		since = r.now - rampTime
+	}
+	old := v.entries
+	if resp.Full {
+		v.entries = make(map[string]*entryState, len(resp.Entries))
+	}
+	for _, info := range resp.Entries {
+		if info.Identity == nil {
+			continue
+		}
+		state := &entryState{info: info, since: since}
+		known := old[info.Identity.Name]
+		if known != nil && known.info.Identity.Incarnation == info.Identity.Incarnation {
+			state.since = known.since
+		}
+		v.entries[info.Identity.Name] = state
+	}
+	for _, name := range resp.RemovedEntries {
+		delete(v.entries, name)
+	}
+}
+
+func (v *view) applyQuarantine(resp *pb.WatchResponse) {
+	if resp.Full {
+		v.quarantine = make(map[quarantineKey]bool)
+	}
+	for _, q := range resp.Quarantine {
+		v.quarantine[quarantineKey{q.Member, q.Fingerprint}] = true
+	}
+	for _, q := range resp.RemovedQuarantine {
+		delete(v.quarantine, quarantineKey{q.Member, q.Fingerprint})
+	}
+}
+
+// sortedEntries gives the entries in order of name.
+func (v *view) sortedEntries() []*entryState {
+	list := make([]*entryState, 0, len(v.entries))
+	for _, e := range v.entries {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *entryState) int {
+		return cmp.Compare(a.info.Identity.Name, b.info.Identity.Name)
+	})
+	return list
+}
+
+func (r *Reducer) logView(reason string, resp *pb.WatchResponse) {
+	r.emit(LogDecision{Kind: LogView, Reason: reason, Figures: []Figure{
+		{Name: "version", Value: float64(resp.Version)},
+		{Name: "known_version", Value: float64(resp.KnownVersion)},
+		{Name: "in_force", Value: float64(r.view.version)},
+		{Name: "revision", Value: float64(resp.Revision)},
+		{Name: "servers", Value: float64(len(resp.Servers))},
+		{Name: "entries", Value: float64(len(resp.Entries))},
+	}})
+}
--- /dev/null
+++ b/internal/traffic/control.go
@@ -0,0 +1,128 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// metaLeader is the key under which a replica names the leader.
+	metaLeader = "leader"
+	// controlPause is the wait between tries when no replica leads.
+	controlPause = 30 * time.Millisecond
+	// controlTry bounds one try of a short call. A replica whose connection has
+	// gone silent costs this much before another one is asked.
+	controlTry = 500 * time.Millisecond
+)
+
+// controlClient calls the control replica that leads.
+type controlClient struct {
+	auth *rpc.Auth
+	http *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	current   string
+	clients   map[string]pb.Control
+}
+
+func newControlClient(auth *rpc.Auth, addresses []string) *controlClient {
+	return &controlClient{
+		auth: auth, http: auth.Client(), addresses: slices.Clone(addresses),
+		current: addresses[rand.IntN(len(addresses))], clients: make(map[string]pb.Control),
+	}
+}
+
+// learn takes the addresses that the view names beside those of the settings.
+func (c *controlClient) learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range addresses {
+		if !slices.Contains(c.addresses, a) {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+}
+
+func (c *controlClient) leader() (string, pb.Control) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.clients[c.current]
+	if client == nil {
+		client = pb.NewControlProtobufClient(c.auth.URL(c.current), c.http)
+		c.clients[c.current] = client
+	}
+	return c.current, client
+}
+
+// moveOn chooses whom to ask next after address failed: the leader that it
+// named, else the next replica.
+func (c *controlClient) moveOn(address string, err error) {
+	named := ""
+	var twerr twirp.Error
+	if errors.As(err, &twerr) {
+		named = twerr.Meta(metaLeader)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != address {
+		return
+	}
+	if named != "" && named != address {
+		c.current = named
+		return
+	}
+	c.current = c.addresses[(slices.Index(c.addresses, address)+1)%len(c.addresses)]
+}
+
+// call tries fn at the leader, each time with a deadline of its own, until it
+// succeeds or ctx ends. fn must be idempotent.
+func (c *controlClient) call(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
+	for {
+		err := c.once(ctx, try, fn)
+		if err == nil || ctx.Err() != nil || final(err) {
+			return err
+		}
+		pause := controlPause + rand.N(controlPause)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (c *controlClient) once(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
+	address, client := c.leader()
+	ctx, cancel := context.WithTimeout(ctx, try)
+	defer cancel()
+	err := fn(ctx, client)
+	if err != nil {
+		c.moveOn(address, err)
+	}
+	return err
+}
+
+// final tells whether asking again can't help.
+func final(err error) bool {
+	var twerr twirp.Error
+	if !errors.As(err, &twerr) {
+		return false
+	}
+	switch twerr.Code() {
+	case twirp.InvalidArgument, twirp.PermissionDenied, twirp.Malformed:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/traffic/records.go
@@ -0,0 +1,210 @@
+package traffic
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// finishedKeep is how long a finished stream's record is kept: a caller
+	// whose connection broke at the very end comes back within it.
+	finishedKeep = 30 * time.Second
+	// recordKeep bounds how long a record lives without renewal.
+	recordKeep = 2 * time.Minute
+	// maxRecords and maxRecordBytes bound what this entry keeps of streams.
+	maxRecords     = 20000
+	maxRecordBytes = 256 << 20
+	// renewTokens and renewEvery pace renewals with text.
+	renewTokens = 64
+	renewEvery  = 500 * time.Millisecond
+)
+
+// streamRecord is one stream that this entry runs, as another would need it.
+type streamRecord struct {
+	mu sync.Mutex
+	pb *pb.StreamRecord
+	// text is kept apart, so that a chunk costs no copy of all text before it.
+	text []byte
+	// holder is the peer that has it; empty until one answered.
+	holder string
+	// begun and replicated bracket the first hand-over.
+	begun      bool
+	replicated chan struct{}
+	// renewed is when and at how many tokens the holder got it last; urgent
+	// asks for a renewal at once.
+	renewed       time.Time
+	renewedTokens uint64
+	urgent        bool
+}
+
+func newStreamRecord(p *pb.StreamRecord) *streamRecord {
+	return &streamRecord{pb: p, replicated: make(chan struct{})}
+}
+
+func (r *streamRecord) dispatched(d entry.Dispatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pb.Server, r.pb.Incarnation, r.pb.Address = d.Server, d.Incarnation, d.Address
+	r.pb.Attempt = d.EngineAttempt
+	r.urgent = true
+}
+
+func (r *streamRecord) progress(text []byte, offset int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.text, r.pb.Tokens = text, uint64(offset)
+}
+
+func (r *streamRecord) finish(text []byte, offset int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.text, r.pb.Tokens = text, uint64(offset)
+	r.pb.Finished, r.urgent = true, true
+}
+
+// copy gives the record as it is now; without the body for a renewal.
+func (r *streamRecord) copy(withBody bool) *pb.StreamRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	body := r.pb.Body
+	r.pb.Body = nil
+	p := proto.Clone(r.pb).(*pb.StreamRecord)
+	r.pb.Body = body
+	p.Text = string(r.text)
+	if withBody {
+		p.Body = body
+	}
+	return p
+}
+
+// due tells whether the holder is to be told, and takes it as told.
+func (r *streamRecord) due(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	grown := r.pb.Tokens >= r.renewedTokens+renewTokens ||
+		(r.pb.Tokens > r.renewedTokens && now.Sub(r.renewed) >= renewEvery)
+	alive := now.Sub(r.renewed) >= recordKeep/4 && !r.pb.Finished
+	if r.holder == "" || !(r.urgent || grown || alive) {
+		return false
+	}
+	r.urgent, r.renewed, r.renewedTokens = false, now, r.pb.Tokens
+	return true
+}
+
+type recordKey struct{ member, requestID string }
+
+type heldRecord struct {
+	own  *streamRecord
+	peer *pb.StreamRecord
+	// until is when it is dropped; zero while the own stream runs.
+	until time.Time
+}
+
+// recordStore keeps the records of own streams and of other entries' streams.
+// Every look-up names the member: another member's id finds nothing.
+type recordStore struct {
+	mu    sync.Mutex
+	byKey map[recordKey]*heldRecord
+	bytes int
+}
+
+func newRecordStore() *recordStore {
+	return &recordStore{byKey: make(map[recordKey]*heldRecord)}
+}
+
+// put notes a stream that this entry runs.
+func (s *recordStore) put(r *streamRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := recordKey{r.pb.Member, r.pb.RequestId}
+	s.drop(k)
+	s.byKey[k] = &heldRecord{own: r}
+}
+
+// remember keeps or renews another entry's record. An older word than what is
+// held is left out: renewals can overtake each other.
+func (s *recordStore) remember(p *pb.StreamRecord, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := recordKey{p.Member, p.RequestId}
+	held := s.byKey[k]
+	if held != nil && held.own != nil && held.until.IsZero() {
+		return
+	}
+	if held != nil && held.peer != nil && held.peer.WireId == p.WireId {
+		if p.Attempt < held.peer.Attempt || p.Tokens < held.peer.Tokens {
+			return
+		}
+		if len(p.Body) == 0 {
+			p.Body = held.peer.Body
+		}
+	}
+	if len(p.Body) == 0 || len(s.byKey) >= maxRecords || s.bytes+size(p) > maxRecordBytes {
+		return
+	}
+	s.drop(k)
+	keep := recordKeep
+	if p.Finished {
+		keep = finishedKeep
+	}
+	s.byKey[k] = &heldRecord{peer: p, until: now.Add(keep)}
+	s.bytes += size(p)
+}
+
+func size(p *pb.StreamRecord) int { return len(p.Body) + len(p.Text) }
+
+// drop must be called with mu held.
+func (s *recordStore) drop(k recordKey) {
+	if held := s.byKey[k]; held != nil {
+		if held.peer != nil {
+			s.bytes -= size(held.peer)
+		}
+		delete(s.byKey, k)
+	}
+}
+
+// lookup finds the member's record, or nil.
+func (s *recordStore) lookup(member, requestID string) *pb.StreamRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.byKey[recordKey{member, requestID}]
+	if held == nil {
+		return nil
+	}
+	if held.own != nil {
+		return held.own.copy(true)
+	}
+	return proto.Clone(held.peer).(*pb.StreamRecord)
+}
+
+// ended lets an own record go after a while.
+func (s *recordStore) ended(r *streamRecord, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if held := s.byKey[recordKey{r.pb.Member, r.pb.RequestId}]; held != nil && held.own == r {
+		held.until = now.Add(finishedKeep)
+	}
+}
+
+// sweep drops what is past its time and gives the own records that are due for
+// renewal at their holders.
+func (s *recordStore) sweep(now time.Time) []*streamRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []*streamRecord
+	for k, held := range s.byKey {
+		if !held.until.IsZero() && now.After(held.until) {
+			s.drop(k)
+			continue
+		}
+		if held.own != nil && held.own.due(now) {
+			due = append(due, held.own)
+		}
+	}
+	return due
+}
