--- /dev/null
+++ b/cmd/goldcrest-control/main.go
@@ -0,0 +1,73 @@
+// Command goldcrest-control is one replica of the control group. It runs on the
+// few VMs that have a disk.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"goldcrestseam.dev/goldcrestseam/internal/cli"
+	"goldcrestseam.dev/goldcrestseam/internal/control/runner"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+)
+
+func main() {
+	root := cli.NewRoot("goldcrest-control", "Run one replica of the control group",
+		"goldcrest-control keeps declarations, membership, orders to engines and once-only\nclaims, replicated and synced to disk.")
+	root.AddCommand(newRun(), newCheck())
+	cli.Main(root)
+}
+
+func newRun() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: "run", Short: "Run the replica until it is told to stop (SIGTERM, SIGINT)", Args: cobra.NoArgs,
+		Example: "  goldcrest-control run --settings /etc/goldcrest/control.yaml",
+		RunE:    func(cmd *cobra.Command, _ []string) error { return run(cmd, file) },
+	}
+	addSettings(cmd, &file)
+	return cmd
+}
+
+func run(cmd *cobra.Command, file string) error {
+	s, findings := settings.LoadControl(file)
+	if len(findings) > 0 {
+		return cli.Invalid(findings)
+	}
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log := obs.NewLogger(os.Stderr, s.Name, s.Log)
+	r, err := runner.New(s, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+func newCheck() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: "check-settings", Short: "Check a settings file and print all findings", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, findings := settings.LoadControl(file); len(findings) > 0 {
+				return cli.Invalid(findings)
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: no findings\n", file)
+			return err
+		},
+	}
+	addSettings(cmd, &file)
+	return cmd
+}
+
+func addSettings(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVar(file, "settings", "", "settings file (YAML)")
+	if err := cmd.MarkFlagRequired("settings"); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/control/calls.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"log/slog"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// clusterRequest is what all requests of Control and Operator share.
+type clusterRequest interface {
+	proto.Message
+	GetClusterId() string
+}
+
+// onCall takes an RPC. A call with another cluster's id is refused before
+// anything else is looked at, and only a ready leader serves the rest.
+func (r *Reducer) onCall(c Call) {
+	req, ok := c.Request.(clusterRequest)
+	if !ok || req.GetClusterId() != r.cfg.Cluster {
+		r.log(slog.LevelWarn, "call of another cluster refused",
+			Field{"call", string(c.Request.ProtoReflect().Descriptor().Name())})
+		r.reply(c.ID, nil, invalid("the cluster id is not "+r.cfg.Cluster))
+		return
+	}
+	if r.lead == nil {
+		r.reply(c.ID, nil, r.notLeader())
+		return
+	}
+	r.dispatch(c.ID, req)
+}
+
+func (r *Reducer) dispatch(id uint64, req clusterRequest) {
+	switch q := req.(type) {
+	case *pb.WatchRequest:
+		r.onWatch(id, q)
+	case *pb.ReportRequest:
+		r.onReport(id, q)
+	case *pb.ClaimRequest:
+		r.onClaim(id, q)
+	case *pb.SettleRequest:
+		r.onSettle(id, q)
+	case *pb.ApplyRequest:
+		r.onApplyDeclaration(id, q)
+	case *pb.GetDeclarationRequest:
+		r.readCall(id, func() proto.Message {
+			return &pb.GetDeclarationResponse{Declaration: r.state.declared.proto}
+		})
+	case *pb.StatusRequest:
+		r.readCall(id, func() proto.Message { return r.status() })
+	case *pb.DrainRequest:
+		r.onDrain(id, q)
+	case *pb.ChangeRoleRequest:
+		r.onChangeRole(id, q)
+	case *pb.ListReplicasRequest:
+		r.readCall(id, func() proto.Message { return r.replicas() })
+	case *pb.ChangeReplicaRequest:
+		r.onChangeReplica(id, q)
+	default:
+		r.reply(id, nil, invalid("unknown call"))
+	}
+}
+
+func (r *Reducer) onClaim(id uint64, req *pb.ClaimRequest) {
+	if len(req.GetClaims()) > MaxClaimBatch {
+		r.reply(id, nil, invalid("too many claims in one call"))
+		return
+	}
+	for _, c := range req.GetClaims() {
+		if c.GetMember() == "" || c.GetRequestId() == "" || c.GetOwner().GetIncarnation() == "" {
+			r.reply(id, nil, invalid("a claim lacks member, request id or owner"))
+			return
+		}
+	}
+	r.proposeCall(id, &pb.Command{Op: &pb.Command_Claim{Claim: req}})
+}
+
+func (r *Reducer) onSettle(id uint64, req *pb.SettleRequest) {
+	if len(req.GetSettlements()) > MaxClaimBatch {
+		r.reply(id, nil, invalid("too many settlements in one call"))
+		return
+	}
+	r.proposeCall(id, &pb.Command{Op: &pb.Command_Settle{Settle: req}})
+}
--- a/internal/control/effect.go
+++ b/internal/control/effect.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"log/slog"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // Effect is what the runner must do after a step, in the order given.
@@ -31,6 +33,7 @@
 // SendOrder sends an order to an engine. The runner checks LeaseUntil right
 // before it writes, and gives the call Timeout.
 type SendOrder struct {
+	Server  string
 	Address string
 	Order   engineapi.Order
 	// LeaseUntil is when this leader's authority ends, since boot.
@@ -38,9 +41,20 @@
 	Timeout    time.Duration
 }
 
+// Members tells the member list now in force and who leads (zero if unknown).
+type Members struct {
+	Membership *pb.Membership
+	Leader     uint64
+	// Leads is true while this replica leads and is ready.
+	Leads bool
+}
+
+// Fail ends the process: going on could answer from a wrong state.
+type Fail struct{ Err error }
+
 // Log writes one log line.
 type Log struct {
-	Kind    string
+	Level   slog.Level
 	Message string
 	Fields  []Field
 }
@@ -55,4 +69,6 @@
 func (SaveSnapshot) isEffect()    {}
 func (Reply) isEffect()           {}
 func (SendOrder) isEffect()       {}
+func (Members) isEffect()         {}
+func (Fail) isEffect()            {}
 func (Log) isEffect()             {}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -5,12 +5,17 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // Event is what the Reducer steps on.
 type Event interface{ isEvent() }
 
-// Consensus wraps an event of the consensus node.
+// Tick lets time pass. It carries the wall clock, which only stamps commands;
+// leases use the time since boot.
+type Tick struct{ WallMS int64 }
+
+// Consensus wraps an event of the consensus node, other than its Tick.
 type Consensus struct{ Event consensus.Event }
 
 // Call is an RPC of an entry or operator. Request is one of the request
@@ -36,14 +41,25 @@
 	OrderID string
 	// NotSent is true when no byte of it left this process.
 	NotSent bool
+	// Reason is for the log.
+	Reason string
+}
+
+// AskRemoved asks whether the group has removed an identity; the answer is a
+// Reply with the same ID and a StepResponse.
+type AskRemoved struct {
+	ID       uint64
+	Identity *pb.ReplicaIdentity
 }
 
 // Stop begins the planned stop: leadership is handed on.
 type Stop struct{}
 
+func (Tick) isEvent()            {}
 func (Consensus) isEvent()       {}
 func (Call) isEvent()            {}
 func (CallGone) isEvent()        {}
 func (OrderAnswered) isEvent()   {}
 func (OrderUnanswered) isEvent() {}
+func (AskRemoved) isEvent()      {}
 func (Stop) isEvent()            {}
--- /dev/null
+++ b/internal/control/proposals.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// propose puts a command into the log; done gets its answer.
+func (r *Reducer) propose(cmd *pb.Command, done func(proto.Message, bool)) {
+	r.nextID++
+	cmd.Proposer, cmd.Sequence = r.cfg.ID, r.nextID
+	cmd.NowUnixMs = r.wall()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		// A string that is not UTF-8; it can't come through an RPC.
+		done(nil, false)
+		return
+	}
+	r.proposals[r.nextID] = &proposal{done: done}
+	r.stepNode(consensus.Propose{ID: r.nextID, Data: data})
+}
+
+// proposeCall proposes a caller's command and answers the call with its result.
+func (r *Reducer) proposeCall(callID uint64, cmd *pb.Command) {
+	r.propose(cmd, func(answer proto.Message, ok bool) { r.replyApplied(callID, answer, ok) })
+}
+
+func (r *Reducer) replyApplied(callID uint64, answer proto.Message, ok bool) {
+	if !ok {
+		r.reply(callID, nil, r.notLeader())
+		return
+	}
+	r.reply(callID, answer, nil)
+}
+
+func (r *Reducer) proposeMembership(callID uint64, change consensus.MembershipChange) {
+	r.nextID++
+	r.proposals[r.nextID] = &proposal{
+		done:    func(answer proto.Message, ok bool) { r.replyApplied(callID, answer, ok) },
+		refused: func(reason consensus.RefusalReason) { r.reply(callID, nil, membershipError(reason)) },
+	}
+	r.stepNode(consensus.ProposeMembership{ID: r.nextID, Change: change})
+}
+
+func (r *Reducer) onAppended(e consensus.ProposalAppended) {
+	p := r.proposals[e.ID]
+	if p == nil {
+		return
+	}
+	delete(r.proposals, e.ID)
+	p.index, p.term = e.Index, e.Term
+	r.appended[e.Index] = p
+}
+
+func (r *Reducer) onRefused(e consensus.ProposalRefused) {
+	p := r.proposals[e.ID]
+	if p == nil {
+		return
+	}
+	delete(r.proposals, e.ID)
+	if p.refused != nil && r.lead != nil {
+		p.refused(e.Reason)
+		return
+	}
+	p.done(nil, false)
+}
+
+func (r *Reducer) onApply(entries []*pb.LogEntry) {
+	for _, e := range entries {
+		answer := r.state.Apply(e)
+		if e.GetKind() == pb.LogEntryKind_LOG_ENTRY_KIND_MEMBERSHIP {
+			answer = &pb.ChangeReplicaResponse{Index: e.GetIndex()}
+		}
+		p := r.appended[e.GetIndex()]
+		if p == nil {
+			continue
+		}
+		delete(r.appended, e.GetIndex())
+		// An entry of another term at this index: the proposal was lost with
+		// its leadership, and will never be applied.
+		p.done(answer, p.term == e.GetTerm())
+	}
+	if len(entries) > 0 {
+		r.stepNode(consensus.Applied{Index: entries[len(entries)-1].GetIndex()})
+	}
+}
+
+// failProposals tells all that wait that the fate of their proposals is unknown.
+func (r *Reducer) failProposals() {
+	for _, id := range slices.Sorted(maps.Keys(r.proposals)) {
+		r.proposals[id].done(nil, false)
+	}
+	for _, index := range slices.Sorted(maps.Keys(r.appended)) {
+		r.appended[index].done(nil, false)
+	}
+	clear(r.proposals)
+	clear(r.appended)
+}
+
+// read calls done once the state covers everything committed before the call.
+func (r *Reducer) read(done func(ok bool)) {
+	r.nextID++
+	r.reads[r.nextID] = done
+	r.stepNode(consensus.ReadIndex{ID: r.nextID})
+}
+
+func (r *Reducer) finishRead(id uint64, ok bool) {
+	done := r.reads[id]
+	if done == nil {
+		return
+	}
+	delete(r.reads, id)
+	done(ok)
+}
+
+// readCall answers a call with what the state holds after a confirmed read.
+func (r *Reducer) readCall(callID uint64, answer func() proto.Message) {
+	r.read(func(ok bool) {
+		if !ok || r.lead == nil {
+			r.reply(callID, nil, r.notLeader())
+			return
+		}
+		r.reply(callID, answer(), nil)
+	})
+}
+
+// membershipError says in words why the log did not take a change.
+func membershipError(reason consensus.RefusalReason) error {
+	switch reason {
+	case consensus.ChangePending:
+		return twirp.NewError(twirp.FailedPrecondition, "another change of the member list is under way; try again")
+	case consensus.InvalidChange:
+		return invalid("the change names an unknown, present or removed replica")
+	}
+	return twirp.NewError(twirp.ResourceExhausted, "the log does not take the change now; try again")
+}
+
+func invalid(why string) error { return twirp.NewError(twirp.InvalidArgument, why) }
--- /dev/null
+++ b/internal/control/runner/engines.go
@@ -0,0 +1,135 @@
+package runner
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
+	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// LeaseOver is the type of errors of writes that were held back since this
+// leader's lease had run out.
+var LeaseOver = Namespace.NewType("lease_over")
+
+// maxOrderAnswer bounds an engine's answer to an order.
+const maxOrderAnswer = 64 << 10
+
+// engineSender sends orders to engines.
+type engineSender struct {
+	loop *loop
+	wg   conc.WaitGroup
+}
+
+func newEngineSender(l *loop) *engineSender { return &engineSender{loop: l} }
+
+func (s *engineSender) wait() { s.wg.Wait() }
+
+// send sends one order once, off the control goroutine.
+func (s *engineSender) send(e control.SendOrder) {
+	s.wg.Go(func() {
+		answer, notSent, err := deliver(e)
+		if err != nil {
+			s.loop.post(control.OrderUnanswered{
+				Server: e.Server, OrderID: e.Order.ID, NotSent: notSent, Reason: err.Error(),
+			})
+			return
+		}
+		s.loop.post(control.OrderAnswered{Server: e.Server, Answer: *answer})
+	})
+}
+
+// deliver gives the engine's answer, or an error and whether no byte went out.
+// Each order has a connection of its own: none that has gone silent is used, and
+// closing it drops what of the order has not left yet.
+func deliver(e control.SendOrder) (*engineapi.OrderAnswer, bool, error) {
+	body, err := json.Marshal(e.Order)
+	if err != nil {
+		return nil, true, err
+	}
+	guard := &leaseGuard{until: e.LeaseUntil}
+	client := &fasthttp.HostClient{
+		Addr: e.Address, Dial: guard.dialer(e.Timeout),
+		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry,
+		MaxResponseBodySize: maxOrderAnswer,
+	}
+	defer client.CloseIdleConnections()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + e.Address + engineapi.PathOrders)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	if err := client.DoTimeout(req, resp, e.Timeout); err != nil {
+		return nil, !guard.written(), err
+	}
+	return readAnswer(e.Order.ID, resp)
+}
+
+// readAnswer takes an answer only if it is about this order.
+func readAnswer(orderID string, resp *fasthttp.Response) (*engineapi.OrderAnswer, bool, error) {
+	answer := &engineapi.OrderAnswer{}
+	if err := json.Unmarshal(resp.Body(), answer); err != nil {
+		return nil, false, errorx.Decorate(err, "status %d", resp.StatusCode())
+	}
+	if answer.ID != orderID || answer.Result == "" {
+		return nil, false, Failed.New("the answer is about order %q with result %q", answer.ID, answer.Result)
+	}
+	return answer, false, nil
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// leaseGuard checks the lease directly before each write.
+//
+// Failure: the process is stopped, or waits long for a connection, after the
+// reducer gave the order out. When it goes on another leader may have given this
+// engine a newer order; one that ignores fencing tokens would obey the old one.
+// The check is on CLOCK_BOOTTIME, which runs on while a VM is suspended. What
+// remains is a pause between the check and the write itself: for it the
+// successor waits out the stated longest pause.
+type leaseGuard struct {
+	until time.Duration
+	wrote chan struct{}
+}
+
+func (g *leaseGuard) dialer(timeout time.Duration) fasthttp.DialFunc {
+	g.wrote = make(chan struct{}, 1)
+	return func(address string) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn, guard: g}, nil
+	}
+}
+
+func (g *leaseGuard) written() bool { return len(g.wrote) > 0 }
+
+func (g *leaseGuard) noteWrite() {
+	select {
+	case g.wrote <- struct{}{}:
+	default:
+	}
+}
+
+type guardedConn struct {
+	net.Conn
+	guard *leaseGuard
+}
+
+// Write writes while the lease lasts. Errors: LeaseOver.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if clock.Boot() >= c.guard.until {
+		return 0, LeaseOver.New("this leader's lease has run out")
+	}
+	c.guard.noteWrite()
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/control/runner/runner.go
@@ -0,0 +1,198 @@
+// Package runner carries out what control's reducer asks for: it owns the data
+// folder, the listener, the connections to the other replicas and the orders to
+// engines. One goroutine steps the reducer; all others post events to it.
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+	"goldcrestseam.dev/goldcrestseam/internal/store"
+)
+
+// Namespace holds the error types of this package.
+var Namespace = errorx.NewNamespace("control_runner")
+
+var (
+	// Failed is the type of errors that end the process.
+	Failed = Namespace.NewType("failed")
+	// Removed: the group has removed this replica.
+	Removed = Namespace.NewType("removed")
+)
+
+const (
+	// handOverTimeout bounds how long a planned stop waits for another leader:
+	// a hand-over needs the lease to run out and one election.
+	handOverTimeout = 3 * time.Second
+	// shutdownTimeout bounds how long open calls may take after that.
+	shutdownTimeout = 2 * time.Second
+	metricsPrefix   = "goldcrest_control"
+)
+
+// Runner is one control replica's process.
+type Runner struct {
+	cfg     *settings.Control
+	log     *slog.Logger
+	auth    *rpc.Auth
+	metrics *obs.Metrics
+	store   *store.Store
+	loop    *loop
+	net     *transport
+	engines *engineSender
+	server  *http.Server
+}
+
+// New opens the data folder and puts the state back. Errors: those of store and
+// rpc, BadSnapshot.
+func New(cfg *settings.Control, log *slog.Logger) (*Runner, error) {
+	auth, err := rpc.LoadAuth(cfg.Auth)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	st, recovered, err := open(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	state := control.NewState()
+	if recovered.Initial.SnapshotData != nil {
+		if state, err = control.RestoreState(recovered.Initial.SnapshotData); err != nil {
+			return nil, err
+		}
+	}
+	log.Info("recovered", "snapshot_index", recovered.Initial.Snapshot.GetIndex(),
+		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(began).Milliseconds())
+	node := consensus.NewNode(nodeConfig(cfg), recovered.Initial)
+	r := &Runner{cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st}
+	reducer := control.NewReducer(control.Config{
+		Cluster: cfg.Cluster, ID: cfg.ReplicaID,
+		Sender:     cfg.Name + "/" + uuid.NewString(),
+		OrderPause: cfg.OrderPause,
+	}, node, state)
+	r.loop = newLoop(reducer, log, r.metrics.Scope)
+	r.net = newTransport(cfg, auth, st, r.loop)
+	r.engines = newEngineSender(r.loop)
+	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
+	return r, nil
+}
+
+func nodeConfig(cfg *settings.Control) consensus.Config {
+	return consensus.Config{
+		ID: cfg.ReplicaID, ElectionTimeout: cfg.ElectionTimeout,
+		SnapshotEntries: uint64(cfg.SnapshotEntries),
+		// Drawn from the clock so that replicas don't wait alike.
+		Seed: uint64(time.Now().UnixNano()),
+	}
+}
+
+// open opens the data folder. One that is damaged is set aside and the replica
+// comes back empty, under a new incarnation, to be added again: answering from a
+// damaged log could undo what was committed.
+func open(cfg *settings.Control, log *slog.Logger) (*store.Store, *store.Recovered, error) {
+	o := store.Options{
+		Dir: cfg.DataDir, Cluster: cfg.Cluster, ReplicaID: cfg.ReplicaID,
+		Bootstrap: bootstrap(cfg), Join: cfg.Join,
+	}
+	st, recovered, err := store.Open(o)
+	if !errorx.IsOfType(err, store.Corrupt) {
+		return st, recovered, err
+	}
+	aside, asideErr := store.SetAside(cfg.DataDir)
+	if asideErr != nil {
+		return nil, nil, asideErr
+	}
+	log.Error("the data folder is damaged; it is set aside and this replica waits to be added again",
+		"cause", err.Error(), "aside", aside)
+	o.Join = true
+	return store.Open(o)
+}
+
+func bootstrap(cfg *settings.Control) *pb.Membership {
+	m := &pb.Membership{}
+	for _, b := range cfg.Bootstrap {
+		m.Members = append(m.Members, &pb.ReplicaMember{
+			Identity: &pb.ReplicaIdentity{Id: b.ID}, Role: pb.ReplicaRole_REPLICA_ROLE_VOTER,
+			Address: b.Address, Region: b.Region, DataCentre: b.DataCentre,
+		})
+	}
+	return m
+}
+
+// Run serves until ctx ends, then hands leadership on and stops. Errors: Failed,
+// Removed.
+func (r *Runner) Run(ctx context.Context) error {
+	listener, err := r.auth.Listen(ctx, r.cfg.Address)
+	if err != nil {
+		return Failed.Wrap(err, "listen")
+	}
+	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: callTimeout}
+	var wg conc.WaitGroup
+	wg.Go(r.loop.run)
+	wg.Go(r.loop.disk.run)
+	wg.Go(func() {
+		if err := r.server.Serve(listener); err != http.ErrServerClosed {
+			r.loop.fail(Failed.Wrap(err, "serve"))
+		}
+	})
+	r.log.Info("serving", "address", r.cfg.Address, "replica", r.cfg.ReplicaID,
+		"incarnation", r.store.Identity().GetIncarnation())
+	err = r.wait(ctx)
+	r.stop()
+	wg.Wait()
+	return err
+}
+
+// wait returns when the process must end: on a failure, or once a planned stop
+// has handed leadership on.
+func (r *Runner) wait(ctx context.Context) error {
+	select {
+	case err := <-r.loop.failed:
+		return err
+	case <-ctx.Done():
+	}
+	r.log.Info("stopping")
+	r.loop.post(control.Stop{})
+	timeout := time.NewTimer(handOverTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case err := <-r.loop.failed:
+			return err
+		case <-timeout.C:
+			return nil
+		case <-time.After(tickInterval):
+			if !r.loop.view().leads {
+				return nil
+			}
+		}
+	}
+}
+
+func (r *Runner) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	// Open calls are answered by the loop or run into their own timeout.
+	if err := r.server.Shutdown(ctx); err != nil {
+		_ = r.server.Close()
+	}
+	r.engines.wait()
+	close(r.loop.stop)
+	r.net.close()
+	close(r.loop.disk.work)
+	if err := r.store.Close(); err != nil {
+		r.log.Error("close", "error", err.Error())
+	}
+	_ = r.metrics.Close()
+}
--- /dev/null
+++ b/internal/control/runner/server.go
@@ -0,0 +1,149 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/store"
+)
+
+// maxCallBytes bounds a request: the largest is a declaration or a batch of
+// append messages.
+const maxCallBytes = 16 << 20
+
+// handler serves all of a replica's services on one listener. Metrics and health
+// need no key: they tell nothing that can change the system.
+func (r *Runner) handler() http.Handler {
+	s := &services{cluster: r.cfg.Cluster, loop: r.loop, store: r.store}
+	protected := http.NewServeMux()
+	replica := pb.NewReplicaServer(s)
+	control := pb.NewControlServer(s)
+	operator := pb.NewOperatorServer(s)
+	protected.Handle(replica.PathPrefix(), replica)
+	protected.Handle(control.PathPrefix(), control)
+	protected.Handle(operator.PathPrefix(), operator)
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", r.metrics.Handler)
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("/", r.auth.Require(http.MaxBytesHandler(protected, maxCallBytes)))
+	return mux
+}
+
+// services implements pb.Replica, pb.Control and pb.Operator.
+type services struct {
+	cluster string
+	loop    *loop
+	store   *store.Store
+}
+
+// Step takes messages of another replica once it is known who sends them.
+func (s *services) Step(ctx context.Context, req *pb.StepRequest) (*pb.StepResponse, error) {
+	if req.GetClusterId() != s.cluster {
+		return nil, s.refuse(req, "the cluster id is not "+s.cluster)
+	}
+	if err := s.store.Addressed(req.GetTo()); err != nil {
+		return nil, s.refuse(req, err.Error())
+	}
+	err := s.store.Admit(req.GetFrom(), s.loop.view().members)
+	if errorx.IsOfType(err, consensus.RemovedIdentity) {
+		return answer[*pb.StepResponse](s.loop.ask(ctx, func(id uint64) control.Event {
+			return control.AskRemoved{ID: id, Identity: req.GetFrom()}
+		}))
+	}
+	if err != nil {
+		return nil, s.refuse(req, err.Error())
+	}
+	for _, m := range req.GetMessages() {
+		if m.GetFrom() != req.GetFrom().GetId() {
+			return nil, s.refuse(req, "a message is of another sender")
+		}
+		s.loop.post(control.Consensus{Event: consensus.Receive{
+			Message: m, Incarnation: req.GetFrom().GetIncarnation(),
+		}})
+	}
+	return &pb.StepResponse{}, nil
+}
+
+func (s *services) refuse(req *pb.StepRequest, why string) error {
+	s.loop.scope.Counter("replica_refused").Inc(1)
+	s.loop.log.Warn("replica message refused", "cluster", req.GetClusterId(),
+		"replica", req.GetFrom().GetId(), "incarnation", req.GetFrom().GetIncarnation(), "why", why)
+	return twirp.NewError(twirp.FailedPrecondition, why)
+}
+
+// answer gives the reducer's answer its type.
+func answer[T proto.Message](m proto.Message, err error) (T, error) {
+	var none T
+	if err != nil {
+		return none, err
+	}
+	resp, ok := m.(T)
+	if !ok {
+		return none, twirp.InternalError("the answer is of another type")
+	}
+	return resp, nil
+}
+
+// Watch implements pb.Control.
+func (s *services) Watch(ctx context.Context, q *pb.WatchRequest) (*pb.WatchResponse, error) {
+	return answer[*pb.WatchResponse](s.loop.call(ctx, q))
+}
+
+// Report implements pb.Control.
+func (s *services) Report(ctx context.Context, q *pb.ReportRequest) (*pb.ReportResponse, error) {
+	return answer[*pb.ReportResponse](s.loop.call(ctx, q))
+}
+
+// Claim implements pb.Control.
+func (s *services) Claim(ctx context.Context, q *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	return answer[*pb.ClaimResponse](s.loop.call(ctx, q))
+}
+
+// Settle implements pb.Control.
+func (s *services) Settle(ctx context.Context, q *pb.SettleRequest) (*pb.SettleResponse, error) {
+	return answer[*pb.SettleResponse](s.loop.call(ctx, q))
+}
+
+// Apply implements pb.Operator.
+func (s *services) Apply(ctx context.Context, q *pb.ApplyRequest) (*pb.ApplyResponse, error) {
+	return answer[*pb.ApplyResponse](s.loop.call(ctx, q))
+}
+
+// GetDeclaration implements pb.Operator.
+func (s *services) GetDeclaration(
+	ctx context.Context, q *pb.GetDeclarationRequest,
+) (*pb.GetDeclarationResponse, error) {
+	return answer[*pb.GetDeclarationResponse](s.loop.call(ctx, q))
+}
+
+// Status implements pb.Operator.
+func (s *services) Status(ctx context.Context, q *pb.StatusRequest) (*pb.StatusResponse, error) {
+	return answer[*pb.StatusResponse](s.loop.call(ctx, q))
+}
+
+// Drain implements pb.Operator.
+func (s *services) Drain(ctx context.Context, q *pb.DrainRequest) (*pb.DrainResponse, error) {
+	return answer[*pb.DrainResponse](s.loop.call(ctx, q))
+}
+
+// ChangeRole implements pb.Operator.
+func (s *services) ChangeRole(ctx context.Context, q *pb.ChangeRoleRequest) (*pb.ChangeRoleResponse, error) {
+	return answer[*pb.ChangeRoleResponse](s.loop.call(ctx, q))
+}
+
+// ListReplicas implements pb.Operator.
+func (s *services) ListReplicas(ctx context.Context, q *pb.ListReplicasRequest) (*pb.ListReplicasResponse, error) {
+	return answer[*pb.ListReplicasResponse](s.loop.call(ctx, q))
+}
+
+// ChangeReplica implements pb.Operator.
+func (s *services) ChangeReplica(ctx context.Context, q *pb.ChangeReplicaRequest) (*pb.ChangeReplicaResponse, error) {
+	return answer[*pb.ChangeReplicaResponse](s.loop.call(ctx, q))
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// State is what committed commands have built: the same commands give the same
+// State on every replica. It is bounded by what is alive and by windows of
+// time, never by how many commands there were.
+type State struct {
+	index uint64
+	// nowMS is the latest now_unix_ms of any command. It never goes back, so
+	// that a leader whose wall clock is behind can't bring a forgotten claim's
+	// key back into the window.
+	nowMS int64
+
+	declared declared
+	servers  map[string]*server
+	drained  map[string]bool
+	entries  map[string]*entry
+	orders   map[string]*order
+	requests requestLog
+	claims   claims
+	suspects suspects
+	changes  changes
+	// roleChanges counts role orders that were carried out.
+	roleChanges uint64
+}
+
+// NewState gives the state before the first command.
+func NewState() *State {
+	return &State{
+		declared: newDeclared(),
+		servers:  make(map[string]*server),
+		drained:  make(map[string]bool),
+		entries:  make(map[string]*entry),
+		orders:   make(map[string]*order),
+		requests: newRequestLog(),
+		claims:   newClaims(),
+		suspects: newSuspects(),
+	}
+}
+
+// Index is the log index of the last command applied.
+func (s *State) Index() uint64 { return s.index }
+
+// Revision is the declaration revision in force, zero before the first.
+func (s *State) Revision() uint64 { return s.declared.proto.GetRevision() }
+
+// ViewVersion is the log index of the last change of the view.
+func (s *State) ViewVersion() uint64 { return s.changes.version }
+
+// Apply applies one committed log entry and gives the answer for its proposer,
+// nil for entries that have none. An entry that can't be read changes nothing:
+// every replica sees the same bytes and skips it alike.
+func (s *State) Apply(e *pb.LogEntry) proto.Message {
+	s.index = e.GetIndex()
+	if e.GetKind() != pb.LogEntryKind_LOG_ENTRY_KIND_NORMAL || len(e.GetData()) == 0 {
+		return nil
+	}
+	cmd := &pb.Command{}
+	if err := proto.Unmarshal(e.GetData(), cmd); err != nil {
+		return nil
+	}
+	s.nowMS = max(s.nowMS, cmd.GetNowUnixMs())
+	return s.apply(e, cmd)
+}
+
+func (s *State) apply(e *pb.LogEntry, cmd *pb.Command) proto.Message {
+	switch op := cmd.GetOp().(type) {
+	case *pb.Command_Apply:
+		return s.applyDeclaration(op.Apply.GetDeclaration())
+	case *pb.Command_Drain:
+		return s.applyDrain(op.Drain)
+	case *pb.Command_Register:
+		s.applyRegister(op.Register)
+	case *pb.Command_Order:
+		return s.applyOrder(e.GetTerm(), op.Order.GetOrder())
+	case *pb.Command_Claim:
+		return s.applyClaims(op.Claim)
+	case *pb.Command_Settle:
+		s.applySettlements(op.Settle)
+		return &pb.SettleResponse{}
+	case *pb.Command_Quarantine:
+		s.applyDeaths(op.Quarantine)
+	case *pb.Command_Entry:
+		s.applyEntries(op.Entry)
+	case *pb.Command_Expire:
+		s.applyExpire()
+	}
+	return nil
+}
+
+// applyExpire drops what is past its window.
+func (s *State) applyExpire() {
+	s.expireClaims()
+	s.expireSuspects()
+	s.expireServers()
+}
+
+// limits gives the declared limits, or the defaults before the first revision.
+func (s *State) limits() declaration.Limits {
+	if s.declared.parsed != nil {
+		return s.declared.parsed.Limits
+	}
+	return declaration.Limits{
+		OnceWindow:       declaration.DefaultOnceWindow,
+		OnceAnswerBytes:  declaration.DefaultOnceAnswerBytes,
+		QuarantineTime:   declaration.DefaultQuarantineTime,
+		QuarantineDeaths: declaration.DefaultQuarantineDeaths,
+	}
+}
