--- a/internal/consensus/effect.go
+++ b/internal/consensus/effect.go
@@ -11,16 +11,21 @@
 type Send struct{ Message *pb.Message }
 
 // Persist asks the host to sync: first cut the log from TruncateFrom on (if not
-// zero), then append Entries, then write HardState (if not nil), as one
-// transaction. The host answers with Persisted.
+// zero), then append Entries, then write HardState (if not nil), then drop the
+// entries before CompactTo, as one transaction. The host answers with Persisted.
+// At most one Persist is under way; what comes meanwhile goes into the next.
 type Persist struct {
 	Sequence     uint64
 	HardState    *pb.HardState
 	TruncateFrom uint64
 	Entries      []*pb.LogEntry
+	// CompactTo is the first index to keep; zero drops nothing. A snapshot that
+	// covers everything before it has been synced.
+	CompactTo uint64
 }
 
-// Apply hands over committed entries, each exactly once and in log order.
+// Apply hands over committed entries, each exactly once and in log order;
+// membership entries and empty entries of new leaders are among them.
 type Apply struct{ Entries []*pb.LogEntry }
 
 // RestoreSnapshot asks the host to sync the snapshot in place of log and state,
@@ -65,8 +70,10 @@
 // MembershipChanged tells the member list now in force.
 type MembershipChanged struct{ Membership *pb.Membership }
 
-// TakeSnapshot asks the host for a snapshot, since the log has grown long.
-type TakeSnapshot struct{}
+// TakeSnapshot asks the host for a snapshot of the state that the Apply effects
+// up to here have built. Meta gives index, term and membership; the host syncs
+// the snapshot and answers with SnapshotTaken.
+type TakeSnapshot struct{ Meta *pb.SnapshotMeta }
 
 // Removed tells that this replica's identity was removed; the host stops.
 type Removed struct{}
@@ -96,4 +103,6 @@
 	NotReady
 	// InvalidChange: the change names an unknown, present or removed replica.
 	InvalidChange
+	// Overloaded: too many bytes wait to be committed.
+	Overloaded
 )
--- /dev/null
+++ b/internal/consensus/sim_test.go
@@ -0,0 +1,402 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// disk is what a replica has synced.
+type disk struct {
+	folder    *pb.ReplicaIdentity
+	bootstrap *pb.Membership
+	hard      *pb.HardState
+	entries   []*pb.LogEntry
+	meta      *pb.SnapshotMeta
+	data      []byte
+	peers     map[uint64]*pb.ReplicaIdentity
+}
+
+func (d *disk) clone() *disk {
+	c := *d
+	c.folder = proto.Clone(d.folder).(*pb.ReplicaIdentity)
+	c.entries = slices.Clone(d.entries)
+	c.peers = map[uint64]*pb.ReplicaIdentity{}
+	for id, p := range d.peers {
+		c.peers[id] = p
+	}
+	return &c
+}
+
+func (d *disk) save(p Persist) {
+	if p.TruncateFrom != 0 {
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.LogEntry) bool { return e.Index >= p.TruncateFrom })
+	}
+	d.entries = append(slices.Clip(d.entries), p.Entries...)
+	if p.CompactTo != 0 {
+		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.LogEntry) bool { return e.Index < p.CompactTo })
+	}
+	if p.HardState != nil {
+		d.hard = p.HardState
+	}
+}
+
+// host runs one Node on a virtual clock of its own rate.
+type host struct {
+	id     uint64
+	disk   *disk
+	node   *Node
+	rate   float64
+	paused bool
+	inbox  []packet
+	// writes wait for the disk, in order.
+	writes  []Effect
+	applied uint64
+	state   uint64
+	// leaseUntil is the latest lease told, in global time.
+	leaseUntil time.Duration
+	removed    bool
+	reads      map[uint64]uint64
+}
+
+type packet struct {
+	at   time.Duration
+	from *pb.ReplicaIdentity
+	to   *pb.ReplicaIdentity
+	m    *pb.Message
+}
+
+type link struct{ from, to uint64 }
+
+// cluster is a group with its network, and what must hold of it.
+type cluster struct {
+	cfg     Config
+	random  *rand.Rand
+	now     time.Duration
+	hosts   map[uint64]*host
+	ids     []uint64
+	packets []packet
+	blocked map[link]bool
+	loss    float64
+	// states maps an applied index to the state after it, at whichever replica.
+	states  map[uint64]uint64
+	leaders map[uint64]uint64
+	applied uint64
+	nextID  uint64
+	reads   int
+	refused int
+	done    int
+	faults  []string
+}
+
+const simTick = 10 * time.Millisecond
+
+func newCluster(seed uint64, size int) *cluster {
+	c := &cluster{
+		cfg:     Config{SnapshotEntries: 12, TailEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed},
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     time.Second,
+		hosts:   map[uint64]*host{},
+		blocked: map[link]bool{},
+		states:  map[uint64]uint64{},
+		leaders: map[uint64]uint64{},
+	}
+	boot := &pb.Membership{}
+	for id := uint64(1); id <= uint64(size); id++ {
+		boot.Members = append(boot.Members, &pb.ReplicaMember{
+			Identity: &pb.ReplicaIdentity{Id: id}, Role: pb.ReplicaRole_REPLICA_ROLE_VOTER, Address: fmt.Sprint(id),
+		})
+	}
+	for id := uint64(1); id <= uint64(size); id++ {
+		c.addHost(id, boot)
+	}
+	return c
+}
+
+func (c *cluster) addHost(id uint64, boot *pb.Membership) *host {
+	h := &host{id: id, rate: 0.9 + 0.2*c.random.Float64()}
+	c.hosts[id] = h
+	if !slices.Contains(c.ids, id) {
+		c.ids = append(c.ids, id)
+	}
+	c.wipe(h, boot)
+	c.start(h)
+	return h
+}
+
+func (c *cluster) wipe(h *host, boot *pb.Membership) {
+	c.crash(h)
+	h.disk = &disk{
+		folder:    &pb.ReplicaIdentity{Id: h.id, Incarnation: fmt.Sprintf("%d-%x", h.id, c.random.Uint64())},
+		bootstrap: boot, peers: map[uint64]*pb.ReplicaIdentity{},
+	}
+}
+
+func (c *cluster) crash(h *host) {
+	h.node, h.writes, h.inbox, h.paused, h.leaseUntil = nil, nil, nil, false, 0
+}
+
+func (c *cluster) start(h *host) {
+	if h.node != nil || h.removed {
+		return
+	}
+	d := h.disk
+	d.folder.Boot++
+	d.folder.BootNonce = fmt.Sprint(c.random.Uint64())
+	cfg := c.cfg
+	cfg.ID = h.id
+	cfg.Seed += d.folder.Boot
+	h.applied, h.state, h.reads = 0, 0, map[uint64]uint64{}
+	if d.meta != nil {
+		h.applied, h.state = d.meta.Index, binary.BigEndian.Uint64(d.data)
+	}
+	h.node = NewNode(cfg, Initial{
+		Identity: proto.Clone(d.folder).(*pb.ReplicaIdentity), HardState: d.hard, Snapshot: d.meta,
+		SnapshotData: d.data, Entries: slices.Clone(d.entries), Membership: d.bootstrap,
+	})
+	c.step(h, Tick{})
+}
+
+func (c *cluster) local(h *host) time.Duration { return time.Duration(float64(c.now) * h.rate) }
+
+func (c *cluster) step(h *host, ev Event) {
+	if h.node == nil {
+		return
+	}
+	for _, e := range h.node.Step(c.local(h), ev) {
+		c.carryOut(h, e)
+		if h.node == nil {
+			return
+		}
+	}
+	c.check(h)
+}
+
+func (c *cluster) carryOut(h *host, e Effect) {
+	switch e := e.(type) {
+	case Send:
+		c.transmit(h, e.Message)
+	case Persist, RestoreSnapshot:
+		h.writes = append(h.writes, e)
+	case TakeSnapshot:
+		data := make([]byte, 8, 40)
+		binary.BigEndian.PutUint64(data, h.state)
+		data = append(data, make([]byte, h.applied%32)...)
+		SealSnapshot(e.Meta, data)
+		if e.Meta.Index != h.applied {
+			c.fault("replica %d: snapshot asked for %d at %d", h.id, e.Meta.Index, h.applied)
+		}
+		h.writes = append(h.writes, SnapshotTaken{Meta: e.Meta, Data: data}.asEffect())
+	case Apply:
+		c.apply(h, e.Entries)
+	case ReadReady:
+		c.done++
+		if e.Index < h.reads[e.ID] {
+			c.fault("replica %d: read at %d misses applied %d", h.id, e.Index, h.reads[e.ID])
+		}
+	case ReadRefused, ProposalRefused:
+		c.refused++
+	case Removed:
+		h.removed = true
+		c.crash(h)
+	}
+}
+
+// takenEffect lets a finished snapshot wait for the disk like other writes.
+type takenEffect struct{ SnapshotTaken }
+
+func (takenEffect) isEffect() {}
+
+func (s SnapshotTaken) asEffect() Effect { return takenEffect{s} }
+
+func (c *cluster) apply(h *host, entries []*pb.LogEntry) {
+	for _, e := range entries {
+		if e.Index != h.applied+1 {
+			c.fault("replica %d: applied %d after %d", h.id, e.Index, h.applied)
+		}
+		h.applied = e.Index
+		d := xxhash.New()
+		_, _ = fmt.Fprintf(d, "%d %d %d %x", h.state, e.Term, e.Kind, e.Data)
+		h.state = d.Sum64()
+		c.checkState(h)
+	}
+}
+
+func (c *cluster) checkState(h *host) {
+	known, ok := c.states[h.applied]
+	if ok && known != h.state {
+		c.fault("replica %d: another state at %d", h.id, h.applied)
+	}
+	c.states[h.applied] = h.state
+	c.applied = max(c.applied, h.applied)
+}
+
+// check tests what must hold after each step of a replica.
+func (c *cluster) check(h *host) {
+	n := h.node
+	if n.role == leader {
+		if other, ok := c.leaders[n.term]; ok && other != h.id {
+			c.fault("term %d has leaders %d and %d", n.term, other, h.id)
+		}
+		c.leaders[n.term] = h.id
+	}
+	if lease := n.LeaseUntil(); lease > 0 {
+		h.leaseUntil = max(h.leaseUntil, time.Duration(float64(lease)/h.rate))
+	}
+	for _, id := range c.ids {
+		if o := c.hosts[id]; o != h && min(o.leaseUntil, h.leaseUntil) > c.now {
+			c.fault("replicas %d and %d both hold a lease", h.id, o.id)
+		}
+	}
+}
+
+func (c *cluster) fault(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf("%v: ", c.now)+fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) transmit(h *host, m *pb.Message) {
+	copies := 1
+	if c.random.Float64() < c.loss {
+		copies = c.random.IntN(2) * 2
+	}
+	to := TargetIdentity(m.To, h.disk.peers[m.To], h.node.Status().Membership)
+	for range copies {
+		delay := time.Duration(c.random.IntN(int(8 * time.Millisecond)))
+		if c.random.Float64() < c.loss {
+			delay *= time.Duration(1 + c.random.IntN(100))
+		}
+		c.packets = append(c.packets, packet{
+			at: c.now + delay, from: proto.Clone(h.disk.folder).(*pb.ReplicaIdentity),
+			to: to, m: proto.Clone(m).(*pb.Message),
+		})
+	}
+}
+
+func (c *cluster) deliver(p packet) {
+	h := c.hosts[p.m.To]
+	if h == nil || h.node == nil || c.blocked[link{p.m.From, p.m.To}] {
+		return
+	}
+	if h.paused {
+		h.inbox = append(h.inbox, p)
+		return
+	}
+	if p.to.Incarnation != "" && p.to.Incarnation != h.disk.folder.Incarnation {
+		return
+	}
+	if h.node.IsRemoved(p.from) {
+		if s := c.hosts[p.from.Id]; s.node != nil && s.disk.folder.Incarnation == p.from.Incarnation && !c.blocked[link{p.m.To, p.m.From}] {
+			c.step(s, RemovedByPeer{})
+		}
+		return
+	}
+	if CheckPeer(p.from, h.disk.peers[p.from.Id], h.node.Status().Membership) != nil {
+		return
+	}
+	h.disk.peers[p.from.Id] = p.from
+	c.step(h, Receive{Message: p.m, Incarnation: p.from.Incarnation})
+}
+
+// sync finishes the first write that waits for the disk.
+func (c *cluster) sync(h *host) {
+	w := h.writes[0]
+	h.writes = h.writes[1:]
+	switch e := w.(type) {
+	case Persist:
+		h.disk.save(e)
+		c.step(h, Persisted{Sequence: e.Sequence})
+	case takenEffect:
+		if e.Meta.Index > h.disk.meta.GetIndex() {
+			h.disk.meta, h.disk.data = e.Meta, e.Data
+		}
+		c.step(h, e.SnapshotTaken)
+	case RestoreSnapshot:
+		h.disk.meta, h.disk.data, h.disk.entries = e.Meta, e.Data, nil
+		h.applied, h.state = e.Meta.Index, binary.BigEndian.Uint64(e.Data)
+		c.checkState(h)
+		c.step(h, SnapshotRestored{Index: e.Meta.Index})
+	}
+}
+
+// run lets time pass: messages arrive, disks sync, replicas tick.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end && len(c.faults) == 0; {
+		c.now += simTick / 5
+		c.deliverDue()
+		for _, id := range c.ids {
+			h := c.hosts[id]
+			if h.node == nil || h.paused {
+				continue
+			}
+			if len(h.writes) > 0 && c.random.IntN(3) > 0 {
+				c.sync(h)
+			}
+			if c.random.IntN(5) == 0 {
+				c.step(h, Tick{})
+			}
+		}
+	}
+}
+
+func (c *cluster) deliverDue() {
+	due := c.packets[:0:0]
+	kept := c.packets[:0]
+	for _, p := range c.packets {
+		if p.at <= c.now {
+			due = append(due, p)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	c.packets = kept
+	slices.SortStableFunc(due, func(a, b packet) int { return int(a.at - b.at) })
+	for _, p := range due {
+		c.deliver(p)
+	}
+}
+
+// resume lets a paused replica go on: what came meanwhile arrives now.
+func (c *cluster) resume(h *host) {
+	h.paused = false
+	inbox := h.inbox
+	h.inbox = nil
+	for _, p := range inbox {
+		c.deliver(p)
+	}
+}
+
+// leader gives the ready leader of the highest term that runs, nil if none.
+func (c *cluster) leader() *host {
+	var found *host
+	for _, id := range c.ids {
+		h := c.hosts[id]
+		if h.node == nil || h.paused || !h.node.ready() {
+			continue
+		}
+		if found == nil || h.node.term > found.node.term {
+			found = h
+		}
+	}
+	return found
+}
+
+func (c *cluster) propose(h *host) {
+	c.nextID++
+	c.step(h, Propose{ID: c.nextID, Data: binary.BigEndian.AppendUint64(nil, c.nextID)})
+}
+
+func (c *cluster) read(h *host) {
+	c.nextID++
+	c.reads++
+	if h.node != nil {
+		h.reads[c.nextID] = c.applied
+	}
+	c.step(h, ReadIndex{ID: c.nextID})
+}
--- /dev/null
+++ b/internal/store/doc.go
@@ -0,0 +1,11 @@
+// Package store keeps one control replica's state on disk: who it is, its hard
+// state, log and latest snapshot, and which life of each peer it has spoken to.
+//
+// All but the snapshot's bytes lie in one bbolt file, so that each Save is one
+// synced transaction. Every record carries a checksum over its bucket, key and
+// value, and Open reads and checks all of it: a torn, truncated or altered file
+// is Corrupt, and the replica must rejoin as a learner under a new incarnation
+// (SetAside) instead of answering from it.
+//
+// Errors are errorx types of Namespace.
+package store
--- /dev/null
+++ b/internal/store/errors.go
@@ -0,0 +1,18 @@
+package store
+
+import "github.com/joomcode/errorx"
+
+// Namespace holds the error types of this package.
+var Namespace = errorx.NewNamespace("store")
+
+var (
+	// Failed: the disk refused a read or write. Nothing may be answered from
+	// what was not synced.
+	Failed = Namespace.NewType("failed")
+	// Corrupt: the folder's content is not what was written. See SetAside.
+	Corrupt = Namespace.NewType("corrupt")
+	// Foreign: the folder belongs to another cluster or replica.
+	Foreign = Namespace.NewType("foreign")
+	// Locked: another process has the folder open.
+	Locked = Namespace.NewType("locked")
+)
--- /dev/null
+++ b/internal/store/pages.go
@@ -0,0 +1,63 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"io"
+	"os"
+)
+
+// Layout of a bbolt file's first two pages, each a header and a meta record.
+// pageSize is set when the file is created, so it is the same on each machine.
+const (
+	pageSize         = 4096
+	pageHeaderBytes  = 16
+	metaChecksumAt   = 56
+	metaHighWaterAt  = 40
+	metaBytes        = metaChecksumAt + 8
+	metaMagic        = 0xED0CDAED
+	metaPages        = 2
+	maxPlausiblePage = 1 << 40 / pageSize
+)
+
+// checkPages looks for damage that bbolt would not report.
+//
+// With one of its two meta pages damaged bbolt falls back to the other, which
+// is one transaction older: a synced vote or acknowledgement would be undone in
+// silence. And pages beyond the end of a truncated file fault on reading. A
+// crash leaves no damaged meta page: a record of 64 bytes lies in one sector.
+func checkPages(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return Failed.Wrap(err, "open")
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return Failed.Wrap(err, "stat")
+	}
+	for page := int64(0); page < metaPages; page++ {
+		if err := checkMetaPage(f, page, info.Size()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkMetaPage(f io.ReaderAt, page, size int64) error {
+	buf := make([]byte, metaBytes)
+	if _, err := f.ReadAt(buf, page*pageSize+pageHeaderBytes); err != nil {
+		return Corrupt.Wrap(err, "meta page %d", page)
+	}
+	sum := fnv.New64a()
+	_, _ = sum.Write(buf[:metaChecksumAt])
+	if binary.NativeEndian.Uint32(buf) != metaMagic ||
+		binary.NativeEndian.Uint64(buf[metaChecksumAt:]) != sum.Sum64() {
+		return Corrupt.New("meta page %d has another checksum", page)
+	}
+	pages := binary.NativeEndian.Uint64(buf[metaHighWaterAt:])
+	if pages > maxPlausiblePage || size < int64(pages)*pageSize {
+		return Corrupt.New("the file holds %d bytes, but %d pages are in use", size, pages)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/peers.go
@@ -0,0 +1,48 @@
+package store
+
+import (
+	bolt "go.etcd.io/bbolt"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Admit decides by consensus.CheckPeer whether a peer's messages may be taken,
+// given the member list in force here. It remembers a peer's latest life and
+// boot, synced, before it returns. Errors: those of CheckPeer, Failed.
+func (s *Store) Admit(from *pb.ReplicaIdentity, members *pb.Membership) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.peers[from.GetId()]
+	if err := consensus.CheckPeer(from, known, members); err != nil {
+		return err
+	}
+	if known.GetIncarnation() == from.Incarnation && known.Boot == from.Boot {
+		return nil
+	}
+	life := cloneOf(from)
+	err := s.update(func(tx *bolt.Tx) error { return put(tx, bucketPeers, indexKey(life.Id), life) })
+	if err == nil {
+		s.peers[life.Id] = life
+	}
+	return err
+}
+
+// Addressed tells whether messages to that identity are for this replica; an
+// empty incarnation is one that the sender does not know yet. Errors:
+// consensus.WrongIdentity.
+func (s *Store) Addressed(to *pb.ReplicaIdentity) error {
+	own := s.folder.Identity
+	if to.GetId() != own.Id || to.Incarnation != "" && to.Incarnation != own.Incarnation {
+		return consensus.WrongIdentity.New("this is replica %d (%s), not %d (%s)",
+			own.Id, own.Incarnation, to.GetId(), to.GetIncarnation())
+	}
+	return nil
+}
+
+// Target is the identity under which to address a replica.
+func (s *Store) Target(id uint64, members *pb.Membership) *pb.ReplicaIdentity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return consensus.TargetIdentity(id, s.peers[id], members)
+}
--- /dev/null
+++ b/internal/store/recover.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"encoding/binary"
+
+	bolt "go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Recovered is what the folder held. Initial goes to consensus.NewNode as it is;
+// the host first puts its state back from Initial.SnapshotData, if there is any.
+type Recovered struct {
+	Initial consensus.Initial
+	// Joined is true if the replica waits, or waited, to be added.
+	Joined bool
+}
+
+// recover reads the whole folder. Errors: Corrupt, Failed.
+func (s *Store) recover() (*Recovered, error) {
+	r := &Recovered{}
+	s.folder, s.bounds = &pb.FolderIdentity{}, &pb.LogBounds{}
+	err := s.db.View(func(tx *bolt.Tx) error {
+		if err := s.readMeta(tx, r); err != nil {
+			return err
+		}
+		if err := s.readPeers(tx); err != nil {
+			return err
+		}
+		return s.readLog(tx, r)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if s.snapshot != nil {
+		data, err := readSnapshot(s.dir, s.snapshot)
+		if err != nil {
+			return nil, err
+		}
+		r.Initial.Snapshot, r.Initial.SnapshotData = s.snapshot, data
+	}
+	r.Initial.Identity = s.folder.Identity
+	r.Initial.Membership = s.folder.Bootstrap
+	r.Joined = s.folder.Joined
+	return r, checkLog(s.bounds, r.Initial)
+}
+
+func (s *Store) readMeta(tx *bolt.Tx, r *Recovered) error {
+	hard := &pb.HardState{}
+	for _, rec := range []struct {
+		key []byte
+		m   proto.Message
+	}{{keyFolder, s.folder}, {keyBounds, s.bounds}, {keyHardState, hard}} {
+		found, err := get(tx, bucketMeta, rec.key, rec.m)
+		if err != nil {
+			return err
+		}
+		if !found {
+			return Corrupt.New("record %s is missing", rec.key)
+		}
+	}
+	r.Initial.HardState = hard
+	meta := &pb.SnapshotMeta{}
+	found, err := get(tx, bucketMeta, keySnapshot, meta)
+	if found {
+		s.snapshot = meta
+	}
+	return err
+}
+
+func (s *Store) readPeers(tx *bolt.Tx) error {
+	return tx.Bucket(bucketPeers).ForEach(func(k, v []byte) error {
+		id := &pb.ReplicaIdentity{}
+		if err := decode(bucketPeers, k, v, id); err != nil {
+			return err
+		}
+		s.peers[id.Id] = id
+		return nil
+	})
+}
+
+func (s *Store) readLog(tx *bolt.Tx, r *Recovered) error {
+	return tx.Bucket(bucketLog).ForEach(func(k, v []byte) error {
+		e := &pb.LogEntry{}
+		if err := decode(bucketLog, k, v, e); err != nil {
+			return err
+		}
+		if len(k) != 8 || binary.BigEndian.Uint64(k) != e.Index {
+			return Corrupt.New("log entry %d lies under another key", e.Index)
+		}
+		r.Initial.Entries = append(r.Initial.Entries, e)
+		return nil
+	})
+}
+
+// checkLog makes sure that no entry is missing: at the ends by the bounds, which
+// each transaction writes along, and between by the indexes.
+func checkLog(bounds *pb.LogBounds, init consensus.Initial) error {
+	entries := init.Entries
+	if len(entries) == 0 {
+		if bounds.Last != 0 {
+			return Corrupt.New("log entries %d to %d are missing", bounds.First, bounds.Last)
+		}
+		return nil
+	}
+	first, last := entries[0].Index, entries[len(entries)-1].Index
+	if first != bounds.First || last != bounds.Last || last-first != uint64(len(entries))-1 {
+		return Corrupt.New("log entries %d to %d are not all there", bounds.First, bounds.Last)
+	}
+	if first > init.Snapshot.GetIndex()+1 || last < init.Snapshot.GetIndex() {
+		return Corrupt.New("log entries %d to %d don't meet the snapshot at %d", first, last, init.Snapshot.GetIndex())
+	}
+	return nil
+}
