Add the test bed: one deployment in real processes

Cause: the demo and the proofs need the whole system in separate processes. Change: settings files, ports, start, readiness, signals, restarts, wiped and truncated data folders, forwarders before engines.

--- /dev/null
+++ b/internal/testbed/options.go
@@ -0,0 +1,105 @@
+// Package testbed starts the processes of one deployment on loopback, with
+// stand-in backend servers, and gives tests a hold on each of them: signals,
+// restarts, data folders, and forwarders on the way to backend servers.
+//
+// It runs on test machines only.
+package testbed
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/server"
+)
+
+// Namespace holds the error types of this package.
+var Namespace = errorx.NewNamespace("testbed")
+
+// Failed is the type of errors of a bed that can't be set up or driven.
+var Failed = Namespace.NewType("failed")
+
+// Options says which deployment to start and how.
+type Options struct {
+	// Bin is the folder with the programs.
+	Bin string
+	// Dir is where settings, data, logs and journals go; it must be empty.
+	Dir string
+	// Deployment is a folder under Deploy: qalhat or qazaq.
+	Deployment string
+	// Deploy is the folder with the deployments' declarations.
+	Deploy string
+	// Engines and Entries are per data centre. Default 3.
+	Engines int
+	Entries int
+	// Tune changes a backend server's configuration before it is written.
+	Tune func(*server.Config)
+	// Forward puts a forwarder before every model engine.
+	Forward bool
+	// AnswerKeep is how long callers keep entry lists. Default 1s, to be quick.
+	AnswerKeep time.Duration
+	// OrderPause is the longest pause stated for control. Default 2s.
+	OrderPause time.Duration
+	// LogLevel of entries and control. Default info.
+	LogLevel string
+}
+
+// The sizes that both users have today.
+const (
+	dataCentres   = 3
+	perDataCentre = 3
+)
+
+func (o *Options) setDefaults() {
+	if o.Engines == 0 {
+		o.Engines = perDataCentre
+	}
+	if o.Entries == 0 {
+		o.Entries = perDataCentre
+	}
+	if o.AnswerKeep == 0 {
+		o.AnswerKeep = time.Second
+	}
+	if o.OrderPause == 0 {
+		o.OrderPause = 2 * time.Second
+	}
+	if o.LogLevel == "" {
+		o.LogLevel = "info"
+	}
+}
+
+// region gives the deployment's region: its city.
+func (o *Options) region() string {
+	switch o.Deployment {
+	case "qalhat":
+		return "muscat"
+	case "qazaq":
+		return "almaty"
+	default:
+		return o.Deployment
+	}
+}
+
+// dataCentre names data centre i, from 0.
+func (o *Options) dataCentre(i int) string { return o.region() + "-" + strconv.Itoa(i+1) }
+
+// nodeName names node n, from 0, of data centre dc: engine-a1, entry-c3.
+func nodeName(kind string, dc, n int) string {
+	return kind + "-" + string(rune('a'+dc)) + strconv.Itoa(n+1)
+}
+
+// Token is the bearer token of a member of the deployments under deploy/.
+func Token(deployment, member string) string { return deployment + "-" + member + "-token" }
+
+// plainServices lists the names of the declaration's plain services.
+func plainServices(d *declaration.Declaration) []string {
+	var names []string
+	for _, s := range d.Services {
+		if s.Kind == declaration.KindPlain {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/testbed/write.go
@@ -0,0 +1,157 @@
+package testbed
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/forwarder"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/server"
+)
+
+// Names of the programs and folders.
+const (
+	binControl = "goldcrest-control"
+	binEntry   = "goldcrest-entry"
+	binEngine  = "goldcrest-engine"
+	binCtl     = "goldcrestctl"
+	journalDir = "journals"
+	sharedKey  = "test-bed-shared-key-0123456789"
+)
+
+// stopTimeout bounds a planned stop of an entry in the bed.
+const stopTimeout = time.Minute
+
+func (b *Bed) path(parts ...string) string {
+	return filepath.Join(append([]string{b.options.Dir}, parts...)...)
+}
+
+// newProcess writes the settings and gives the process that runs on them.
+func (b *Bed) newProcess(binary, name, dc, address string, content any) (*Process, error) {
+	data, err := yaml.Marshal(content)
+	if err != nil {
+		return nil, Failed.Wrap(err, "settings of %s", name)
+	}
+	file := b.path(name + ".yaml")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return nil, Failed.Wrap(err, "settings of %s", name)
+	}
+	return &Process{
+		Name: name, Address: address, DataCentre: dc, LogFile: b.path(name + ".log"),
+		binary: filepath.Join(b.options.Bin, binary), args: []string{"run", "--settings", file}, wg: &b.wg,
+	}, nil
+}
+
+func (b *Bed) common(name, dc string) settings.Common {
+	return settings.Common{
+		Cluster: b.options.Deployment, Name: name, Region: b.options.region(), DataCentre: dc,
+		Control: b.controlAddresses, Auth: settings.Auth{SharedKeyFile: b.keyFile},
+		Log: settings.Log{Level: b.options.LogLevel, SampleRouting: 1},
+	}
+}
+
+func (b *Bed) planControl() error {
+	var replicas []settings.ControlReplica
+	for dc := range dataCentres {
+		address := b.ports.address()
+		b.controlAddresses = append(b.controlAddresses, address)
+		replicas = append(replicas, settings.ControlReplica{
+			ID: uint64(dc + 1), Address: address, Region: b.options.region(), DataCentre: b.options.dataCentre(dc),
+		})
+	}
+	for dc, r := range replicas {
+		name := "control-" + strconv.Itoa(dc+1)
+		dir := b.path("data", name)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return Failed.Wrap(err, "data folder")
+		}
+		p, err := b.newProcess(binControl, name, r.DataCentre, r.Address, settings.Control{
+			Common: b.common(name, r.DataCentre), ReplicaID: r.ID, Address: r.Address, DataDir: dir,
+			Bootstrap: replicas, ElectionTimeout: settings.DefaultElectionTimeout,
+			SnapshotEntries: settings.DefaultSnapshotEntries, OrderPause: b.options.OrderPause,
+		})
+		if err != nil {
+			return err
+		}
+		p.DataDir = dir
+		b.Control = append(b.Control, p)
+	}
+	return nil
+}
+
+func (b *Bed) planEntries() error {
+	for dc := range dataCentres {
+		for n := range b.options.Entries {
+			name, address := nodeName("entry", dc, n), b.ports.address()
+			where := b.options.dataCentre(dc)
+			p, err := b.newProcess(binEntry, name, where, address, settings.Entry{
+				Common: b.common(name, where), CallerAddress: address, PeerAddress: b.ports.address(),
+				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxStreams: settings.DefaultMaxStreams,
+				AnswerKeep: b.options.AnswerKeep, StopTimeout: stopTimeout,
+			})
+			if err != nil {
+				return err
+			}
+			b.Entries = append(b.Entries, p)
+		}
+	}
+	return nil
+}
+
+func (b *Bed) planServers(d *declaration.Declaration) error {
+	for dc := range dataCentres {
+		for n := range b.options.Engines {
+			c := b.serverConfig(nodeName("engine", dc, n), dc)
+			c.Kind, c.Model, c.Version = engineapi.KindModel, d.Models[0].Name, d.Models[0].Version
+			c.Fencing = declaration.FencingIgnored
+			if d.ChecksFencing(c.ID) {
+				c.Fencing = declaration.FencingChecked
+			}
+			p, err := b.planServer(c)
+			if err != nil {
+				return err
+			}
+			b.Engines = append(b.Engines, p)
+		}
+		c := b.serverConfig(nodeName("plain", dc, 0), dc)
+		c.Kind, c.Services = engineapi.KindPlain, plainServices(d)
+		p, err := b.planServer(c)
+		if err != nil {
+			return err
+		}
+		b.Plain = append(b.Plain, p)
+	}
+	return nil
+}
+
+func (b *Bed) serverConfig(id string, dc int) server.Config {
+	c := server.Default()
+	c.Cluster, c.ID, c.Region, c.DataCentre = b.options.Deployment, id, b.options.region(), b.options.dataCentre(dc)
+	c.Address, c.Journal = b.ports.address(), b.path(journalDir, id+".journal")
+	// Own data centre first, then one entry of each other.
+	for i := range dataCentres {
+		c.Entries = append(c.Entries, b.Entries[(dc+i)%dataCentres*b.options.Entries].Address)
+	}
+	return c
+}
+
+func (b *Bed) planServer(c server.Config) (*Process, error) {
+	if b.options.Tune != nil {
+		b.options.Tune(&c)
+	}
+	if b.options.Forward && c.Kind == engineapi.KindModel {
+		f, err := forwarder.Listen("127.0.0.1:0", c.Address)
+		if err != nil {
+			return nil, err
+		}
+		c.AnnouncedAddress = f.Address()
+		b.Forwarders[c.ID] = f
+	}
+	return b.newProcess(binEngine, c.ID, c.DataCentre, c.Address, c)
+}
