--- a/internal/standin/server/faults.go
+++ b/internal/standin/server/faults.go
@@ -27,16 +27,23 @@
 )
 
 func hasFault(text, fault string) bool {
-	return strings.Contains(text[:min(len(text), faultWindow)], fault)
+	return strings.Contains(edges(text), fault)
 }
 
-// faultWindow is how far into a text faults are looked for, so that long
-// prompts cost nothing.
+// faultWindow is how far from either end of a text faults and marks are looked
+// for, so that long prompts cost little.
 const faultWindow = 256
 
+func edges(text string) string {
+	if len(text) <= 2*faultWindow {
+		return text
+	}
+	return text[:faultWindow] + text[len(text)-faultWindow:]
+}
+
 // late gives how long a text asks its answer to be held back.
 func late(text string) time.Duration {
-	found := lateMark.FindStringSubmatch(text[:min(len(text), faultWindow)])
+	found := lateMark.FindStringSubmatch(edges(text))
 	if found == nil {
 		return 0
 	}
@@ -49,7 +56,7 @@
 
 // markOf gives the mark by which the caller knows the request.
 func markOf(text string) string {
-	found := requestMark.FindStringSubmatch(text[:min(len(text), faultWindow)])
+	found := requestMark.FindStringSubmatch(edges(text))
 	if found == nil {
 		return ""
 	}
