Add goldcrest-load play and demo

Cause: one command must show the whole path in real processes. Change: play sends a workload file to entries and reports histograms as JSON; demo starts a deployment with the test bed, plays its demo.yaml and compares callers with journals.

--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -7,5 +7,7 @@
 func main() {
 	root := cli.NewRoot("goldcrest-load", "Play workloads and measure",
 		"goldcrest-load plays workload files against entries, runs the demo on loopback and\nmeasures the decisions under load on a model of the engines.")
+	root.AddCommand(newPlay())
+	root.AddCommand(newDemo())
 	cli.Main(root)
 }
--- a/internal/standin/audit/audit.go
+++ b/internal/standin/audit/audit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/answer"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/caller"
@@ -92,9 +93,25 @@
 		}
 		c.compare(d, seen)
 	}
+	c.compareSalts(records)
 	return c
 }
 
+// compareSalts counts cache salts that two members shared.
+func (c *Counts) compareSalts(records []journal.Record) {
+	owner := make(map[string]string)
+	for _, r := range records {
+		if r.Salt == "" || r.Member == "" {
+			continue
+		}
+		if first, ok := owner[r.Salt]; ok && first != r.Member {
+			c.WrongMember++
+			c.Findings = append(c.Findings, "members "+first+" and "+r.Member+" share a cache salt")
+		}
+		owner[r.Salt] = r.Member
+	}
+}
+
 func collect(records []journal.Record) map[string]*runs {
 	byMark := make(map[string]*runs)
 	for _, r := range records {
@@ -107,6 +124,9 @@
 			byMark[r.Mark] = seen
 		}
 		seen.members[r.Member] = true
+		if member, _, ok := engineapi.SplitWireID(r.RequestID); ok {
+			seen.members[member] = true
+		}
 		if r.Event == journal.Started {
 			seen.started++
 		}
--- a/internal/standin/journal/journal.go
+++ b/internal/standin/journal/journal.go
@@ -71,6 +71,8 @@
 	Method  string `json:"method,omitempty"`
 	Path    string `json:"path,omitempty"`
 	Key     string `json:"key,omitempty"`
+	// Salt is a completion's cache salt.
+	Salt string `json:"salt,omitempty"`
 	// Offset and Tokens are the part of the answer that was produced.
 	Offset int                    `json:"offset,omitempty"`
 	Tokens int                    `json:"tokens,omitempty"`
--- a/internal/standin/server/faults.go
+++ b/internal/standin/server/faults.go
@@ -73,7 +73,7 @@
 func requestRecord(event journal.Event, req engineapi.CompletionRequest) journal.Record {
 	return journal.Record{
 		Event: event, RequestID: req.RequestID, Attempt: req.Attempt,
-		Member: answer.Member(req.Prompt), Mark: markOf(req.Prompt),
+		Member: answer.Member(req.Prompt), Mark: markOf(req.Prompt), Salt: req.CacheSalt,
 		Offset: req.GeneratedTokens, Tokens: req.MaxTokens,
 	}
 }
