--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -87,7 +87,7 @@
 }
 
 // PromptTokens estimates how many tokens a prompt has.
-func PromptTokens(prompt string) int { return len(prompt)/bytesPerToken + 1 }
+func PromptTokens(prompt string) int { return len(prompt)/BytesPerToken + 1 }
 
-// bytesPerToken is the usual rule of thumb for text in European languages.
-const bytesPerToken = 4
+// BytesPerToken is the usual rule of thumb for text in European languages.
+const BytesPerToken = 4
--- a/internal/standin/server/announce.go
+++ b/internal/standin/server/announce.go
@@ -97,7 +97,7 @@
 	a := engineapi.Announcement{
 		Cluster: c.Cluster, ID: c.ID, Incarnation: s.incarnation, Address: c.announced(),
 		Region: c.Region, DataCentre: c.DataCentre, Kind: c.Kind, Services: c.Services,
-		State: s.state(), Slots: uint32(c.Slots), Load: s.laggedLoad(),
+		State: s.state(), Slots: uint32(c.Slots), Load: s.load(),
 	}
 	if c.Kind == engineapi.KindModel {
 		a.Model, a.Version, a.Adapters, a.Role = o.model, o.version, slices.Clone(o.adapters), o.role
--- a/internal/standin/server/cache.go
+++ b/internal/standin/server/cache.go
@@ -3,114 +3,81 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/answer"
 )
 
 const (
-	// blockTokens is how many tokens one block of the prefix cache holds.
-	blockTokens = 64
-	blockBytes  = blockTokens * 4
-	// eventLag is how late cache events are published.
+	// eventLag is how late cache events are published, in real time.
 	eventLag = 300 * time.Millisecond
 	// eventGap: each event whose number divides by it is lost.
 	eventGap = 7
-	// maxEvents bounds the events that are kept.
-	maxEvents = 2048
+	// eventMarks bounds the eventLog.
+	eventMarks = 16
 )
 
-type block struct {
-	salt string
-	hash uint64
-}
+// eventLog remembers which cache event came next at which time.
+type eventLog struct{ marks []eventMark }
 
-type timedEvent struct {
-	at    time.Time
-	event engineapi.CacheEvent
+type eventMark struct {
+	at   time.Time
+	next uint64
 }
 
-// prefixCache holds blocks of prompt prefixes, the least recently used dropped.
-type prefixCache struct {
-	size   int
-	used   map[block]uint64
-	clock  uint64
-	seq    uint64
-	events []timedEvent
+// due tells whether it is time for a note: several times per lag.
+func (l *eventLog) due(now time.Time) bool {
+	n := len(l.marks)
+	return n == 0 || now.Sub(l.marks[n-1].at) >= eventLag/(eventMarks/2)
 }
 
-func newPrefixCache(size int) *prefixCache {
-	return &prefixCache{size: size, used: make(map[block]uint64)}
+// note takes down the next event's number.
+func (l *eventLog) note(now time.Time, next uint64) {
+	l.marks = append(l.marks, eventMark{at: now, next: next})
+	l.marks = l.marks[max(0, len(l.marks)-eventMarks):]
 }
 
-// use gives how many tokens of the text's prefix are cached and caches it all.
-func (c *prefixCache) use(salt, text string) int {
-	hits, missed := 0, false
-	chain := xxhash.New()
-	for at := 0; at+blockBytes <= len(text); at += blockBytes {
-		_, _ = chain.WriteString(text[at : at+blockBytes])
-		b := block{salt: salt, hash: chain.Sum64()}
-		c.clock++
-		if _, ok := c.used[b]; ok && !missed {
-			hits++
-		} else if !ok {
-			missed = true
-			c.publish(b, false)
+// published is the number before which events are told by now.
+func (l *eventLog) published(now time.Time) uint64 {
+	next := uint64(0)
+	for _, m := range l.marks {
+		if now.Sub(m.at) >= eventLag {
+			next = m.next
 		}
-		c.used[b] = c.clock
-	}
-	c.evict()
-	return hits * blockTokens
-}
-
-func (c *prefixCache) evict() {
-	if len(c.used) <= c.size {
-		return
-	}
-	blocks := make([]block, 0, len(c.used))
-	for b := range c.used {
-		blocks = append(blocks, b)
-	}
-	slices.SortFunc(blocks, func(x, y block) int { return int(int64(c.used[x]) - int64(c.used[y])) })
-	// A tenth is dropped at once, so that not every request sorts.
-	for _, b := range blocks[:len(blocks)-c.size*9/10] {
-		delete(c.used, b)
-		c.publish(b, true)
-	}
-}
-
-func (c *prefixCache) publish(b block, dropped bool) {
-	c.seq++
-	if c.seq%eventGap == 0 {
-		return
-	}
-	c.events = append(c.events, timedEvent{at: time.Now(), event: engineapi.CacheEvent{
-		Seq: c.seq, Salt: b.salt, Hash: b.hash, Dropped: dropped,
-	}})
-	if len(c.events) > maxEvents {
-		c.events = slices.Clone(c.events[len(c.events)-maxEvents/2:])
 	}
+	return next
 }
 
-func (c *prefixCache) share() float64 { return float64(len(c.used)) / float64(max(c.size, 1)) }
-
 func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	answer := engineapi.CacheEvents{Next: after + 1}
 	s.mu.Lock()
-	for _, e := range s.cache.events {
-		if e.event.Seq > after && time.Since(e.at) >= eventLag {
-			answer.Events = append(answer.Events, e.event)
-			answer.Next = e.event.Seq + 1
+	all, until := s.model.CacheEvents(after), s.events.published(time.Now())
+	s.mu.Unlock()
+	told := engineapi.CacheEvents{Next: max(after+1, until)}
+	for _, e := range all.Events {
+		if e.Seq < until && e.Seq%eventGap != 0 {
+			told.Events = append(told.Events, e)
 		}
 	}
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, answer)
+	writeJSON(w, http.StatusOK, told)
+}
+
+// prefixChain gives the chained hashes of a text's whole blocks.
+func prefixChain(salt, text string) []uint64 {
+	const blockBytes = decision.BlockTokens * answer.BytesPerToken
+	var chain []uint64
+	digest := xxhash.New()
+	_, _ = digest.WriteString(salt)
+	for ; len(text) >= blockBytes; text = text[blockBytes:] {
+		_, _ = digest.WriteString(text[:blockBytes])
+		chain = append(chain, digest.Sum64())
+	}
+	return chain
 }
 
 // kvCopy is KV cache as it is exported and imported: what text it stands for.
--- a/internal/standin/server/completions.go
+++ b/internal/standin/server/completions.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
-	"goldcrestseam.dev/goldcrestseam/internal/standin/answer"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/journal"
 )
 
@@ -55,98 +54,16 @@
 	if state := s.state(); state != engineapi.StateServing {
 		return nil, state
 	}
+	now := s.advance()
+	if err := s.model.Submit(now, s.modelRequest(req)); err != nil {
+		return nil, s.state()
+	}
 	// Written with the lock held, so that no order begins in between.
 	s.journal.Write(requestRecord(journal.Started, req))
-	s.streams[st.key] = st
-	s.batch.add(&task{
-		stream: st, priority: req.Priority, decode: s.decodeTokens(req),
-		prefill: s.prefillTokens(req) + 1,
-	})
+	s.streams[st.key], s.running[st.key.String()] = st, st
 	return st, engineapi.StateServing
 }
 
-func (s *Server) decodeTokens(req engineapi.CompletionRequest) int {
-	if req.PrefillOnly {
-		return 1
-	}
-	return req.MaxTokens - req.GeneratedTokens
-}
-
-// prefillTokens is what is left to read after KV import and prefix cache.
-func (s *Server) prefillTokens(req engineapi.CompletionRequest) float64 {
-	text := req.Prompt + req.GeneratedText
-	total := answer.PromptTokens(text)
-	cached := s.cache.use(req.CacheSalt, text)
-	if kv, ok := s.kv[req.KVHandle]; ok && kv.covers(req) {
-		cached = max(cached, kv.Tokens)
-	}
-	return float64(max(total-cached, 0))
-}
-
-// runBatch moves the engine's model on with real time.
-func (s *Server) runBatch(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	last := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			elapsed := time.Duration(float64(now.Sub(last)) * s.config.TimeScale)
-			last = now
-			s.step(now, elapsed)
-		}
-	}
-}
-
-func (s *Server) step(now time.Time, elapsed time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.batch.advance(elapsed, func(t *task, tokens int) { s.emit(now, t, tokens) })
-	s.batch.drop(func(t *task) bool { return t.decode == 0 })
-	s.sampleLoad(now)
-	for key, at := range s.ended {
-		if now.Sub(at) > streamKeep {
-			delete(s.streams, key)
-			delete(s.ended, key)
-		}
-	}
-}
-
-// emit must be called with mu held.
-func (s *Server) emit(now time.Time, t *task, tokens int) {
-	req := t.stream.request
-	if hasFault(req.Prompt, faultPoison) {
-		s.dieOf(req)
-	}
-	if hasFault(req.Prompt, faultHang) {
-		t.decode += tokens
-		return
-	}
-	t.stream.produce(tokens)
-	if t.decode > 0 {
-		return
-	}
-	finish := finishLength
-	if req.PrefillOnly {
-		finish = finishPrefilled
-	}
-	s.endStream(now, t.stream, finish, journal.Finished, "")
-}
-
-// endStream must be called with mu held.
-func (s *Server) endStream(now time.Time, st *stream, finish string, event journal.Event, reason string) {
-	if !st.end(finish) {
-		return
-	}
-	s.ended[st.key] = now
-	rec := requestRecord(event, st.request)
-	rec.Offset, rec.Tokens = st.produced()
-	rec.Reason = reason
-	s.journal.Write(rec)
-}
-
 // resume goes on with a stream from an offset.
 func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
 	attempt, err := strconv.ParseUint(r.URL.Query().Get("attempt"), 10, 32)
@@ -175,6 +92,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.advance()
 	s.cutStreams("cancelled", func(k streamKey) bool {
 		return k.requestID == req.RequestID && k.attempt <= req.Attempt
 	})
@@ -186,13 +104,12 @@
 // cutStreams ends the streams chosen without an end marker. It must be called
 // with mu held.
 func (s *Server) cutStreams(reason string, chosen func(streamKey) bool) {
-	s.batch.drop(func(t *task) bool {
-		if !chosen(t.stream.key) {
-			return false
+	for id, st := range s.running {
+		if chosen(st.key) {
+			s.model.Cancel(id)
+			s.endStream(st, "", journal.Cancelled, reason)
 		}
-		s.endStream(time.Now(), t.stream, "", journal.Cancelled, reason)
-		return true
-	})
+	}
 }
 
 // relay sends the stream from the offset on until it ends or the reader is gone.
@@ -216,7 +133,7 @@
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-			if hasFault(st.request.Prompt, faultHang) {
+			if st.hangs {
 				continue
 			}
 			if out.heartbeat() != nil {
--- a/internal/standin/server/config.go
+++ b/internal/standin/server/config.go
@@ -12,6 +12,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/enginemodel"
 	"goldcrestseam.dev/goldcrestseam/internal/finding"
 	"goldcrestseam.dev/goldcrestseam/internal/yamlfile"
 )
@@ -41,12 +42,15 @@
 	Fencing string `yaml:"fencing"`
 	// Journal is the journal file; empty for none.
 	Journal string `yaml:"journal"`
-	// Slots is how many requests run at once. Default 16.
+	// Slots is how many requests run at once. Default 32.
 	Slots int `yaml:"slots"`
-	// PrefillRate is prompt tokens a second of the whole engine. Default 20000.
+	// PrefillRate is prompt tokens a second of prefill alone. Default 10000.
 	PrefillRate float64 `yaml:"prefill_rate"`
-	// TokenTime is the time between two tokens of one request. Default 20ms.
+	// TokenTime is the time between two tokens of a request that runs alone.
+	// Default 20ms.
 	TokenTime time.Duration `yaml:"token_time"`
+	// Slow divides all rates of an engine; 1 is a healthy one. Default 1.
+	Slow float64 `yaml:"slow"`
 	// ChangeTime is how long an order takes the engine away. Default 5s.
 	ChangeTime time.Duration `yaml:"change_time"`
 	// CallTime is how long a call of a plain service takes. Default 5ms.
@@ -56,8 +60,8 @@
 	// LoadLag is how old the load figures are that it reports, in real time.
 	// Default 200ms.
 	LoadLag time.Duration `yaml:"load_lag"`
-	// CacheBlocks is how many prefix blocks fit into its memory. Default 4096.
-	CacheBlocks int `yaml:"cache_blocks"`
+	// CacheTokens bounds the prefix cache. Default 200000.
+	CacheTokens int `yaml:"cache_tokens"`
 	// LeaveTime is how long it still answers, with refusals, after it said
 	// that it leaves and nothing runs any more, in real time. Default 1s.
 	LeaveTime time.Duration `yaml:"leave_time"`
@@ -67,10 +71,11 @@
 func Default() Config {
 	return Config{
 		Kind: engineapi.KindModel, Role: string(engineapi.RoleMixed),
-		Fencing: declaration.FencingChecked, Slots: 16, PrefillRate: 20000,
-		TokenTime: 20 * time.Millisecond, ChangeTime: 5 * time.Second,
+		Fencing: declaration.FencingChecked, Slots: enginemodel.DefaultSlots,
+		PrefillRate: enginemodel.DefaultPrefillRate, TokenTime: enginemodel.DefaultStepBase, Slow: 1,
+		CacheTokens: enginemodel.DefaultCacheTokens, ChangeTime: 5 * time.Second,
 		CallTime: 5 * time.Millisecond, TimeScale: 1, LoadLag: 200 * time.Millisecond,
-		CacheBlocks: 4096, LeaveTime: time.Second,
+		LeaveTime: time.Second,
 	}
 }
 
@@ -117,3 +122,16 @@
 func (c *Config) real(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / c.TimeScale)
 }
+
+// virtual gives the engine model's time of a real time.
+func (c *Config) virtual(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * c.TimeScale)
+}
+
+// model gives the engine model's configuration.
+func (c *Config) model() enginemodel.Config {
+	return enginemodel.Config{
+		PrefillRate: c.PrefillRate, StepBase: c.TokenTime, Slots: c.Slots, CacheTokens: c.CacheTokens,
+		ChangeTime: c.ChangeTime, LoadLag: c.virtual(c.LoadLag), Slow: c.Slow, RecordCache: true,
+	}
+}
--- a/internal/standin/server/orders.go
+++ b/internal/standin/server/orders.go
@@ -8,6 +8,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/enginemodel"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/journal"
 )
 
@@ -65,8 +66,8 @@
 	if s.config.Fencing == declaration.FencingIgnored {
 		return "", ""
 	}
-	if o.Token.Less(b.newest) {
-		return engineapi.OrderStale, "a newer token has been seen"
+	if !b.newest.Less(o.Token) {
+		return engineapi.OrderStale, "this token or a newer one has been seen"
 	}
 	b.newest = o.Token
 	if b.running != nil {
@@ -106,6 +107,9 @@
 	}
 	b.results[o.ID] = engineapi.OrderDone
 	b.last = o
+	if o.Kind != engineapi.OrderLoadAdapter {
+		s.model = enginemodel.New(s.now(), s.config.model(), b.role)
+	}
 	if b.running != nil && b.running.ID == o.ID {
 		b.running = nil
 	}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/enginemodel"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/journal"
 )
@@ -46,13 +47,15 @@
 
 	mu      sync.Mutex
 	leaving bool
-	batch   batch
+	// model is the engine in virtual time; began is its time 0.
+	model   *enginemodel.Engine
+	began   time.Time
+	running map[string]*stream
 	streams map[streamKey]*stream
 	ended   map[streamKey]time.Time
-	cache   *prefixCache
+	events  eventLog
 	kv      map[string]kvCopy
 	orders  orderBook
-	loads   []loadSample
 	entries []string
 }
 
@@ -71,9 +74,10 @@
 	return &Server{
 		config: c, incarnation: incarnation, journal: w, listener: ln,
 		wake:    make(chan struct{}, 1),
-		batch:   batch{slots: c.Slots, rate: c.PrefillRate, tokenTime: c.TokenTime},
-		streams: make(map[streamKey]*stream), ended: make(map[streamKey]time.Time),
-		cache: newPrefixCache(c.CacheBlocks), kv: make(map[string]kvCopy),
+		model:   enginemodel.New(0, c.model(), engineapi.Role(c.Role)),
+		began:   time.Now(),
+		running: make(map[string]*stream), streams: make(map[streamKey]*stream),
+		ended: make(map[streamKey]time.Time), kv: make(map[string]kvCopy),
 		orders:  newOrderBook(engineapi.Role(c.Role), c.Model, c.Version),
 		entries: c.Entries,
 	}, nil
@@ -93,7 +97,7 @@
 	defer wg.Wait()
 	served := make(chan error, 1)
 	wg.Go(func() { served <- hs.Serve(s.listener) })
-	wg.Go(func() { s.runBatch(work) })
+	wg.Go(func() { s.runModel(work) })
 	wg.Go(func() { s.announceLoop(work) })
 	select {
 	case <-ctx.Done():
@@ -132,7 +136,7 @@
 	for time.Since(idleSince) < s.config.LeaveTime {
 		time.Sleep(tick)
 		s.mu.Lock()
-		busy := len(s.batch.tasks) > 0
+		busy := s.model.Len() > 0
 		s.mu.Unlock()
 		if busy || s.calls.Load() > 0 {
 			idleSince = time.Now()
@@ -174,7 +178,7 @@
 func (s *Server) withHeaders(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		state, load := s.state(), s.laggedLoad()
+		state, load := s.state(), s.load()
 		s.mu.Unlock()
 		h := w.Header()
 		h.Set(engineapi.HeaderState, string(state))
@@ -195,7 +199,7 @@
 	s.mu.Lock()
 	h := engineapi.Health{
 		ID: s.config.ID, Incarnation: s.incarnation, State: s.state(),
-		Role: s.orders.role, Load: s.laggedLoad(),
+		Role: s.orders.role, Load: s.load(),
 	}
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, h)
--- a/internal/standin/server/stream.go
+++ b/internal/standin/server/stream.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"strconv"
 	"sync"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
@@ -13,12 +14,23 @@
 	attempt   uint32
 }
 
+func newStreamKey(req engineapi.CompletionRequest) streamKey {
+	return streamKey{requestID: req.RequestID, attempt: req.Attempt}
+}
+
+// String is the attempt's id in the engine model.
+func (k streamKey) String() string {
+	return k.requestID + "#" + strconv.FormatUint(uint64(k.attempt), 10)
+}
+
 // stream is one attempt: what it has produced so far and how it ended. The
 // producer appends; any number of connections read.
 type stream struct {
 	key     streamKey
 	request engineapi.CompletionRequest
 	gen     *answer.Generator
+	// poison and hangs are scripted faults.
+	poison, hangs bool
 
 	mu sync.Mutex
 	// tokens holds the texts from offset start on.
@@ -33,10 +45,12 @@
 
 func newStream(req engineapi.CompletionRequest) *stream {
 	return &stream{
-		key:     streamKey{requestID: req.RequestID, attempt: req.Attempt},
+		key:     newStreamKey(req),
 		request: req,
 		gen:     answer.NewGenerator(req.Prompt, req.Seed, req.GeneratedText, req.GeneratedTokens),
 		start:   req.GeneratedTokens,
+		poison:  hasFault(req.Prompt, faultPoison),
+		hangs:   hasFault(req.Prompt, faultHang),
 		changed: make(chan struct{}),
 	}
 }
--- a/internal/standin/workload/schedule.go
+++ b/internal/standin/workload/schedule.go
@@ -22,9 +22,6 @@
 	Tokens int
 }
 
-// bytesPerToken fits answer.PromptTokens.
-const bytesPerToken = 4
-
 // Schedule gives the arrivals in order of time. Run tells runs of the same file
 // apart: it stands in the marks.
 func (w *Workload) Schedule(run string) []Arrival {
@@ -106,7 +103,7 @@
 func Prompt(member, topic, mark string, shared, own int, rng *rand.Rand) string {
 	var b strings.Builder
 	b.WriteString(answer.Mark(member) + " " + topic + " ")
-	b.WriteString(strings.Repeat(member+" file ", shared*bytesPerToken/len(member+" file ")))
+	b.WriteString(strings.Repeat(member+" file ", shared*answer.BytesPerToken/len(member+" file ")))
 	for range own {
 		b.WriteString(strconv.FormatUint(rng.Uint64()&0xfff|0x1000, 16)[1:] + " ")
 	}
