--- /dev/null
+++ b/internal/proof/build.go
@@ -0,0 +1,43 @@
+package proof
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/joomcode/errorx"
+)
+
+// Namespace holds the error types of this package.
+var Namespace = errorx.NewNamespace("proof")
+
+// Failed is the type of errors of a proof that can't be carried out.
+var Failed = Namespace.NewType("failed")
+
+// Root gives the folder with go.mod above the working folder. Errors: Failed.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", Failed.Wrap(err, "working folder")
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", Failed.New("no go.mod above the working folder")
+		}
+		dir = parent
+	}
+}
+
+// Build builds all programs of the module at root into bin. Errors: Failed.
+func Build(root, bin string) error {
+	cmd := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return Failed.Wrap(err, "go build: %s", out)
+	}
+	return nil
+}
--- a/internal/standin/caller/complete.go
+++ b/internal/standin/caller/complete.go
@@ -180,12 +180,11 @@
 		r.sent = false
 		return !pause(ctx, retryPause)
 	}
-	if ref.retryAfter == 0 || ref.status < 500 && ref.status != http.StatusTooManyRequests {
-		return true
-	}
-	if ref.outcome != outcome.NotRun && !r.res.Accepted {
+	if ref.retryAfter == 0 {
 		return true
 	}
+	// A model request that may run is not sent anew but resumed under its id.
+	r.sent = r.sent || ref.outcome == outcome.Unknown
 	return !pause(ctx, ref.retryAfter)
 }
 
--- a/internal/standin/server/cache.go
+++ b/internal/standin/server/cache.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,18 +103,25 @@
 func (s *Server) exportKV(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	st := s.newestStream(r.PathValue("id"))
+	if st == nil {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	text := st.request.GeneratedText + strings.Join(st.from(0).tokens, "")
+	writeJSON(w, http.StatusOK, newKVCopy(st.request, text))
+}
+
+// newestStream gives the last attempt of a request, or nil. It must be called
+// with mu held.
+func (s *Server) newestStream(requestID string) *stream {
+	var newest *stream
 	for key, st := range s.streams {
-		if key.requestID != r.PathValue("id") {
-			continue
-		}
-		text := st.request.GeneratedText
-		for _, token := range st.from(0).tokens {
-			text += token
+		if key.requestID == requestID && (newest == nil || key.attempt > newest.key.attempt) {
+			newest = st
 		}
-		writeJSON(w, http.StatusOK, newKVCopy(st.request, text))
-		return
 	}
-	http.Error(w, "no such request", http.StatusNotFound)
+	return newest
 }
 
 func (s *Server) importKV(w http.ResponseWriter, r *http.Request) {
