--- /dev/null
+++ b/internal/proof/fixture.go
@@ -0,0 +1,56 @@
+package proof
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/standin/forwarder"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/server"
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+const (
+	// timeScale makes the stand-ins' engines four times as quick as real ones:
+	// a long answer takes about two seconds, time enough for a fault.
+	timeScale = 4
+	// leaveTime keeps a leaving server answering for longer than the two
+	// seconds after which nobody may send it new work.
+	leaveTime = 4 * time.Second
+	// changeTime is how long an order takes an engine away, before timeScale.
+	changeTime = 4 * time.Second
+	// restoreTimeout bounds bringing a bed back after a trial.
+	restoreTimeout = 60 * time.Second
+)
+
+// NewBed gives a bed of smaller size than a deployment's, so that many proofs
+// fit into a test run: 3 control, 6 entries, 6 engines, 3 plain servers.
+func NewBed(root, bin, dir string) (*testbed.Bed, error) {
+	return testbed.New(testbed.Options{
+		Bin: bin, Dir: dir, Deployment: Deployment, Deploy: root + "/deploy",
+		Engines: 2, Entries: 2, Forward: true,
+		Tune: func(c *server.Config) {
+			c.TimeScale, c.LeaveTime, c.ChangeTime = timeScale, leaveTime, changeTime
+		},
+	})
+}
+
+// Restore brings a bed back after a trial: everything runs, nothing is stopped
+// or silent, every entry serves. Errors: testbed.Failed.
+func Restore(ctx context.Context, bed *testbed.Bed) error {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	for _, f := range bed.Forwarders {
+		f.Set(forwarder.Mode{})
+	}
+	for _, p := range bed.Processes() {
+		p.Signal(syscall.SIGCONT)
+		if p.Running() {
+			continue
+		}
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return bed.WaitReady(ctx)
+}
--- a/internal/proof/trial.go
+++ b/internal/proof/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -118,6 +119,18 @@
 	return sum
 }
 
+// Stall sums up the longest silence that each stream's caller saw.
+func (o *Outcome) Stall() string {
+	h := workload.NewHistogram()
+	for _, d := range o.Done {
+		if d.Result.Whole && d.Result.FirstToken > 0 {
+			h.Add(d.Result.LongestGap)
+		}
+	}
+	q := h.Quantile()
+	return fmt.Sprintf("longest gap of a stream p50 %.0f ms, p99 %.0f ms, max %.0f ms", q.P50, q.P99, q.Max)
+}
+
 // Run plays the load and lets faults happen meanwhile; it returns when every
 // caller has its result. Errors: of the journals.
 func (t *Trial) Run(ctx context.Context, l Load, faults func(context.Context)) (*Outcome, error) {
--- a/internal/standin/caller/complete.go
+++ b/internal/standin/caller/complete.go
@@ -108,6 +108,16 @@
 	return r.res
 }
 
+// Resume asks one entry, once, to go on with a request from its beginning.
+func (c *Client) Resume(ctx context.Context, id, entry string) *Result {
+	ctx, cancel := context.WithTimeout(ctx, c.config.Patience)
+	defer cancel()
+	r := &run{c: c, req: Completion{ID: id}, res: &Result{}, began: time.Now(), offset: "0", address: entry, sent: true}
+	r.try(ctx)
+	r.res.Text, r.res.Took = r.text.String(), time.Since(r.began)
+	return r.res
+}
+
 // try makes one try and tells whether the result is final.
 func (r *run) try(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -198,3 +198,6 @@
 		f.Close()
 	}
 }
+
+// Dir is the folder with settings, logs, data and journals.
+func (b *Bed) Dir() string { return b.options.Dir }
--- /dev/null
+++ b/internal/testbed/status.go
@@ -0,0 +1,43 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+)
+
+// status is what the bed reads of goldcrestctl status --output json.
+type status struct {
+	Leader      uint64 `json:"leader,string"`
+	RoleChanges uint64 `json:"roleChanges,string"`
+}
+
+// Leader gives the control replica that leads. Errors: Failed.
+func (b *Bed) Leader(ctx context.Context) (*Process, error) {
+	s, err := b.status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if s.Leader == 0 || s.Leader > uint64(len(b.Control)) {
+		return nil, Failed.New("replica %d leads, which the bed does not have", s.Leader)
+	}
+	return b.Control[s.Leader-1], nil
+}
+
+func (b *Bed) status(ctx context.Context) (*status, error) {
+	out, err := b.Ctl(ctx, "status", "--output", "json")
+	if err != nil {
+		return nil, err
+	}
+	s := &status{}
+	if err := json.Unmarshal([]byte(out), s); err != nil {
+		return nil, Failed.Wrap(err, "status: %s", out)
+	}
+	return s, nil
+}
+
+// ChangeRole asks control for an engine's role, as an operator does.
+// Errors: Failed.
+func (b *Bed) ChangeRole(ctx context.Context, engine, role string) error {
+	_, err := b.Ctl(ctx, "role", engine, role)
+	return err
+}
