--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -9,5 +9,6 @@
 		"goldcrest-load plays workload files against entries, runs the demo on loopback and\nmeasures the decisions under load on a model of the engines.")
 	root.AddCommand(newPlay())
 	root.AddCommand(newDemo())
+	root.AddCommand(newOverhead())
 	cli.Main(root)
 }
--- /dev/null
+++ b/internal/testbed/measure/latency.go
@@ -0,0 +1,140 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/caller"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/workload"
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+// Latency compares streams through the entry with streams at the engine, both
+// at the same time. Times are in milliseconds.
+type Latency struct {
+	Pairs            int               `json:"pairs"`
+	Failed           int               `json:"failed"`
+	FirstTokenDirect workload.Quantile `json:"first_token_direct_ms"`
+	FirstTokenEntry  workload.Quantile `json:"first_token_entry_ms"`
+	GapDirect        workload.Quantile `json:"gap_direct_ms"`
+	GapEntry         workload.Quantile `json:"gap_entry_ms"`
+}
+
+// Sizes of the requests that are compared.
+const (
+	latencyPrompt = 200
+	latencyTokens = 50
+)
+
+// target is where requests of a measurement go.
+type target struct {
+	bed        *testbed.Bed
+	deployment string
+	service    string
+	member     string
+	caller     *caller.Client
+}
+
+func newTarget(bed *testbed.Bed, deployment, service string) *target {
+	member := bed.Declaration.Members[0].Name
+	return &target{
+		bed: bed, deployment: deployment, service: service, member: member,
+		caller: caller.New(caller.Config{
+			Seeds: bed.EntryAddresses(), Member: member, Token: testbed.Token(deployment, member), Seed: 1,
+		}),
+	}
+}
+
+// latency runs pairs one after the other, with width of them at once.
+func (t *target) latency(ctx context.Context, pairs, width int) *Latency {
+	l := &Latency{Pairs: pairs}
+	direct, entry := newTimes(), newTimes()
+	var wg conc.WaitGroup
+	for lane := range width {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(lane), 5))
+			for n := lane; n < pairs; n += width {
+				t.pair(ctx, rng, n, direct, entry)
+			}
+		})
+	}
+	wg.Wait()
+	l.Failed = direct.failed + entry.failed
+	l.FirstTokenDirect, l.GapDirect = direct.first.Quantile(), direct.gap.Quantile()
+	l.FirstTokenEntry, l.GapEntry = entry.first.Quantile(), entry.gap.Quantile()
+	return l
+}
+
+func (t *target) pair(ctx context.Context, rng *rand.Rand, n int, direct, entry *times) {
+	ask := func() caller.Completion {
+		return caller.Completion{
+			ID: uuid.NewString(), Service: t.service, MaxTokens: latencyTokens, Seed: rng.Uint64() >> 12,
+			Prompt: workload.Prompt(t.member, "overhead", strconv.Itoa(n), 0, latencyPrompt, rng),
+		}
+	}
+	here, there := ask(), ask()
+	here.Entry = t.bed.Entries[n%len(t.bed.Entries)].Address
+	engine := t.bed.Engines[n%len(t.bed.Engines)].Address
+	var wg conc.WaitGroup
+	wg.Go(func() { entry.add(t.caller.Complete(ctx, here)) })
+	wg.Go(func() { direct.add(askEngine(ctx, engine, there)) })
+	wg.Wait()
+}
+
+// askEngine sends the request to the engine itself.
+func askEngine(ctx context.Context, address string, c caller.Completion) *caller.Result {
+	res := &caller.Result{}
+	body, err := json.Marshal(engineapi.CompletionRequest{
+		RequestID: engineapi.WireID("direct", c.ID, "0"), Attempt: 1, Prompt: c.Prompt, MaxTokens: c.MaxTokens,
+		Seed: c.Seed, Priority: 10, Stream: true,
+	})
+	if err != nil {
+		return res
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engineapi.PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return res
+	}
+	req.Header.Set(outcome.HeaderRequestID, c.ID)
+	began := time.Now()
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return res
+	}
+	defer resp.Body.Close()
+	readEngine(bufio.NewScanner(resp.Body), res, began)
+	return res
+}
+
+func readEngine(lines *bufio.Scanner, res *caller.Result, began time.Time) {
+	var last time.Time
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || strings.Contains(data, `"heartbeat":true`) {
+			continue
+		}
+		if data == engineapi.DoneMarker {
+			res.Whole = true
+			return
+		}
+		now := time.Now()
+		if last.IsZero() {
+			res.FirstToken = now.Sub(began)
+		} else {
+			res.Gaps = append(res.Gaps, now.Sub(last))
+		}
+		last = now
+	}
+}
