--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -54,6 +54,7 @@
 	dirty       bool
 	lastProbe   time.Duration
 	lastWeights time.Duration
+	lastExpiry  time.Duration
 }
 
 // New gives a reducer that knows nothing yet.
--- /dev/null
+++ b/internal/entry/reducer_test.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// An engine is stopped for maintenance. It tells one entry so itself before
+// control's view shows it, and an answer that was under way before says
+// "serving" after that. New work sent to it would be refused or cut off.
+func TestServersOwnWordStopsNewWork(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	w.said(0, engineapi.StateLeaving)
+	w.said(0, engineapi.StateServing)
+	w.arrive("r1")
+	if r := w.refused(); r.Outcome != outcome.NotRun || r.RetryAfter == 0 {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// An entry is cut off from control while an engine leaves. Its view, in which
+// the engine serves, is 1.5 s old. It must not send it new work, but may send
+// work to an engine that has just said itself that it serves.
+func TestStaleViewTrustsOnlyConfirmedServers(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(2)...)
+	w.after(1500 * time.Millisecond)
+	w.arrive("r1")
+	if r := w.refused(); r.Code != outcome.CodeStaleView || r.Outcome != outcome.NotRun {
+		t.Fatalf("refusal %+v", r)
+	}
+	if probes := pick[Probe](w.step(Tick{})); len(probes) != 2 {
+		t.Fatalf("probes %v", probes)
+	}
+	w.said(1, engineapi.StateServing)
+	w.arrive("r2")
+	if d := w.dispatched(); d.Server != "engine-1" {
+		t.Fatalf("went to %s", d.Server)
+	}
+	w.after(confirmFor)
+	w.arrive("r3")
+	if r := w.refused(); r.Code != outcome.CodeStaleView {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// A configuration is accepted and in force at the entry. Then a late answer of
+// control arrives, or one of a replica that has fallen behind. The operator
+// would see the old configuration come back for a while.
+func TestViewNeverReverts(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	old := w.effects
+	w.view(serving(2)...)
+	lease := w.r.view.leaseUntil
+	for _, resp := range []*pb.WatchResponse{
+		{Version: 1, Full: true, Revision: 1, LeaseMs: 1500},
+		{Version: 3, Full: true, Revision: 1, LeaseMs: 1500},
+		{Version: 3, KnownVersion: 1, Revision: 3, LeaseMs: 1500},
+	} {
+		w.after(time.Millisecond)
+		w.step(ViewReceived{SentAt: w.now, Response: resp})
+		if got := w.r.view; got.version != 2 || got.revision != 2 || got.leaseUntil != lease || len(w.r.servers.sorted) != 2 {
+			t.Fatalf("after %v: version %d revision %d servers %d", resp, got.version, got.revision, len(w.r.servers.sorted))
+		}
+	}
+	if len(pick[Publish](old)) != 1 {
+		t.Fatal("the first view was not published")
+	}
+}
+
+// A request crashes each engine that runs it. Its caller waits for an answer
+// that never comes, and one engine after the other is lost. After the second
+// death it gets its final answer at once, also when it is sent again, and the
+// other member's request of the same engine is finished elsewhere.
+func TestRequestThatCrashesServersIsQuarantined(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(3)...)
+	bad, good := w.arrival("bad", "hotels"), w.arrival("innocent", "importers")
+	w.r.servers.byID["engine-1"].pb.Drained, w.r.servers.byID["engine-2"].pb.Drained = true, true
+	w.step(bad)
+	first := w.dispatched()
+	w.step(good)
+	other := w.dispatched()
+	w.r.servers.byID["engine-1"].pb.Drained, w.r.servers.byID["engine-2"].pb.Drained = false, false
+
+	w.ended(first, died)
+	second := w.dispatched()
+	w.ended(other, died)
+	third := w.dispatched()
+	if second.Server == third.Server {
+		t.Fatalf("both suspects went to %s", second.Server)
+	}
+	w.ended(second, died)
+	if r := w.refused(); r.Code != outcome.CodeQuarantined || r.Outcome != outcome.Unknown || r.RetryAfter != 0 {
+		t.Fatalf("refusal %+v", r)
+	}
+	w.ended(third, func(ev *AttemptEnded) { ev.Whole, ev.Outcome = true, outcome.Ran })
+	if len(pick[Finish](w.effects)) != 1 {
+		t.Fatalf("the innocent request did not finish: %v", w.effects)
+	}
+	again := bad
+	again.Work.RequestID = "sent-again"
+	w.step(again)
+	if r := w.refused(); r.Code != outcome.CodeQuarantined || r.Outcome != outcome.NotRun {
+		t.Fatalf("refusal %+v", r)
+	}
+	theirs := w.arrival("theirs", "importers")
+	theirs.Fingerprint = bad.Fingerprint
+	w.step(theirs)
+	w.dispatched()
+}
+
+// Control is told which requests ran on a server that died, once for each life
+// and also when the first report is lost.
+func TestDeathIsReportedOnceAndAgainIfLost(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(2)...)
+	w.arrive("r1")
+	w.ended(w.dispatched(), died)
+	reports := pick[Report](w.step(Tick{}))
+	if len(reports) != 1 || len(reports[0].Request.Deaths) != 1 || len(reports[0].Request.Deaths[0].Suspects) != 1 {
+		t.Fatalf("reports %v", reports)
+	}
+	w.step(ReportFailed{Request: reports[0].Request})
+	w.after(reportEvery)
+	again := pick[Report](w.step(Tick{}))
+	if len(again) != 1 || len(again[0].Request.Deaths) != 1 {
+		t.Fatalf("after a lost report: %v", again)
+	}
+}
+
+// An engine's connection goes silent while the engine works on. The caller
+// must get the rest from it over a fresh connection; when that is silent too
+// (the engine is frozen), from another engine.
+func TestSilentStreamReconnectsThenMoves(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(2)...)
+	w.arrive("r1")
+	first := w.dispatched()
+	w.ended(first, func(ev *AttemptEnded) { ev.Tokens = 10 })
+	again := w.dispatched()
+	if !again.Reconnect || again.Server != first.Server || again.EngineAttempt != first.EngineAttempt || again.Attempt == first.Attempt {
+		t.Fatalf("after silence: %+v", again)
+	}
+	w.ended(again, func(*AttemptEnded) {})
+	moved := w.dispatched()
+	if moved.Reconnect || moved.Server == first.Server || moved.EngineAttempt <= first.EngineAttempt {
+		t.Fatalf("after more silence: %+v", moved)
+	}
+}
+
+// A fee receipt is sent and its connection breaks. It may have run: a second
+// send would issue a second receipt. Only when nothing was sent it goes on.
+func TestOnceOnlyCallIsNotSentAgain(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(2)...)
+	call := w.arrival("receipt", "hotels")
+	call.Repeat = RepeatOnce
+	w.step(call)
+	d := w.dispatched()
+	w.ended(d, func(ev *AttemptEnded) { ev.Outcome = outcome.NotRun })
+	d = w.dispatched()
+	w.ended(d, func(*AttemptEnded) {})
+	if r := w.refused(); r.Outcome != outcome.Unknown || r.Code != outcome.CodeOutcomeUnknown {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// A caller goes on with a stream at another entry while the first entry, which
+// has not noticed, still sends attempts. The second entry's attempts must have
+// higher numbers, or a late cancel of the first would stop them.
+func TestResumeTakesHigherAttempts(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	resumed := w.arrival("r1", "hotels")
+	resumed.Attempt, resumed.Server, resumed.Incarnation = 3, "engine-0", "life-1"
+	resumed.Work.Resumed = true
+	w.step(resumed)
+	d := w.dispatched()
+	if !d.Reconnect || d.EngineAttempt != 3 {
+		t.Fatalf("resume: %+v", d)
+	}
+	w.ended(d, func(ev *AttemptEnded) { ev.StreamUnknown = true })
+	if d = w.dispatched(); d.Reconnect || d.EngineAttempt <= 3+maxAttempts {
+		t.Fatalf("anew: %+v", d)
+	}
+}
+
+// An entry is stopped. Callers that were given its address before still come
+// for a while and must be served; after that they are told at once, truly not
+// run, to ask another.
+func TestLeavingEntryServesUntilItCloses(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	w.step(Stop{Keep: second})
+	if s := pick[Publish](w.effects); len(s) != 1 || !s[0].Snapshot.Leaving {
+		t.Fatalf("published %v", s)
+	}
+	w.arrive("r1")
+	w.dispatched()
+	w.after(second)
+	w.renew()
+	w.arrive("r2")
+	if r := w.refused(); r.Code != outcome.CodeLeaving || r.Outcome != outcome.NotRun {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// A lost caller's work is stopped at the engine, but only after the time that
+// the caller needs to go on elsewhere.
+func TestGoneCallersWorkIsCancelled(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	w.arrive("r1")
+	w.dispatched()
+	w.step(CallerGone{RequestID: "r1"})
+	c := pick[Cancel](w.effects)
+	if len(c) != 1 || c[0].After != cancelGrace || len(pick[Finish](w.effects)) != 1 {
+		t.Fatalf("effects %v", w.effects)
+	}
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -14,6 +14,12 @@
 // later entry's number is higher than any that an earlier one has used.
 const attemptHop = 1 << 8
 
+const (
+	second = time.Second
+	// minResumedWait is the least time that resumed work waits for a server.
+	minResumedWait = 60 * time.Second
+)
+
 // request is one request from its arrival to its final effect.
 type request struct {
 	work        decision.Work
@@ -228,6 +234,24 @@
 			r.refuse(q, refuseLate(q))
 		}
 	}
+	if r.now-r.lastExpiry >= second {
+		r.lastExpiry = r.now
+		r.expireResumed()
+	}
+}
+
+// expireResumed ends accepted work that found no server for as long again as
+// its profile allows. The queue keeps such work without end, since its caller
+// holds a part of the answer; but a caller whose connection is gone unnoticed
+// would leave it here for ever.
+func (r *Reducer) expireResumed() {
+	for _, id := range sortedKeys(r.requests) {
+		q := r.requests[id]
+		allowed := max(q.work.FinishBy-q.work.Arrived, minResumedWait)
+		if q.server == nil && q.work.Resumed && r.now >= max(q.work.FinishBy, q.waitsSince)+allowed {
+			r.refuse(q, refuseLate(q))
+		}
+	}
 }
 
 func (r *Reducer) log(kind string, q *request, server, reason string, figures []Figure) {
--- a/internal/traffic/carryout.go
+++ b/internal/traffic/carryout.go
@@ -23,11 +23,11 @@
 	case entry.LogDecision:
 		s.logDecision(e)
 	case entry.Probe:
-		s.tasks.Go(func() { s.probe(e) })
+		s.spawn(func() { s.probe(e) })
 	case entry.Cancel:
 		s.cancels.plan(e)
 	case entry.Report:
-		s.tasks.Go(func() { s.sendReport(e.Request) })
+		s.spawn(func() { s.sendReport(e.Request) })
 	}
 }
 
@@ -80,10 +80,11 @@
 	s.log.LogAttrs(s.background, slog.LevelInfo, "decision", attrs...)
 }
 
+// countDecision counts under names that always have the same labels: the
+// metrics library panics when one name comes with two sets of them.
 func (s *Server) countDecision(d entry.LogDecision) {
-	tags := map[string]string{"kind": d.Kind}
+	s.metrics.Scope.Tagged(map[string]string{"kind": d.Kind}).Counter("decisions").Inc(1)
 	if d.Kind == entry.LogRefuse {
-		tags["reason"] = d.Reason
+		s.metrics.Scope.Tagged(map[string]string{"code": d.Reason}).Counter("refusals").Inc(1)
 	}
-	s.metrics.Scope.Tagged(tags).Counter("decisions").Inc(1)
 }
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -199,7 +199,7 @@
 func (s *Server) answerModel(c *fiber.Ctx, j *modelJob) error {
 	ctx, cancel := context.WithCancel(s.background)
 	done := s.jobs.add(j.wireID, cancel)
-	s.tasks.Go(func() {
+	s.spawn(func() {
 		defer done()
 		defer cancel()
 		j.run(ctx)
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -40,9 +40,10 @@
 	from   int
 	offset int
 	finish string
-	// lacksText tells that the text before offset is not known: only the
-	// engine that runs the stream can go on with it.
+	// lacksText tells that the text before offset is not known; known is the
+	// part that is.
 	lacksText bool
+	known     knownText
 }
 
 // errCallerGone ends a job whose caller takes no more.
@@ -78,7 +79,7 @@
 			return true
 		}
 		if ended.Whole {
-			j.record.finish(j.text, j.offset)
+			j.finished()
 		}
 		j.s.core.post(ended)
 		return false
@@ -134,8 +135,7 @@
 		return nil
 	}
 	if a.lacksText && !a.d.Reconnect {
-		a.ended.Invalid = true
-		return nil
+		return a.regenerate(ctx)
 	}
 	handle, err := a.prefill(ctx)
 	if err != nil {
@@ -263,11 +263,25 @@
 	}
 	a.offset += chunk.Tokens
 	a.text = append(a.text, chunk.Text...)
-	a.record.progress(a.text, a.offset)
+	a.noteProgress()
 	a.s.core.post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: a.offset - a.start})
 	return a.send(ctx, piece{offset: a.offset, tokens: chunk.Tokens, text: chunk.Text})
 }
 
+// noteProgress keeps in the record only text that is known from the start on:
+// another entry goes on from it.
+func (j *modelJob) noteProgress() {
+	if !j.lacksText {
+		j.record.progress(j.text, j.offset)
+	}
+}
+
+func (j *modelJob) finished() {
+	if !j.lacksText {
+		j.record.finish(j.text, j.offset)
+	}
+}
+
 // fingerprint names content under its member.
 func fingerprint(parts ...string) uint64 {
 	h := xxhash.New()
--- a/internal/traffic/once.go
+++ b/internal/traffic/once.go
@@ -40,7 +40,7 @@
 	defer cancel()
 	result, err := s.claims.claim(ctx, j.claim)
 	if err != nil {
-		s.tasks.Go(func() { s.giveBack(j.claim) })
+		s.spawn(func() { s.giveBack(j.claim) })
 		return refuseNoControl()
 	}
 	if result.Status != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
--- a/internal/traffic/resume.go
+++ b/internal/traffic/resume.go
@@ -141,11 +141,14 @@
 	j := s.newModelJob(&first, req, service, record.WireId)
 	j.record.pb.CreatedUnixMs = record.CreatedUnixMs
 	j.offset, j.from, j.text = want.Offset, want.Offset, []byte(want.Text)
-	if want.Text == "" && want.Offset > 0 && record.Tokens == uint64(want.Offset) {
-		j.text = []byte(record.Text)
+	if want.Text == "" && want.Offset > 0 {
+		j.useRecordedText(record)
 	}
-	j.lacksText = want.Offset > 0 && len(j.text) == 0
 	j.arrived.Offset = want.Offset
-	j.record.progress(j.text, j.offset)
+	if j.lacksText {
+		j.record.progress([]byte(j.known.text), j.known.tokens)
+	} else {
+		j.record.progress(j.text, j.offset)
+	}
 	return j, nil
 }
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -108,7 +108,7 @@
 	})
 	s.peers = &peers{
 		cluster: s.settings.Cluster, identity: s.identity, auth: s.auth, http: s.auth.Client(),
-		snapshot: s.core.snapshot.Load, log: s.log, run: s.tasks.Go, clients: make(map[string]pb.Peer),
+		snapshot: s.core.snapshot.Load, log: s.log, run: s.spawn, clients: make(map[string]pb.Peer),
 	}
 	s.claims = newClaims(s.control, s.settings.Cluster)
 	s.app = s.newApp()
@@ -129,11 +129,11 @@
 	others := &http.Server{Handler: s.otherHandler(), ReadHeaderTimeout: 5 * time.Second}
 	failed := make(chan error, 2)
 	var loops conc.WaitGroup
-	loops.Go(func() { s.core.run(work) })
-	loops.Go(func() { s.watch(work) })
-	loops.Go(func() { s.peers.renew(work, s.records) })
-	loops.Go(func() { s.claims.runClaims(work, s.tasks.Go) })
-	loops.Go(func() { s.claims.runSettlements(work) })
+	loops.Go(func() { s.orDie(func() { s.core.run(work) }) })
+	loops.Go(func() { s.orDie(func() { s.watch(work) }) })
+	loops.Go(func() { s.orDie(func() { s.peers.renew(work, s.records) }) })
+	loops.Go(func() { s.orDie(func() { s.claims.runClaims(work, s.spawn) }) })
+	loops.Go(func() { s.orDie(func() { s.claims.runSettlements(work) }) })
 	loops.Go(func() { failed <- s.app.Listener(s.callers) })
 	loops.Go(func() { failed <- others.Serve(s.others) })
 	s.log.Info("entry serves", "callers", s.CallerAddress(), "peers", s.PeerAddress(),
--- /dev/null
+++ b/internal/traffic/spawn.go
@@ -0,0 +1,32 @@
+package traffic
+
+import (
+	"os"
+
+	"github.com/sourcegraph/conc/panics"
+)
+
+// spawn runs f on a goroutine of its own. A panic in it is logged at once:
+// conc would keep it until the end of the process and nobody would know why a
+// request hangs.
+func (s *Server) spawn(f func()) {
+	s.tasks.Go(func() {
+		if r := panics.Try(f); r != nil {
+			s.log.Error("a task panicked", "panic", r.String())
+			s.metrics.Scope.Counter("panics").Inc(1)
+		}
+	})
+}
+
+// exitPanicked is the exit code of Go's own panics.
+const exitPanicked = 2
+
+// orDie runs a loop that the entry can't do without. After a panic its state
+// can't be trusted and the process ends: callers go on at other entries, while
+// an entry whose reducer stands still would hold them for ever.
+func (s *Server) orDie(f func()) {
+	if r := panics.Try(f); r != nil {
+		s.log.Error("a loop panicked; the entry ends", "panic", r.String())
+		os.Exit(exitPanicked)
+	}
+}
