Test the entry's traffic against small fakes; hold not-started work to its deadline

Cause: a request that a server had not started waited without end when no other server was left; a caller with a body over the limit saw a reset connection. Change: only work that has begun is held beyond its deadline; bodies up to four times the limit are read and refused with 413.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -105,9 +105,12 @@
 	r.waitAgain(q)
 }
 
-// waitAgain puts accepted work back into the queue.
+// waitAgain puts accepted work back into the queue. Work that has begun is held
+// until a server takes it, since its caller holds a part of the answer; other
+// work until it can't be finished in time any more.
 func (r *Reducer) waitAgain(q *request) {
-	q.work.Resumed = true
+	q.work.Resumed = q.mayHaveRun && q.repeat == RepeatResumable
+	q.work.FirstTokenBy = q.work.FinishBy
 	q.waitsSince = r.now
 	r.decide.queue.Push(q.work)
 }
--- /dev/null
+++ b/internal/traffic/harness_test.go
@@ -0,0 +1,330 @@
+package traffic
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+)
+
+const (
+	testCluster = "test"
+	testLife    = "life-1"
+	// patience ends a test that hangs; it judges nothing.
+	patience = 20 * time.Second
+)
+
+// fakeControl is control in memory: one view, claims that are granted once.
+type fakeControl struct {
+	pb.Control
+	mu      sync.Mutex
+	view    *pb.WatchResponse
+	claims  map[string]*fakeClaim
+	reports []*pb.ReportRequest
+	// loseClaims drops the answers of the first claims after granting them.
+	loseClaims int
+}
+
+type fakeClaim struct {
+	claim  *pb.Claim
+	status pb.ClaimStatus
+	answer *pb.StoredAnswer
+}
+
+func (f *fakeControl) Watch(ctx context.Context, req *pb.WatchRequest) (*pb.WatchResponse, error) {
+	f.mu.Lock()
+	view := f.view
+	f.mu.Unlock()
+	if req.KnownVersion == view.Version {
+		pause(ctx, time.Duration(req.HoldMs)*time.Millisecond)
+		return &pb.WatchResponse{
+			Version: view.Version, KnownVersion: view.Version, Revision: view.Revision, LeaseMs: view.LeaseMs,
+		}, nil
+	}
+	return view, nil
+}
+
+func (f *fakeControl) Report(_ context.Context, req *pb.ReportRequest) (*pb.ReportResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports, req)
+	return &pb.ReportResponse{}, nil
+}
+
+func (f *fakeControl) Claim(_ context.Context, req *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	resp := &pb.ClaimResponse{}
+	for _, c := range req.Claims {
+		known := f.claims[c.Key]
+		switch {
+		case known == nil || known.status == pb.ClaimStatus_CLAIM_STATUS_NOT_RUN:
+			f.claims[c.Key] = &fakeClaim{claim: c, status: pb.ClaimStatus_CLAIM_STATUS_RUNNING}
+			resp.Results = append(resp.Results, &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED})
+		case known.status == pb.ClaimStatus_CLAIM_STATUS_RUNNING && known.claim.RequestId == c.RequestId:
+			resp.Results = append(resp.Results, &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED})
+		default:
+			resp.Results = append(resp.Results, &pb.ClaimResult{Status: known.status, Answer: known.answer})
+		}
+	}
+	if f.loseClaims > 0 {
+		f.loseClaims--
+		return nil, context.DeadlineExceeded
+	}
+	return resp, nil
+}
+
+func (f *fakeControl) Settle(_ context.Context, req *pb.SettleRequest) (*pb.SettleResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range req.Settlements {
+		if known := f.claims[s.Claim.Key]; known != nil && known.claim.RequestId == s.Claim.RequestId {
+			known.status, known.answer = s.Status, s.Answer
+		}
+	}
+	return &pb.SettleResponse{}, nil
+}
+
+func (f *fakeControl) status(key string) pb.ClaimStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.claims[key]; c != nil {
+		return c.status
+	}
+	return pb.ClaimStatus_CLAIM_STATUS_UNSPECIFIED
+}
+
+// bench is one entry between a fake control and fake backend servers.
+type bench struct {
+	t       *testing.T
+	control *fakeControl
+	server  *Server
+	base    string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func testDeclaration() *declaration.Declaration {
+	member := func(name string) declaration.Member {
+		return declaration.Member{
+			Name: name, CredentialSHA256: declaration.HashCredential("token-" + name), Weight: 1,
+			Services: []string{"eligibility", "portal"},
+		}
+	}
+	return &declaration.Declaration{
+		Revision: 1,
+		Limits:   declaration.Limits{QuarantineDeaths: 2, OnceAnswerBytes: 1000},
+		Profiles: []declaration.Profile{
+			{Name: "counter", Class: declaration.ClassUrgent, FirstToken: 10 * time.Second, Deadline: time.Minute,
+				MaxPromptTokens: 1000, MaxOutputTokens: 100, Share: 1, RetryBudget: 0.2},
+			{Name: "portal", Class: declaration.ClassLookup, FirstToken: 2 * time.Second, Deadline: 2 * time.Second, Share: 1},
+		},
+		Models: []declaration.Model{{Name: "review", Version: "1"}},
+		Services: []declaration.Service{
+			{Name: "eligibility", Kind: declaration.KindModel, Model: "review", Profile: "counter"},
+			{Name: "secret", Kind: declaration.KindModel, Model: "review", Profile: "counter"},
+			{Name: "portal", Kind: declaration.KindPlain, Profile: "portal", Routes: []declaration.Route{
+				{Method: "GET", Path: "/status", Repeat: declaration.RepeatAllowed},
+				{Method: "GET", Path: "/balances", Repeat: declaration.RepeatOnce},
+			}},
+		},
+		Members: []declaration.Member{member("hotels"), member("importers")},
+	}
+}
+
+// newBench starts an entry that routes to the given engine and plain service;
+// either may be nil.
+func newBench(t *testing.T, engine, plain http.Handler) *bench {
+	t.Helper()
+	view := &pb.WatchResponse{Version: 1, Full: true, Revision: 1, LeaseMs: 1500, Objects: testDeclaration().ToProto().Objects}
+	if engine != nil {
+		view.Servers = append(view.Servers, &pb.BackendServer{
+			Id: "engine-1", Kind: pb.ServerKind_SERVER_KIND_MODEL, Model: "review", Role: pb.EngineRole_ENGINE_ROLE_MIXED,
+			Incarnation: testLife, Address: serve(t, engine), State: pb.ServerState_SERVER_STATE_SERVING, Slots: 8, DataCentre: "dc-a",
+		})
+	}
+	if plain != nil {
+		view.Servers = append(view.Servers, &pb.BackendServer{
+			Id: "plain-1", Kind: pb.ServerKind_SERVER_KIND_PLAIN, Services: []string{"portal"},
+			Incarnation: testLife, Address: serve(t, plain), State: pb.ServerState_SERVER_STATE_SERVING, Slots: 8, DataCentre: "dc-a",
+		})
+	}
+	b := &bench{t: t, control: &fakeControl{view: view, claims: make(map[string]*fakeClaim)}, ended: make(chan error, 1)}
+	b.start()
+	return b
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String()
+}
+
+func (b *bench) start() {
+	b.t.Helper()
+	key := filepath.Join(b.t.TempDir(), "key")
+	if err := os.WriteFile(key, []byte("a key of at least sixteen bytes"), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	set := &settings.Entry{
+		Common: settings.Common{
+			Cluster: testCluster, Name: "entry-a1", Region: "r", DataCentre: "dc-a",
+			Control: []string{serve(b.t, pb.NewControlServer(b.control))}, Auth: settings.Auth{SharedKeyFile: key},
+		},
+		CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", MaxBodyBytes: 1 << 20, MaxStreams: 100,
+		AnswerKeep: 100 * time.Millisecond, StopTimeout: time.Second,
+	}
+	server, err := New(set, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.server, b.base = server, "http://"+server.CallerAddress()
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	b.t.Cleanup(stop)
+	go func() { b.ended <- server.Run(ctx) }()
+	b.until("the entry is ready", func() bool { return server.core.snapshot.Load().Ready() })
+}
+
+// until waits for something that must come about.
+func (b *bench) until(what string, done func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	b.t.Fatalf("still not: %s", what)
+}
+
+// answer is a caller's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (a answer) code() outcome.Code {
+	var body outcome.Body
+	_ = json.Unmarshal([]byte(a.body), &body)
+	return body.Error.Code
+}
+
+func (a answer) outcome() outcome.Outcome {
+	return outcome.Outcome(a.header.Get(outcome.HeaderOutcome))
+}
+
+type headers map[string]string
+
+func as(member string) headers { return headers{"Authorization": "Bearer token-" + member} }
+
+func (h headers) with(name, value string) headers {
+	h[name] = value
+	return h
+}
+
+func (b *bench) request(method, path string, h headers, body string) *http.Response {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	b.t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewBufferString(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for name, value := range h {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func (b *bench) do(method, path string, h headers, body string) answer {
+	b.t.Helper()
+	resp := b.request(method, path, h, body)
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return answer{resp.StatusCode, resp.Header, string(data)}
+}
+
+// ask asks the model service for a stream's text and whether it was whole.
+func (b *bench) ask(h headers, prompt string, tokens int) (text string, whole bool) {
+	b.t.Helper()
+	body := fmt.Sprintf(`{"model":"eligibility","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
+	return streamText(b.do("POST", "/v1/completions", h, body).body)
+}
+
+func streamText(body string) (text string, whole bool) {
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == engineapi.DoneMarker {
+			return text, true
+		}
+		var event completionEvent
+		if json.Unmarshal([]byte(data), &event) == nil && len(event.Choices) > 0 {
+			text += event.Choices[0].Text
+		}
+	}
+	return text, false
+}
+
+// sse writes chunks as an engine does.
+type sse struct {
+	w       http.ResponseWriter
+	id      string
+	attempt uint32
+}
+
+func newSSE(w http.ResponseWriter, r *http.Request) *sse {
+	var attempt uint32
+	_, _ = fmt.Sscan(r.Header.Get(outcome.HeaderAttempt), &attempt)
+	setServerHeaders(w, r)
+	w.WriteHeader(http.StatusOK)
+	return &sse{w: w, id: r.Header.Get(outcome.HeaderRequestID), attempt: attempt}
+}
+
+func setServerHeaders(w http.ResponseWriter, r *http.Request) {
+	for _, name := range []string{outcome.HeaderRequestID, outcome.HeaderAttempt} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
+	w.Header().Set(engineapi.HeaderState, string(engineapi.StateServing))
+	w.Header().Set(engineapi.HeaderIncarnation, testLife)
+}
+
+func (s *sse) chunk(offset int, text, finish string) {
+	s.raw(engineapi.Chunk{
+		RequestID: s.id, Attempt: s.attempt, Offset: offset, Tokens: len(text), Text: text, FinishReason: finish,
+	})
+}
+
+func (s *sse) raw(c engineapi.Chunk) {
+	data, _ := json.Marshal(c)
+	_, _ = fmt.Fprintf(s.w, "id: %d\ndata: %s\n\n", c.Offset+c.Tokens, data)
+	_ = http.NewResponseController(s.w).Flush()
+}
+
+func (s *sse) done() { _, _ = fmt.Fprintf(s.w, "data: %s\n\n", engineapi.DoneMarker) }
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -26,6 +26,10 @@
 	// callerBuffer is the size of a caller connection's buffers: headers that
 	// don't fit are refused.
 	callerBuffer = 16 << 10
+	// readLimitFactor: a body up to this many times the limit is read before
+	// it is refused. The library closes on what is larger without reading it,
+	// and the caller then often sees a reset connection and not the 413.
+	readLimitFactor = 4
 )
 
 // requestIDForm is what a caller may choose as a request id.
@@ -40,7 +44,7 @@
 		DisableStartupMessage: true,
 		CaseSensitive:         true,
 		StrictRouting:         true,
-		BodyLimit:             s.settings.MaxBodyBytes,
+		BodyLimit:             readLimitFactor * s.settings.MaxBodyBytes,
 		ReadBufferSize:        callerBuffer,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           callerIdle,
@@ -96,6 +100,13 @@
 		return k, invalid("X-Request-Id must be 1 to 64 letters, digits, dots, dashes or underscores")
 	}
 	c.Set(outcome.HeaderRequestID, k.requestID)
+	if len(k.body) > s.settings.MaxBodyBytes {
+		k.body = nil
+		return k, &outcome.Refusal{
+			Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeTooLarge, Outcome: outcome.NotRun,
+			Message: "the request is too large",
+		}
+	}
 	if !snap.Ready() {
 		return k, &outcome.Refusal{
 			Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView, Outcome: outcome.NotRun,
