--- a/internal/testbed/status.go
+++ b/internal/testbed/status.go
@@ -8,7 +8,7 @@
 // status is what the bed reads of goldcrestctl status --output json.
 type status struct {
 	Leader      uint64 `json:"leader,string"`
-	RoleChanges uint64 `json:"roleChanges,string"`
+	RoleChanges uint64 `json:"role_changes,string"`
 }
 
 // Leader gives the control replica that leads. Errors: Failed.
@@ -38,6 +38,6 @@
 // ChangeRole asks control for an engine's role, as an operator does.
 // Errors: Failed.
 func (b *Bed) ChangeRole(ctx context.Context, engine, role string) error {
-	_, err := b.Ctl(ctx, "role", engine, role)
+	_, err := b.Ctl(ctx, "roles", engine, role)
 	return err
 }
