Test control's state machine and reducer

Ruled out: a real consensus node under the reducer's tests; it has its own, and the proof with processes joins them.

--- /dev/null
+++ b/internal/control/claims_test.go
@@ -0,0 +1,169 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+func (w *world) wallNow() int64 { return startMS + w.clock.Milliseconds() }
+
+func claimOf(key, request string, owner *pb.EntryIdentity) *pb.Claim {
+	return &pb.Claim{Member: "m1", Service: "s", Key: key, RequestId: request, Owner: owner, Fingerprint: 7}
+}
+
+func (w *world) claim(c *pb.Claim) *pb.ClaimResult {
+	w.t.Helper()
+	return ask[*pb.ClaimResponse](w, &pb.ClaimRequest{ClusterId: cluster, Claims: []*pb.Claim{c}}).GetResults()[0]
+}
+
+func (w *world) settle(c *pb.Claim, status pb.ClaimStatus, body string) {
+	w.t.Helper()
+	ask[*pb.SettleResponse](w, &pb.SettleRequest{ClusterId: cluster, Settlements: []*pb.Settlement{{
+		Claim: c, Status: status, Answer: &pb.StoredAnswer{Status: 200, Body: []byte(body)},
+	}}})
+}
+
+// A caller's balance lookup is sent to two entries at once, and again after its
+// end. One of them may send it; all others learn what became of it.
+func TestOneClaimOfManyIsGranted(t *testing.T) {
+	w := newWorld(t)
+	key := keyAt(w.wallNow(), 1)
+	first := claimOf(key, "r1", entryIdentity("e1", "1"))
+	second := claimOf(key, "r2", entryIdentity("e2", "1"))
+	other := claimOf(key, "r3", entryIdentity("e2", "1"))
+	other.Fingerprint = 8
+	restarted := claimOf(key, "r1", entryIdentity("e1", "2"))
+	for i, step := range []struct {
+		claim *pb.Claim
+		want  pb.ClaimStatus
+	}{
+		{first, pb.ClaimStatus_CLAIM_STATUS_GRANTED},
+		{second, pb.ClaimStatus_CLAIM_STATUS_RUNNING},
+		{first, pb.ClaimStatus_CLAIM_STATUS_GRANTED},
+		{restarted, pb.ClaimStatus_CLAIM_STATUS_RUNNING},
+		{other, pb.ClaimStatus_CLAIM_STATUS_MISMATCH},
+	} {
+		if got := w.claim(step.claim).GetStatus(); got != step.want {
+			t.Errorf("step %d: %v, want %v", i, got, step.want)
+		}
+	}
+	w.settle(second, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	w.settle(first, pb.ClaimStatus_CLAIM_STATUS_DONE, "42")
+	w.settle(first, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	got := w.claim(second)
+	if got.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_DONE || string(got.GetAnswer().GetBody()) != "42" {
+		t.Errorf("after its end: %v", got)
+	}
+}
+
+// The entry that was granted a filing dies before it tells the end. The caller
+// sends again elsewhere: whether the filing ran is unknown, so it never runs
+// again.
+func TestDeadOwnerLeavesItsClaimUnknown(t *testing.T) {
+	w := newWorld(t)
+	dead := w.addEntry("e1")
+	w.addEntry("e2")
+	w.advance(time.Second)
+	key := keyAt(w.wallNow(), 1)
+	w.claim(claimOf(key, "r1", dead.identity))
+	dead.silent = true
+	w.advance(entryLease + 2*time.Second)
+	if got := w.claim(claimOf(key, "r2", entryIdentity("e2", "1"))).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_UNKNOWN {
+		t.Fatalf("after its owner's death: %v", got)
+	}
+}
+
+// A key is forgotten with its window, then a declaration makes the window
+// longer, or a leader with a slow clock takes over. The caller sends the old key
+// again: its receipt must not be issued twice.
+func TestForgottenKeyStaysRefused(t *testing.T) {
+	w := newWorld(t)
+	w.apply(declare(1, 0, "ann", "a"))
+	key := keyAt(w.wallNow(), 1)
+	c := claimOf(key, "r1", entryIdentity("e1", "1"))
+	w.claim(c)
+	w.settle(c, pb.ClaimStatus_CLAIM_STATUS_DONE, "")
+	w.clock += time.Hour + 2*time.Minute
+	w.lead(2)
+	w.advance(expireInterval + time.Second)
+	if n := len(w.State().claims.byKey); n != 0 {
+		t.Fatalf("%d claims are kept beyond the window", n)
+	}
+	longer := declare(2, 1, "ann", "b")
+	for _, o := range longer.GetObjects() {
+		if o.GetKind() == "limits" {
+			o.Content = []byte(`{"once_window":86400000000000,"quarantine_deaths":2}`)
+		}
+	}
+	longer.Digest = digestOf(longer)
+	w.apply(longer)
+	if got := w.claim(c).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_EXPIRED {
+		t.Fatalf("under a longer window: %v", got)
+	}
+	w.Step(w.clock, Tick{WallMS: startMS})
+	if got := w.claim(c).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_EXPIRED {
+		t.Fatalf("under a slow clock: %v", got)
+	}
+	for _, key := range []string{keyAt(startMS+int64(48*time.Hour/time.Millisecond), 1), "x", ""} {
+		if got := w.claim(claimOf(key, "r1", entryIdentity("e1", "1"))).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_EXPIRED {
+			t.Errorf("key %q: %v", key, got)
+		}
+	}
+}
+
+// claimModel counts the grants of one key.
+type claimModel struct {
+	// granted holds owner and request of the grant that may still be sent.
+	granted string
+	ended   bool
+}
+
+// Claims of several entries race, are doubled and resent, entries die and
+// restart, settlements come late or twice. At any time at most one owner and
+// request holds the right to send, and after a known or unknown end nobody.
+func TestClaimsUnderDoubledAndResentCommands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(t)
+		models := map[string]*claimModel{}
+		for range rapid.IntRange(10, 60).Draw(rt, "steps") {
+			owner := entryIdentity(rapid.SampledFrom([]string{"e1", "e2"}).Draw(rt, "entry"),
+				rapid.SampledFrom([]string{"1", "2"}).Draw(rt, "incarnation"))
+			request := rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(rt, "request")
+			c := claimOf(keyAt(startMS+w.clock.Milliseconds(), rapid.IntRange(1, 2).Draw(rt, "key")), request, owner)
+			stepClaim(rt, w, c, models)
+		}
+	})
+}
+
+func stepClaim(rt *rapid.T, w *world, c *pb.Claim, models map[string]*claimModel) {
+	m := models[c.GetKey()]
+	if m == nil {
+		m = &claimModel{}
+		models[c.GetKey()] = m
+	}
+	me := c.GetOwner().GetName() + c.GetOwner().GetIncarnation() + c.GetRequestId()
+	switch rapid.IntRange(0, 4).Draw(rt, "op") {
+	case 0, 1:
+		got := w.claim(c).GetStatus() == pb.ClaimStatus_CLAIM_STATUS_GRANTED
+		if got && (m.ended || m.granted != "" && m.granted != me) {
+			rt.Fatalf("granted to %s after %+v", me, *m)
+		}
+		if got {
+			m.granted = me
+		}
+	case 2:
+		w.settle(c, pb.ClaimStatus_CLAIM_STATUS_DONE, "x")
+		m.ended = m.ended || m.granted == me
+	case 3:
+		w.settle(c, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+		if m.granted == me && !m.ended {
+			m.granted = ""
+		}
+	case 4:
+		w.send(&pb.WatchRequest{ClusterId: cluster, Entry: c.GetOwner(), KnownVersion: 0})
+	}
+}
--- /dev/null
+++ b/internal/control/declared_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"strings"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Two operators write against the same revision. The first to commit wins; the
+// other is told who won and must rebase, or the first one's change would be
+// reverted without anybody having asked for it.
+func TestSecondOfTwoRacingOperatorsIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.apply(declare(1, 0, "ann", "a"))
+	if r := w.apply(declare(2, 1, "ben", "b")); !r.GetAccepted() {
+		t.Fatalf("first on base 1: %v", r)
+	}
+	r := w.apply(declare(3, 1, "cyd", "c"))
+	if r.GetAccepted() || r.GetCurrentAuthor() != "ben" || !strings.Contains(r.GetRefusal(), "ben") {
+		t.Fatalf("second on base 1: %v", r)
+	}
+	if got := w.State().Revision(); got != 2 {
+		t.Fatalf("revision %d in force", got)
+	}
+}
+
+// An operator loses the answer, and others go on meanwhile; the resent call must
+// get the first answer. Another operator who took the same number for other
+// content must be told so, also when the number is long past.
+func TestResentRevisionGetsItsFirstAnswer(t *testing.T) {
+	w := newWorld(t)
+	for i := uint64(1); i <= 5; i++ {
+		w.apply(declare(i, i-1, "ann", "a"))
+	}
+	if r := w.apply(declare(3, 2, "ann", "a")); !r.GetAccepted() || !r.GetRepeated() || r.GetCurrentRevision() != 5 {
+		t.Fatalf("resent: %v", r)
+	}
+	for _, other := range []*pb.Declaration{declare(3, 2, "ann", "other"), declare(3, 2, "ben", "a")} {
+		r := w.apply(other)
+		if r.GetAccepted() || !strings.Contains(r.GetRefusal(), "taken by ann") {
+			t.Fatalf("other content under a taken number: %v", r)
+		}
+	}
+	if got := w.State().Revision(); got != 5 {
+		t.Fatalf("revision %d in force", got)
+	}
+}
+
+// Garbage under a valid digest, a wrong digest or another cluster's id changes
+// nothing.
+func TestBadApplyChangesNothing(t *testing.T) {
+	w := newWorld(t)
+	before := string(w.State().Snapshot())
+	wrongDigest := declare(1, 0, "ann", "a")
+	wrongDigest.Digest = "0"
+	for _, req := range []*pb.ApplyRequest{
+		{ClusterId: "other", Declaration: declare(1, 0, "ann", "a")},
+		{ClusterId: cluster, Declaration: wrongDigest},
+		{ClusterId: cluster},
+		{ClusterId: cluster, Declaration: declare(1, 0, "", "a")},
+	} {
+		if r := w.replies[w.send(req)]; r.Err == nil {
+			t.Errorf("%v was answered %v", req, r.Response)
+		}
+	}
+	if string(w.State().Snapshot()) != before {
+		t.Error("the state changed")
+	}
+}
