--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -39,6 +39,9 @@
 	FinishBy     time.Duration
 	// Resumed work has been accepted before; it is never refused for load.
 	Resumed bool
+	// KVTokens is how many tokens of KV cache can be imported where it runs;
+	// with any there is no prefill.
+	KVTokens int
 }
 
 // Server is one backend server as the decisions see it.
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -55,6 +55,9 @@
 }
 
 func doesWhole(server *decision.Server, w *decision.Work) bool {
+	if w.KVTokens > 0 {
+		return server.Role != engineapi.RolePrefill
+	}
 	return w.Kind == declaration.KindPlain || server.Role == engineapi.RoleMixed || server.Role == ""
 }
 
@@ -62,6 +65,9 @@
 	if w.Kind == declaration.KindPlain {
 		return plainCost(p.limits.aligned[i], server, l)
 	}
+	if w.KVTokens > 0 {
+		return float64(w.KVTokens)/kvTokenRate + p.decodeCost(i, w, server, l)
+	}
 	return prefillCost(w, server, l, held) + p.decodeCost(i, w, server, l)
 }
 
--- a/internal/decision/placement/pair.go
+++ b/internal/decision/placement/pair.go
@@ -27,7 +27,7 @@
 // still uses the other.
 func (p *Picker) pickPair(now time.Duration, w *decision.Work, fleet *decision.Fleet, held []int) pair {
 	none := pair{prefill: -1, decode: -1}
-	if w.Kind == declaration.KindPlain {
+	if w.Kind == declaration.KindPlain || w.KVTokens > 0 {
 		return none
 	}
 	e := p.bestEnds(now, w, fleet, held)
--- a/internal/decision/roles/plan.go
+++ b/internal/decision/roles/plan.go
@@ -1,7 +1,6 @@
 package roles
 
 import (
-	"math"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
@@ -26,7 +25,7 @@
 	if gain <= cost {
 		return nil
 	}
-	return p.order(&o, fleet, target, gain, cost)
+	return Towards(&o, target, "offered mix", figures(target, gain, cost))
 }
 
 // fleetState sums up the engines: those that change count with their target.
@@ -54,10 +53,9 @@
 
 func (p *Planner) best(o *Observation, f fleetState) (Split, float64) {
 	size := f.split.Size()
-	minMixed := min(size, int(math.Ceil(o.Bounds.MinMixedShare*float64(size)-1e-9)))
 	best, bestGain, bestNet := f.split, 0.0, 0.0
 	current := p.value(f.split, o.Rates.Mixed)
-	for _, s := range splits(size, minMixed) {
+	for _, s := range Splits(size, o.Bounds.MinMixedShare) {
 		gain := (p.value(s, o.Rates.Mixed) - current) * horizon.Seconds()
 		net := gain - changeCost(o, f)*float64(f.split.Changes(s))
 		if net > bestNet {
@@ -85,12 +83,13 @@
 	return o.Bounds.ChangeTime.Seconds() + o.Price.PerChange.Seconds()*ratio
 }
 
-// order gives the changes that lead from the present split towards target.
-func (p *Planner) order(o *Observation, f fleetState, target Split, gain, cost float64) []Change {
+// Towards gives the changes that lead from the present split towards target, no
+// more than may be away at once, the engines with the least to move first.
+func Towards(o *Observation, target Split, reason string, figures []decision.Figure) []Change {
 	var changes []Change
-	split := f.split
+	f := survey(o)
 	for range max(1, o.Bounds.MaxAway) - f.away {
-		from, to, ok := step(split, target)
+		from, to, ok := step(f.split, target)
 		if !ok {
 			break
 		}
@@ -98,22 +97,23 @@
 		if e == nil {
 			break
 		}
-		split.count(from, -1)
-		split.count(to, 1)
-		changes = append(changes, Change{
-			Engine: e.ID, From: from, To: to, Reason: "offered mix",
-			Figures: []decision.Figure{
-				{Name: "gain_engine_seconds", Value: gain},
-				{Name: "cost_engine_seconds", Value: cost},
-				{Name: "target_prefill", Value: float64(target.Prefill)},
-				{Name: "target_mixed", Value: float64(target.Mixed)},
-				{Name: "target_decode", Value: float64(target.Decode)},
-			},
-		})
+		f.split.count(from, -1)
+		f.split.count(to, 1)
+		changes = append(changes, Change{Engine: e.ID, From: from, To: to, Reason: reason, Figures: figures})
 	}
 	return changes
 }
 
+func figures(target Split, gain, cost float64) []decision.Figure {
+	return []decision.Figure{
+		{Name: "gain_engine_seconds", Value: gain},
+		{Name: "cost_engine_seconds", Value: cost},
+		{Name: "target_prefill", Value: float64(target.Prefill)},
+		{Name: "target_mixed", Value: float64(target.Mixed)},
+		{Name: "target_decode", Value: float64(target.Decode)},
+	}
+}
+
 // step gives one change from s towards target.
 func step(s, target Split) (from, to engineapi.Role, ok bool) {
 	diff := [3]int{target.Prefill - s.Prefill, target.Mixed - s.Mixed, target.Decode - s.Decode}
--- a/internal/decision/roles/split.go
+++ b/internal/decision/roles/split.go
@@ -1,6 +1,10 @@
 package roles
 
-import "goldcrestseam.dev/goldcrestseam/internal/engineapi"
+import (
+	"math"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
 
 // Split is how many engines have each role.
 type Split struct{ Prefill, Mixed, Decode int }
@@ -55,9 +59,10 @@
 	return both
 }
 
-// splits lists all splits of size engines with at least minMixed mixed ones and
-// that can serve both parts at all.
-func splits(size, minMixed int) []Split {
+// Splits lists all splits of size engines with the smallest share of mixed ones
+// and that can serve both parts at all.
+func Splits(size int, minMixedShare float64) []Split {
+	minMixed := min(size, int(math.Ceil(minMixedShare*float64(size)-rounding)))
 	var out []Split
 	for prefill := 0; prefill <= size-minMixed; prefill++ {
 		for decode := 0; decode+prefill <= size-minMixed; decode++ {
@@ -69,3 +74,9 @@
 	}
 	return out
 }
+
+// rounding keeps a share of 1/3 of nine engines at three.
+const rounding = 1e-9
+
+// Present is the split of the engines; those that change count with their target.
+func Present(o *Observation) Split { return survey(o).split }
