engineapi: tell KV memory in Load

Engines have limited memory for running requests, and placement fills it blindly unless load tells how much there is and how much is reserved. Two fields more in the JSON; engines that leave them out count as not telling.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -190,6 +190,10 @@
 	PrefillRate         float64 `json:"prefill_rate"`
 	DecodeRate          float64 `json:"decode_rate"`
 	CacheUsed           float64 `json:"cache_used"`
+	// KVTokens is how many tokens of KV cache fit, KVUsed how many are reserved
+	// by what runs or waits there. Zero KVTokens: not told.
+	KVTokens uint64 `json:"kv_tokens"`
+	KVUsed   uint64 `json:"kv_used"`
 	AgeMS               uint32  `json:"age_ms"`
 }
 
