roles: judge splits by accumulated regret; placement: bound bulk work per server

Change: a change is made once the engine-seconds that another split would have served beyond the present one exceed its cost.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -76,6 +76,7 @@
 	SinceRequests      int
 	SincePrefillTokens int
 	SinceDecodeTokens  int
+	SinceKVTokens      int
 }
 
 // Fleet is the backend servers in order of id.
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -5,7 +5,6 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
-	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // whole is a candidate that does prefill and decode.
@@ -43,7 +42,7 @@
 			continue
 		}
 		l := loadOf(now, server, fleet.Entries)
-		if l.requests >= p.limits.aligned[i].slots(server) {
+		if !hasRoom(w, server, &l, p.limits.aligned[i].slots(server), both) {
 			continue
 		}
 		best.offer(i, p.wholeCost(i, w, server, l, held[i])+distance(fleet, server), turn)
@@ -54,13 +53,6 @@
 	return whole{index: best.index, cost: best.cost, held: held[best.index]}
 }
 
-func doesWhole(server *decision.Server, w *decision.Work) bool {
-	if w.KVTokens > 0 {
-		return server.Role != engineapi.RolePrefill
-	}
-	return w.Kind == declaration.KindPlain || server.Role == engineapi.RoleMixed || server.Role == ""
-}
-
 func (p *Picker) wholeCost(i int, w *decision.Work, server *decision.Server, l load, held int) float64 {
 	if w.Kind == declaration.KindPlain {
 		return plainCost(p.limits.aligned[i], server, l)
--- a/internal/decision/placement/load.go
+++ b/internal/decision/placement/load.go
@@ -11,6 +11,7 @@
 	requests float64
 	prefill  float64 // tokens that wait for prefill
 	decode   float64 // tokens that are still to be decoded
+	kv       float64 // tokens of KV memory in use
 }
 
 // others is how much of what this entry sent since the last report each of the
@@ -32,6 +33,7 @@
 			scale*float64(sent.SincePrefillTokens),
 		decode: max(0, float64(report.RunningDecodeTokens)-age*server.DecodeRate()) +
 			scale*float64(sent.SinceDecodeTokens),
+		kv: float64(report.KVUsed) + scale*float64(sent.SinceKVTokens),
 	}
 	l.requests = max(l.requests, float64(sent.Requests))
 	return l
--- a/internal/decision/placement/pair.go
+++ b/internal/decision/placement/pair.go
@@ -63,23 +63,32 @@
 			continue
 		}
 		l := loadOf(now, server, fleet.Entries)
-		if l.requests >= p.limits.aligned[i].slots(server) {
-			continue
-		}
+		slots := p.limits.aligned[i].slots(server)
 		far := distance(fleet, server)
-		switch server.Role {
-		case engineapi.RolePrefill:
-			e.prefill.offer(i, prefillCost(w, server, l, held[i])+far, turn)
-		case engineapi.RoleDecode:
-			e.decode.offer(i, p.decodeCost(i, w, server, l)+far, turn)
-		default:
-			e.mixedPrefill.offer(i, prefillCost(w, server, l, held[i])+far, turn)
-			e.mixedDecode.offer(i, p.decodeCost(i, w, server, l)+far, turn)
+		if server.Role != engineapi.RoleDecode && hasRoom(w, server, &l, slots, prefillEnd) {
+			e.prefillEnd(server.Role).offer(i, prefillCost(w, server, l, held[i])+far, turn)
+		}
+		if server.Role != engineapi.RolePrefill && hasRoom(w, server, &l, slots, decodeEnd) {
+			e.decodeEnd(server.Role).offer(i, p.decodeCost(i, w, server, l)+far, turn)
 		}
 	}
 	return e
 }
 
+func (e *ends) prefillEnd(role engineapi.Role) *end {
+	if role == engineapi.RolePrefill {
+		return &e.prefill
+	}
+	return &e.mixedPrefill
+}
+
+func (e *ends) decodeEnd(role engineapi.Role) *end {
+	if role == engineapi.RoleDecode {
+		return &e.decode
+	}
+	return &e.mixedDecode
+}
+
 // offer takes the candidate if it is better, or alike and first by rank.
 func (e *end) offer(index int, cost float64, turn uint32) {
 	better := e.index < 0 || cost < e.cost*(1-near)
--- a/internal/decision/roles/plan.go
+++ b/internal/decision/roles/plan.go
@@ -11,21 +11,22 @@
 // many as may be away at once.
 func (p *Planner) Plan(now time.Duration, o Observation) []Change {
 	o.Rates = o.Rates.withDefaults()
-	p.demand.add(engineSeconds(&o), o.Interval)
-	fleet := survey(&o)
-	if fleet.away >= max(1, o.Bounds.MaxAway) || fleet.split.Size() == 0 {
+	p.demand.add(demandOf(&o), o.Interval)
+	f := survey(&o)
+	p.regrets.reset(f.split.Size(), o.Bounds.MinMixedShare)
+	p.regrets.add(f.split, p.demand.value(), o.Rates.Mixed, o.Interval)
+	if f.away >= max(1, o.Bounds.MaxAway) {
 		return nil
 	}
-	target, gain := p.best(&o, fleet)
-	need := fleet.split.Changes(target)
-	if need == 0 {
+	cost := changeCost(&o)
+	target, regret, ok := p.regrets.best(f.split, cost)
+	if !ok {
 		return nil
 	}
-	cost := changeCost(&o, fleet) * float64(need)
-	if gain <= cost {
-		return nil
-	}
-	return Towards(&o, target, "offered mix", figures(target, gain, cost))
+	need := float64(f.split.Changes(target))
+	changes := Towards(&o, target, "offered mix", figures(target, regret, cost*need))
+	p.regrets.spend(regret * float64(len(changes)) / need)
+	return changes
 }
 
 // fleetState sums up the engines: those that change count with their target.
@@ -48,34 +49,8 @@
 	return f
 }
 
-// horizon is how long a mix is reckoned to last.
-const horizon = 60 * time.Second
-
-func (p *Planner) best(o *Observation, f fleetState) (Split, float64) {
-	size := f.split.Size()
-	best, bestGain, bestNet := f.split, 0.0, 0.0
-	current := p.value(f.split, o.Rates.Mixed)
-	for _, s := range Splits(size, o.Bounds.MinMixedShare) {
-		gain := (p.value(s, o.Rates.Mixed) - current) * horizon.Seconds()
-		net := gain - changeCost(o, f)*float64(f.split.Changes(s))
-		if net > bestNet {
-			best, bestGain, bestNet = s, gain, net
-		}
-	}
-	return best, bestGain
-}
-
-// value is the mean of what the split would have served lately, in engines.
-func (p *Planner) value(s Split, mixed float64) float64 {
-	sum := 0.0
-	for i := range p.demand.count {
-		sum += Served(s, p.demand.recent(i), mixed)
-	}
-	return sum / float64(max(1, p.demand.count))
-}
-
 // changeCost is what one change costs, in engine-seconds.
-func changeCost(o *Observation, f fleetState) float64 {
+func changeCost(o *Observation) float64 {
 	ratio := 1.0
 	if o.Price.GoodputWeight > 0 {
 		ratio = o.Price.ChangeWeight / o.Price.GoodputWeight
@@ -106,7 +81,7 @@
 
 func figures(target Split, gain, cost float64) []decision.Figure {
 	return []decision.Figure{
-		{Name: "gain_engine_seconds", Value: gain},
+		{Name: "regret_engine_seconds", Value: gain},
 		{Name: "cost_engine_seconds", Value: cost},
 		{Name: "target_prefill", Value: float64(target.Prefill)},
 		{Name: "target_mixed", Value: float64(target.Mixed)},
@@ -178,6 +153,14 @@
 	return r
 }
 
-func engineSeconds(o *Observation) Demand {
-	return Demand{Prefill: o.PrefillTokens / o.Rates.Prefill, Decode: o.DecodeTokens / o.Rates.Decode}
+// minInterval keeps an observation over no time from counting as endless demand.
+const minInterval = 0.001
+
+// demandOf is the offered demand in engines' worth.
+func demandOf(o *Observation) Demand {
+	secs := max(o.Interval.Seconds(), minInterval)
+	return Demand{
+		Prefill: o.PrefillTokens / o.Rates.Prefill / secs,
+		Decode:  o.DecodeTokens / o.Rates.Decode / secs,
+	}
 }
--- a/internal/decision/roles/roles.go
+++ b/internal/decision/roles/roles.go
@@ -86,7 +86,15 @@
 }
 
 // Planner plans for one model. It is not safe for concurrent use.
-type Planner struct{ demand history }
+type Planner struct {
+	demand  average
+	regrets regrets
+}
+
+// demandTime is the time constant of the demand that splits are judged by. Over
+// less, the chance of a few dossiers more or less counts as a shift; over more, a
+// shift is seen too late. docs/design/roles.md has the measurement.
+const demandTime = 40 * time.Second
 
 // NewPlanner gives a planner without history.
-func NewPlanner() *Planner { return &Planner{} }
+func NewPlanner() *Planner { return &Planner{demand: average{time: demandTime}} }
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -194,7 +194,7 @@
 	// by what runs or waits there. Zero KVTokens: not told.
 	KVTokens uint64 `json:"kv_tokens"`
 	KVUsed   uint64 `json:"kv_used"`
-	AgeMS               uint32  `json:"age_ms"`
+	AgeMS    uint32 `json:"age_ms"`
 }
 
 // Announcement is how a backend server makes itself known, once a second and
--- a/internal/enginemodel/load.go
+++ b/internal/enginemodel/load.go
@@ -48,7 +48,7 @@
 
 // current is the load right now.
 func (e *Engine) current() engineapi.Load {
-	load := engineapi.Load{CacheUsed: e.cache.used()}
+	load := engineapi.Load{CacheUsed: e.cache.used(), KVTokens: uint64(e.cfg.KVTokens)}
 	prefilling, decoding := false, false
 	for _, s := range e.order {
 		if s.running {
@@ -56,6 +56,7 @@
 		} else {
 			load.Queued++
 		}
+		load.KVUsed += uint64(s.kv)
 		load.QueuedPrefillTokens += uint64(max(0, s.prefill))
 		load.RunningDecodeTokens += uint64(max(0, s.target()-s.produced))
 		prefilling = prefilling || s.prefilling()
--- a/internal/policy/clairvoyant.go
+++ b/internal/policy/clairvoyant.go
@@ -104,7 +104,7 @@
 // many slots of demand it smooths over, and what a change counts as.
 var (
 	clairvoyantWidths = []int{1, 6, 18}
-	clairvoyantCosts  = []float64{5, 20, 60}
+	clairvoyantCosts  = []float64{5, 40}
 )
 
 // clairvoyant plays all its plans and gives the best run. It is the best of what
--- a/internal/policy/entry.go
+++ b/internal/policy/entry.go
@@ -105,12 +105,12 @@
 	r.handed = r.got
 	r.server, r.prefill = e.index(c.Server), -1
 	r.stage = running
-	r.onServer = tokens{decodeOnly(w, c), w.OutputTokens}
+	r.onServer = decision.Tokens{Prefill: ownPrefill(w, c), Decode: w.OutputTokens, KV: w.PromptTokens + w.OutputTokens}
 	e.add(r.server, r.onServer)
 	req := e.modelRequest(r)
 	if c.Prefill != nil {
 		r.stage, r.prefill = prefilling, e.index(c.Prefill)
-		r.onPrefill = tokens{w.PromptTokens, 0}
+		r.onPrefill = decision.Tokens{Prefill: w.PromptTokens, KV: w.PromptTokens}
 		e.add(r.prefill, r.onPrefill)
 		req.PrefillOnly = true
 		e.submit(r.prefill, r, req)
@@ -120,8 +120,8 @@
 	e.submit(r.server, r, req)
 }
 
-// decodeOnly is the prompt tokens that the choice's server has to prefill.
-func decodeOnly(w *decision.Work, c placement.Choice) int {
+// ownPrefill is the prompt tokens that the choice's server has to prefill.
+func ownPrefill(w *decision.Work, c placement.Choice) int {
 	if c.Prefill != nil || w.KVTokens > 0 {
 		return 0
 	}
@@ -138,13 +138,13 @@
 }
 
 // add and done keep Sent of a server up to date.
-func (e *entry) add(i int, t tokens) {
-	e.sent[i].Add(e.sim.now, t.prefill, t.decode)
+func (e *entry) add(i int, t decision.Tokens) {
+	e.sent[i].Add(e.sim.now, t)
 	e.fleet.Servers[i].Sent = e.sent[i].Sent
 }
 
-func (e *entry) done(i int, t tokens) {
-	e.sent[i].Done(t.prefill, t.decode)
+func (e *entry) done(i int, t decision.Tokens) {
+	e.sent[i].Done(t)
 	e.fleet.Servers[i].Sent = e.sent[i].Sent
 }
 
--- a/internal/policy/sim.go
+++ b/internal/policy/sim.go
@@ -40,9 +40,6 @@
 	ended
 )
 
-// tokens are what a request has to do at a server.
-type tokens struct{ prefill, decode int }
-
 // request is one request's life.
 type request struct {
 	work    decision.Work
@@ -51,7 +48,7 @@
 	prefill int // node, -1 for none
 	server  int // node
 	// onPrefill and onServer are what is accounted there.
-	onPrefill, onServer tokens
+	onPrefill, onServer decision.Tokens
 	// handed is the tokens of the answer so far from earlier attempts, got all
 	// of them.
 	handed, got int
--- a/internal/policy/trace.go
+++ b/internal/policy/trace.go
@@ -39,10 +39,10 @@
 const traceLength = 20 * time.Minute
 
 // Loads in engines' worth. A fleet of nine with four mixed engines at 0.8 does
-// 8.2; normalLoad is some 0.88 of that, so that a wrong split costs goodput and
+// 8.2; normalLoad is some 0.95 of that, so that a wrong split costs goodput and
 // a right one does not.
 const (
-	normalLoad = 7.2
+	normalLoad = 7.8
 	quietLoad  = 5.0
 	burstLoad  = 8.0
 	urgentLoad = 1.5
@@ -244,9 +244,10 @@
 }
 
 // prefix gives the block hashes of a prompt whose first blocks are the member's
-// instructions for the service and whose rest is its own.
+// instructions for the service and whose rest is its own. Of the rest only two
+// blocks are kept: what nobody shares can't be found in a cache again.
 func (g *generator) prefix(w *decision.Work, shared int) []uint64 {
-	blocks := w.PromptTokens / decision.BlockTokens
+	blocks := min(w.PromptTokens/decision.BlockTokens, shared+2)
 	chain := make([]uint64, blocks)
 	hash := uint64(len(w.Member))
 	for _, c := range []byte(w.Member + w.Service) {
