queue: measure the drain rate, and let nothing hopeless hold up others

Cause: bulk was let in on the servers' rates alone, which leave out the other profiles, memory and interference; and work past its first deadline kept going first, so that under overload each late answer made the next one late. Work goes before its turn only while it can still be in time.

--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -55,8 +55,8 @@
 		e.wait = time.Duration(perServer * float64(plainCall))
 		return e
 	}
-	ahead := aheadOf(w, mine, profile, all, share)
-	e.wait = waitFor(w, s, ahead, entries)
+	own := ownAhead(mine, profile, share)
+	e.wait = serverWait(w, s) + c.queueWait(now, w, s, own, others(w, own, profile, all), queued, entries)
 	e.prefill = seconds(float64(w.PromptTokens) / max(1, s.bestPrefill))
 	e.decode = time.Duration(w.OutputTokens) * tokenTime
 	return e
@@ -65,36 +65,54 @@
 // load is tokens that wait.
 type load struct{ prefill, decode float64 }
 
-// aheadOf is what this entry's queue serves before the work: under fair
-// queueing the lesser of all that its profile waits for and of its member's own
-// work over the member's share; beside it the other profiles get their shares.
-func aheadOf(w *decision.Work, mine, profile, all queue.Totals, share float64) load {
-	own := load{float64(mine.PrefillTokens), float64(mine.DecodeTokens)}
-	whole := load{float64(profile.PrefillTokens), float64(profile.DecodeTokens)}
-	ahead := load{min(own.prefill/share, whole.prefill), min(own.decode/share, whole.decode)}
-	others := load{float64(all.PrefillTokens) - whole.prefill, float64(all.DecodeTokens) - whole.decode}
+func (l load) cost() float64 { return l.prefill + decision.OutputCost*l.decode }
+
+// ownAhead is what of its profile is served before the work: under fair
+// queueing the lesser of all that waits and of its member's own work over the
+// member's share.
+func ownAhead(mine, profile queue.Totals, share float64) load {
+	return load{
+		min(float64(mine.PrefillTokens)/share, float64(profile.PrefillTokens)),
+		min(float64(mine.DecodeTokens)/share, float64(profile.DecodeTokens)),
+	}
+}
+
+// others is what of the other profiles is served meanwhile: all of it before
+// bulk work, at worst as much as its own before urgent work.
+func others(w *decision.Work, own load, profile, all queue.Totals) load {
+	rest := load{
+		float64(all.PrefillTokens - profile.PrefillTokens),
+		float64(all.DecodeTokens - profile.DecodeTokens),
+	}
 	if w.Class == declaration.ClassBulk {
-		return load{ahead.prefill + others.prefill, ahead.decode + others.decode}
+		return rest
 	}
-	// Urgent work shares the fleet with the others while it waits: at worst
-	// they are served as much as it is.
-	return load{ahead.prefill + min(others.prefill, ahead.prefill), ahead.decode + min(others.decode, ahead.decode)}
+	return load{min(rest.prefill, own.prefill), min(rest.decode, own.decode)}
 }
 
-// waitFor is the longer of the waits for prefill and for a decode slot.
-func waitFor(w *decision.Work, s *supply, ahead load, entries float64) time.Duration {
+// serverWait is the wait behind the prefill that servers have already.
+func serverWait(w *decision.Work, s *supply) time.Duration {
 	backlog := s.prefillTokens
 	if w.Class != declaration.ClassBulk {
 		backlog *= urgentAhead
 	}
-	prefill := (backlog + ahead.prefill*entries) / max(1, s.prefillRate)
-	decode := 0.0
-	if free := float64(s.slots) - s.running; free < 1 || ahead.decode > 0 {
-		// With all slots in use one comes free at the rate at which the fleet
-		// finishes streams.
-		decode = ahead.decode * entries / max(1, s.decodeRate)
+	return seconds(backlog / max(1, s.prefillRate))
+}
+
+// queueWait is the wait in this entry's queue: what is ahead over the rate at
+// which the queue has been drained lately. Until that is known, the servers' own
+// rates stand in for it; every entry has its part of them.
+func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, queued *queue.Summary, entries float64) time.Duration {
+	if rate, ok := queued.DrainRate(now, queue.KeyOf(w)); ok {
+		return seconds(caution * own.cost() / max(1, rate))
 	}
-	return seconds(max(prefill, decode))
+	prefill := (own.prefill + rest.prefill) * entries / max(1, s.prefillRate)
+	decode := (own.decode + rest.decode) * entries / max(1, s.decodeRate)
+	return seconds(caution * max(prefill, decode))
 }
 
+// caution lengthens the estimate: dossiers differ by half in size, and one that
+// is let in and then late costs more than one refused at once.
+const caution = 1.4
+
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/internal/decision/queue/deadline.go
+++ b/internal/decision/queue/deadline.go
@@ -17,9 +17,23 @@
 	quietPrefillRate = 10000
 )
 
-// latestStart is when the work must start to finish in time on a busy engine.
-func latestStart(w *decision.Work) time.Duration {
-	return w.FinishBy - serviceTime(w, busyPrefillRate, busyTokenTime)
+// window is a time in which work must start: at its beginning the busiest engine
+// would just meet the deadline, at its end not even an idle one does.
+type window struct{ from, to time.Duration }
+
+func (w window) has(now time.Duration) bool { return w.from <= now && now <= w.to }
+
+// windows are those of both deadlines.
+func windows(w *decision.Work) (first, whole window) {
+	first = window{
+		from: w.FirstTokenBy - tokensAt(w, busyPrefillRate),
+		to:   w.FirstTokenBy - tokensAt(w, quietPrefillRate),
+	}
+	whole = window{
+		from: w.FinishBy - serviceTime(w, busyPrefillRate, busyTokenTime),
+		to:   w.FinishBy - serviceTime(w, quietPrefillRate, quietTokenTime),
+	}
+	return first, whole
 }
 
 // expiresAt is when the work can't be answered in time any more, even on an
@@ -29,11 +43,11 @@
 	if w.Resumed {
 		return w.FinishBy + neverExpires
 	}
-	last := w.FinishBy - serviceTime(w, quietPrefillRate, quietTokenTime)
+	_, whole := windows(w)
 	if w.Class == declaration.ClassBulk {
-		return last
+		return whole.to
 	}
-	return min(last, w.FirstTokenBy)
+	return min(whole.to, w.FirstTokenBy)
 }
 
 // neverExpires keeps work that was accepted before from being refused for load:
@@ -44,6 +58,9 @@
 	if w.Kind == declaration.KindPlain {
 		return 0
 	}
-	prefill := time.Duration(float64(w.PromptTokens) / prefillRate * float64(time.Second))
-	return prefill + time.Duration(w.OutputTokens)*tokenTime
+	return tokensAt(w, prefillRate) + time.Duration(w.OutputTokens)*tokenTime
+}
+
+func tokensAt(w *decision.Work, prefillRate float64) time.Duration {
+	return time.Duration(float64(w.PromptTokens) / prefillRate * float64(time.Second))
 }
--- a/internal/decision/queue/flow.go
+++ b/internal/decision/queue/flow.go
@@ -11,13 +11,19 @@
 type item struct {
 	work        decision.Work
 	seq         uint64
-	latest      time.Duration
+	first       window
+	whole       window
 	expires     time.Duration
 	flow        *flow
 	flowIndex   int
 	expiryIndex int
 }
 
+// mustStart tells whether the work has to start now to be in time. What is too
+// late for its first token does not hold up others that are not, until its last
+// deadline presses: else under overload one late answer makes all others late.
+func (it *item) mustStart(now time.Duration) bool { return it.first.has(now) || it.whole.has(now) }
+
 // flow is one member's work under one profile, the earliest deadline first.
 type flow struct {
 	member  string
--- a/internal/decision/queue/pool.go
+++ b/internal/decision/queue/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 )
 
 // pool holds the profiles that compete for the same servers.
@@ -20,9 +21,9 @@
 func (p *pool) push(it *item) {
 	pq := p.byName[it.work.Profile]
 	if pq == nil {
-		pq = &profileQueue{name: it.work.Profile, flows: make(map[string]*flow)}
+		pq = &profileQueue{name: it.work.Profile, flows: make(map[string]*flow), drain: &drain{}}
 		p.byName[it.work.Profile] = pq
-		p.profiles = append(p.profiles, pq)
+		p.insert(pq, it.work.Class)
 	}
 	pq.share = positive(it.work.ProfileShare)
 	if len(pq.active) == 0 {
@@ -33,13 +34,28 @@
 	pq.push(it)
 }
 
+// insert keeps urgent profiles before the others, so that of several works that
+// must start now the urgent one goes first: it is small.
+func (p *pool) insert(pq *profileQueue, class declaration.Class) {
+	if class == declaration.ClassBulk {
+		p.profiles = append(p.profiles, pq)
+		return
+	}
+	p.profiles = append([]*profileQueue{pq}, p.profiles...)
+}
+
 // pop takes the next item that fits: first one that must start now, then by
 // the profiles' shares.
 func (p *pool) pop(now time.Duration, fits func(*decision.Work) bool, tries *int) *item {
+	for _, pq := range p.profiles {
+		if len(pq.active) > 0 {
+			pq.drain.begin(now)
+		}
+	}
 	for _, pq := range p.profiles {
 		if it := pq.critical(now, fits, tries); it != nil {
 			it.flow.deficit -= it.work.Cost()
-			return p.take(pq, it)
+			return p.take(now, pq, it)
 		}
 	}
 	var tried uint64
@@ -52,7 +68,7 @@
 		share := max(1, *tries/2)
 		left := share
 		if it := pq.next(fits, &left); it != nil {
-			return p.take(pq, it)
+			return p.take(now, pq, it)
 		}
 		*tries -= share - left
 	}
@@ -76,10 +92,11 @@
 	return best, bestBit
 }
 
-func (p *pool) take(pq *profileQueue, it *item) *item {
+func (p *pool) take(now time.Duration, pq *profileQueue, it *item) *item {
 	p.virtual = max(p.virtual, pq.pass)
 	pq.pass += it.work.Cost() / pq.share
 	it.flow.remove(it)
+	pq.drain.served(now, it.work.Cost(), len(pq.active) == 0)
 	return it
 }
 
--- a/internal/decision/queue/profile.go
+++ b/internal/decision/queue/profile.go
@@ -20,6 +20,7 @@
 	flows  map[string]*flow
 	active []*flow
 	turn   int
+	drain  *drain
 }
 
 func (p *profileQueue) push(it *item) {
@@ -56,13 +57,13 @@
 	delete(p.flows, f.member)
 }
 
-// critical gives the fitting head that is furthest past its latest start, nil
-// when none is. It looks at the heads of at most maxTries members.
+// critical gives the fitting head with the earliest deadline that must start now,
+// nil when none must. It looks at the heads of at most maxTries members.
 func (p *profileQueue) critical(now time.Duration, fits func(*decision.Work) bool, tries *int) *item {
 	var first *item
 	for i := range p.active[:min(len(p.active), maxTries)] {
 		it := p.active[(p.turn+i)%len(p.active)].head()
-		if it.latest <= now && (first == nil || it.latest < first.latest) {
+		if it.mustStart(now) && (first == nil || it.work.FinishBy < first.work.FinishBy) {
 			first = it
 		}
 	}
--- a/internal/decision/queue/queue.go
+++ b/internal/decision/queue/queue.go
@@ -54,9 +54,12 @@
 func (q *Queue) Push(w decision.Work) {
 	q.Remove(w.RequestID)
 	q.seq++
-	it := &item{work: w, seq: q.seq, latest: latestStart(&w), expires: expiresAt(&w)}
+	it := &item{work: w, seq: q.seq, expires: expiresAt(&w)}
+	it.first, it.whole = windows(&w)
 	q.items[w.RequestID] = it
-	q.pool(&w).push(it)
+	p := q.pool(&w)
+	p.push(it)
+	q.summary.drains[profileKey(&w)] = p.byName[w.Profile].drain
 	heap.Push(&q.expiry, it)
 	q.summary.add(&it.work, 1)
 }
--- a/internal/decision/queue/queue_test.go
+++ b/internal/decision/queue/queue_test.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func drain(q *Queue, now time.Duration) []decision.Work {
+func popAll(q *Queue, now time.Duration) []decision.Work {
 	var out []decision.Work
 	for {
 		w, ok := q.Pop(now, any1)
@@ -48,7 +48,7 @@
 		q.Push(question(fmt.Sprint("heavy", i), "heavy", 0))
 	}
 	q.Push(question("light", "light", time.Second))
-	for i, w := range drain(q, time.Second) {
+	for i, w := range popAll(q, time.Second) {
 		if w.RequestID == "light" {
 			if i > 2 {
 				t.Fatalf("served as number %d", i)
@@ -67,7 +67,7 @@
 	for i := range 200 {
 		q.Push(question(fmt.Sprint("q", i), "m", 0))
 	}
-	out := drain(q, 0)
+	out := popAll(q, 0)
 	for i, w := range out {
 		if w.RequestID == "d" && i > 30 {
 			t.Fatalf("served as number %d", i)
@@ -96,7 +96,7 @@
 	if got := len(q.Expire(4 * time.Second)); got != 3 {
 		t.Fatalf("%d expired, want 3", got)
 	}
-	if got := len(drain(q, 4*time.Second)); got != 6 || q.Len() != 0 {
+	if got := len(popAll(q, 4*time.Second)); got != 6 || q.Len() != 0 {
 		t.Fatalf("%d left", got)
 	}
 	if len(q.summary.totals) != 0 {
--- a/internal/decision/queue/summary.go
+++ b/internal/decision/queue/summary.go
@@ -1,6 +1,10 @@
 package queue
 
-import "goldcrestseam.dev/goldcrestseam/internal/decision"
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
 
 // Totals sums up waiting work.
 type Totals struct {
@@ -34,9 +38,34 @@
 }
 
 // Summary sums up a queue by pool, profile and member.
-type Summary struct{ totals map[Key]*Totals }
+type Summary struct {
+	totals map[Key]*Totals
+	// drains is by pool and profile.
+	drains map[Key]*drain
+}
+
+func newSummary() Summary {
+	return Summary{totals: make(map[Key]*Totals), drains: make(map[Key]*drain)}
+}
+
+// profileKey is KeyOf without the member.
+func profileKey(w *decision.Work) Key {
+	k := KeyOf(w)
+	k.Member = ""
+	return k
+}
 
-func newSummary() Summary { return Summary{totals: make(map[Key]*Totals)} }
+// DrainRate is at what rate the profile's work has left this queue lately, in
+// tokens/s as Work.Cost weighs them; false when it has not waited long enough.
+// The key's member counts as empty.
+func (s *Summary) DrainRate(now time.Duration, k Key) (float64, bool) {
+	k.Member = ""
+	d := s.drains[k]
+	if d == nil {
+		return 0, false
+	}
+	return d.rate(now)
+}
 
 // Get gives the totals of one part; the zero Totals when nothing waits there.
 func (s *Summary) Get(k Key) Totals {
