--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,102 @@
+package rpc
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/devcert"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+)
+
+func keyAuth(t *testing.T, key string) settings.Auth {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(path, []byte(key), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Auth{SharedKeyFile: path}
+}
+
+func load(t *testing.T, s settings.Auth) *Auth {
+	t.Helper()
+	a, err := LoadAuth(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// serve answers 200 to whoever the auth lets in and gives the address.
+func serve(t *testing.T, a *Auth) string {
+	t.Helper()
+	ln, err := a.Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	srv := &http.Server{Handler: a.Require(ok)}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	return ln.Addr().String()
+}
+
+func status(a *Auth, address string) int {
+	resp, err := a.Client().Get(a.URL(address))
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A process of another deployment takes over an address that this one still
+// knows. Its calls and answers must not be taken for this deployment's.
+func TestSharedKeyKeepsStrangersOut(t *testing.T) {
+	server := load(t, keyAuth(t, "0123456789abcdef"))
+	address := serve(t, server)
+	if got := status(server, address); got != http.StatusOK {
+		t.Fatalf("own key: status %d", got)
+	}
+	for name, client := range map[string]*Auth{
+		"other key": load(t, keyAuth(t, "fedcba9876543210")),
+		"no key":    {},
+	} {
+		if got := status(client, address); got != http.StatusUnauthorized {
+			t.Errorf("%s: status %d, want 401", name, got)
+		}
+	}
+}
+
+func TestTLSChecksBothSides(t *testing.T) {
+	own, err := devcert.Write(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := devcert.Write(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := load(t, own)
+	address := serve(t, server)
+	if got := status(server, address); got != http.StatusOK {
+		t.Fatalf("own CA: status %d", got)
+	}
+	if got := status(load(t, other), address); got != 0 {
+		t.Errorf("another CA: status %d, want no connection", got)
+	}
+	if got := status(&Auth{}, address); got == http.StatusOK {
+		t.Error("plain HTTP was let in")
+	}
+}
+
+func TestLoadAuthRefusesBrokenFiles(t *testing.T) {
+	broken := settings.Auth{CertFile: "none", KeyFile: "none", CAFile: "none"}
+	for _, s := range []settings.Auth{{SharedKeyFile: "none"}, broken} {
+		if _, err := LoadAuth(s); err == nil {
+			t.Errorf("no error for %+v", s)
+		}
+	}
+}
