--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -7,5 +7,6 @@
 func main() {
 	root := cli.NewRoot("goldcrest-load", "Play workloads and measure",
 		"goldcrest-load plays workload files against entries, runs the demo on loopback and\nmeasures the decisions under load on a model of the engines.")
+	root.AddCommand(newCapacity())
 	cli.Main(root)
 }
--- /dev/null
+++ b/internal/capacity/slopes.go
@@ -0,0 +1,10 @@
+package capacity
+
+import "slices"
+
+// slopes are all slopes that the page is worked out from.
+func slopes() []Slope {
+	return slices.Concat(
+		messageSlopes(),
+	)
+}
