--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -11,5 +11,6 @@
 	root.AddCommand(newDemo())
 	root.AddCommand(newOverhead())
 	root.AddCommand(newPolicyCommand())
+	root.AddCommand(newCapacity())
 	cli.Main(root)
 }
