Let the test bed cut control replicas from each other

Cause: the proof of control needs cuts between replicas, both ways and one way. Change: Options.ForwardControl, Bed.Link, Bed.Auth; nothing changes without the option.

--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/forwarder"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/journal"
 )
@@ -24,7 +25,8 @@
 	Entries []*Process
 	Engines []*Process
 	Plain   []*Process
-	// Forwarders stand before the engines with those ids.
+	// Forwarders stand before the engines with those ids and, with
+	// Options.ForwardControl, between the control replicas.
 	Forwarders map[string]*forwarder.Forwarder
 	// Declaration is what was applied.
 	Declaration *declaration.Declaration
@@ -86,6 +88,13 @@
 	return nil
 }
 
+// Link gives the forwarder on the way from one control replica to another, by
+// their ids, or nil.
+func (b *Bed) Link(from, to uint64) *forwarder.Forwarder { return b.Forwarders[linkName(from, to)] }
+
+// Auth is how the bed's own processes know each other.
+func (b *Bed) Auth() settings.Auth { return settings.Auth{SharedKeyFile: b.keyFile} }
+
 // EntryAddresses lists where callers connect.
 func (b *Bed) EntryAddresses() []string {
 	var list []string
--- a/internal/testbed/options.go
+++ b/internal/testbed/options.go
@@ -38,6 +38,9 @@
 	Tune func(*server.Config)
 	// Forward puts a forwarder before every model engine.
 	Forward bool
+	// ForwardControl puts a forwarder on the way from each control replica to
+	// each other one; Bed.Link finds them.
+	ForwardControl bool
 	// AnswerKeep is how long callers keep entry lists. Default 1s, to be quick.
 	AnswerKeep time.Duration
 	// OrderPause is the longest pause stated for control. Default 2s.
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
@@ -66,6 +67,10 @@
 		})
 	}
 	for dc, r := range replicas {
+		seen, err := b.replicasSeenFrom(r, replicas)
+		if err != nil {
+			return err
+		}
 		name := "control-" + strconv.Itoa(dc+1)
 		dir := b.path("data", name)
 		if err := os.MkdirAll(dir, 0o700); err != nil {
@@ -73,7 +78,7 @@
 		}
 		p, err := b.newProcess(binControl, name, r.DataCentre, r.Address, settings.Control{
 			Common: b.common(name, r.DataCentre), ReplicaID: r.ID, Address: r.Address, DataDir: dir,
-			Bootstrap: replicas, ElectionTimeout: settings.DefaultElectionTimeout,
+			Bootstrap: seen, ElectionTimeout: settings.DefaultElectionTimeout,
 			SnapshotEntries: settings.DefaultSnapshotEntries, OrderPause: b.options.OrderPause,
 		})
 		if err != nil {
@@ -85,6 +90,28 @@
 	return nil
 }
 
+// replicasSeenFrom gives the replicas at the addresses where one of them reaches
+// the others: forwarders, if the options ask for them.
+func (b *Bed) replicasSeenFrom(own settings.ControlReplica, all []settings.ControlReplica) ([]settings.ControlReplica, error) {
+	seen := slices.Clone(all)
+	for i, r := range all {
+		if !b.options.ForwardControl || r.ID == own.ID {
+			continue
+		}
+		f, err := forwarder.Listen("127.0.0.1:0", r.Address)
+		if err != nil {
+			return nil, err
+		}
+		b.Forwarders[linkName(own.ID, r.ID)] = f
+		seen[i].Address = f.Address()
+	}
+	return seen, nil
+}
+
+func linkName(from, to uint64) string {
+	return "control-" + strconv.FormatUint(from, 10) + ">control-" + strconv.FormatUint(to, 10)
+}
+
 func (b *Bed) planEntries() error {
 	for dc := range dataCentres {
 		for n := range b.options.Entries {
