--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -10,5 +10,7 @@
 	root.AddCommand(newPlay())
 	root.AddCommand(newDemo())
 	root.AddCommand(newOverhead())
+	root.AddCommand(newPolicyCommand())
+	root.AddCommand(newCapacity())
 	cli.Main(root)
 }
