Plan engine roles from the offered work

Change: the leader sums Demand by model, feeds each model's planner once a second with engines, rates, bounds and price, and orders what it chooses, with a log line of the figures. Measured: TestMixShiftIsFollowedByOrders passes with changes on and with none when automatic is off.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -179,3 +179,41 @@
 		t.Errorf("after the quarantine time: %v", v)
 	}
 }
+
+// The offered work turns to long prompts for good. The planner's choice becomes
+// one order at a time, within roles.max_away, and none while the declaration
+// turns automatic changes off.
+func TestMixShiftIsFollowedByOrders(t *testing.T) {
+	for _, automatic := range []bool{true, false} {
+		w := newWorld(t)
+		d := &declaration.Declaration{Revision: 1, Author: "ann"}
+		d.Models = []declaration.Model{{Name: "m", Version: "v1"}}
+		d.BackendServers = []declaration.BackendServerRule{{Prefix: "checks", Fencing: declaration.FencingChecked}}
+		d.Roles = declaration.Roles{Automatic: automatic, MaxAway: 1, ChangeTime: time.Second, GoodputWeight: 1, ChangeWeight: 1}
+		w.apply(d.ToProto())
+		for _, id := range []string{"checks-1", "checks-2", "checks-3", "checks-4"} {
+			w.engine(id)
+		}
+		for range 600 {
+			w.send(&pb.ReportRequest{ClusterId: cluster, Demand: []*pb.Demand{
+				{Model: "m", Profile: "p", PrefillTokens: 40_000, DecodeTokens: 10},
+			}})
+			w.advance(time.Second)
+			if w.State().away("m") > 1 {
+				t.Fatal("more engines away than allowed")
+			}
+			if n := len(w.orders); n > 0 {
+				last := w.orders[n-1]
+				for _, a := range w.announced {
+					if a.GetServer().GetId() == last.Server && a.OrderId != last.Order.ID {
+						w.done(a)
+						a.Server.Role = w.State().orders[last.Server].proto.GetRole()
+					}
+				}
+			}
+		}
+		if changed := w.State().roleChanges > 0; changed != automatic {
+			t.Errorf("automatic %v: %d role changes", automatic, w.State().roleChanges)
+		}
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -45,12 +45,14 @@
 	registrations []*pb.BackendServer
 	deliveries    map[string]*delivery
 	demand        demandWindow
+	plans         map[string]*modelPlan
 
+	// heardAt is when any entry was last heard, sweptAt when leases were last
+	// looked at.
 	heardAt time.Duration
 	sweptAt time.Duration
+	// expired is when an Expire was last thought of.
 	expired time.Duration
-	// sweepRan is the last time that a sweep ran at all.
-	rolesAt time.Duration
 }
 
 // serverWatch is what a leader keeps of a backend server.
@@ -87,11 +89,12 @@
 // nobody yet, which tells nothing of them.
 func newLeadership(now time.Duration, s *State) *leadership {
 	l := &leadership{
-		since: now, heardAt: now, sweptAt: now, expired: now, rolesAt: now,
+		since: now, heardAt: now, sweptAt: now, expired: now,
 		servers:    make(map[string]*serverWatch),
 		entries:    make(map[string]*entryWatch),
 		deliveries: make(map[string]*delivery),
 		demand:     newDemandWindow(now),
+		plans:      make(map[string]*modelPlan),
 	}
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.told.GetId()] = &serverWatch{until: now + serverLease, incarnation: sv.told.GetIncarnation()}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -23,7 +23,7 @@
 		r.onAnnouncement(req.GetEntry().GetName(), a)
 	}
 	for _, d := range req.GetDemand() {
-		r.lead.demand.add(r.now, d)
+		r.lead.demand.add(d)
 	}
 	deaths := r.newDeaths(req.GetDeaths())
 	if len(deaths) == 0 {
--- a/internal/control/rolesdrive.go
+++ b/internal/control/rolesdrive.go
@@ -29,7 +29,7 @@
 	return demandWindow{since: now, byModel: make(map[string]*offered)}
 }
 
-func (w *demandWindow) add(_ time.Duration, d *pb.Demand) {
+func (w *demandWindow) add(d *pb.Demand) {
 	o := w.byModel[d.GetModel()]
 	if o == nil {
 		o = &offered{byProfile: make(map[string]float64)}
@@ -49,6 +49,7 @@
 			r.reconcile(sv)
 		}
 	}
+	r.planRoles()
 }
 
 // orderable tells whether the state would accept an intent for the engine.
