Tell innocent requests from those that crash servers by their progress

Cause: in the proof of a crashing request all engines died: a wrapped error hid the refused connection, and behind a forwarder a dead server shows as a connection that is closed at once. Then innocent requests that had run on two dying servers were refused as guilty. Change: a closed fresh connection shows a dead server too; a request that got tokens from the server counts half a death; deaths go to control in the same step; the final answer waits up to 0.3 s until all entries know.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -29,15 +29,18 @@
 	if ev.AtPrefill && q.prefill != nil {
 		s = q.prefill
 	}
-	q.done += ev.Tokens
-	q.got = 0
 	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
 	if ev.ServerDied {
 		r.serverDied(s, q, ev)
 	}
+	q.done += ev.Tokens
+	q.got = 0
 	r.detach(q)
 	r.decide.observe(r.now, s, ev)
 	r.settle(q, s, ev)
+	if r.report.urgent {
+		r.sendReport()
+	}
 	r.startWaiting()
 }
 
@@ -50,7 +53,7 @@
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid(q))
 	case r.quarantined(q):
-		r.refuse(q, refuseQuarantined(q))
+		r.condemn(q)
 	case q.attempts >= maxAttempts:
 		r.refuse(q, refuseFailed(q))
 	case ev.Outcome == outcome.NotRun:
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -46,8 +46,10 @@
 	requests map[string]*request
 	decide   decider
 	suspects suspectTable
-	report   reportBuffer
-	leaving  bool
+	// condemned waits for control before its final answer.
+	condemned []*request
+	report    reportBuffer
+	leaving   bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
 	// dirty asks for a new snapshot at the end of the step.
@@ -111,6 +113,7 @@
 		s.forgetSent(r.now - sentFor)
 	}
 	r.probe()
+	r.refuseCondemned()
 	r.expireWaiting()
 	r.startWaiting()
 	r.sendReport()
--- a/internal/entry/reducer_test.go
+++ b/internal/entry/reducer_test.go
@@ -97,6 +97,11 @@
 		t.Fatalf("both suspects went to %s", second.Server)
 	}
 	w.ended(second, died)
+	if reports := pick[Report](w.effects); len(reports) != 1 || len(reports[0].Request.Deaths) != 1 {
+		t.Fatalf("the second death was not reported at once: %v", w.effects)
+	}
+	w.after(condemnedFor)
+	w.step(Tick{})
 	if r := w.refused(); r.Code != outcome.CodeQuarantined || r.Outcome != outcome.Unknown || r.RetryAfter != 0 {
 		t.Fatalf("refusal %+v", r)
 	}
@@ -116,14 +121,27 @@
 	w.dispatched()
 }
 
+// Two engines are withdrawn while the same dossier streams from them. Nothing
+// shows that the dossier did it: it must get its whole answer.
+func TestProgressSpeaksForARequest(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(3)...)
+	w.arrive("dossier")
+	for range 2 {
+		d := w.dispatched()
+		w.step(AttemptProgress{RequestID: "dossier", Attempt: d.Attempt, Tokens: probationTokens})
+		w.ended(d, died)
+	}
+	w.dispatched()
+}
+
 // Control is told which requests ran on a server that died, once for each life
 // and also when the first report is lost.
 func TestDeathIsReportedOnceAndAgainIfLost(t *testing.T) {
 	w := newWorld(t)
 	w.view(serving(2)...)
 	w.arrive("r1")
-	w.ended(w.dispatched(), died)
-	reports := pick[Report](w.step(Tick{}))
+	reports := pick[Report](w.ended(w.dispatched(), died))
 	if len(reports) != 1 || len(reports[0].Request.Deaths) != 1 || len(reports[0].Request.Deaths[0].Suspects) != 1 {
 		t.Fatalf("reports %v", reports)
 	}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -45,6 +45,9 @@
 	// notBefore holds a retry back; waitsSince is when it began to wait.
 	notBefore  time.Duration
 	waitsSince time.Duration
+	// condemnedUntil is when a request that crashed servers gets its final
+	// answer at the latest.
+	condemnedUntil time.Duration
 }
 
 func (q *request) prefillLeft() int {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -10,23 +10,36 @@
 )
 
 const (
-	// probationTokens is how far a suspect must get beyond the place of its
-	// death to count as innocent of it.
-	probationTokens = 32
+	// probationTokens is how many tokens a request must get from a server to
+	// look innocent of its death: a request that crashes servers does so as it
+	// starts, or again and again at the same place of its answer.
+	probationTokens = 8
+	// freshGuilt and lateGuilt are what a death adds for a request without and
+	// with that progress; they count in halves of a death. The late half keeps
+	// a request that crashes servers only after many tokens from going on for
+	// ever, while a dossier whose servers die of something else twice is not
+	// taken for guilty.
+	freshGuilt = 2
+	lateGuilt  = 1
+	// guiltPerDeath is how much guilt makes one death towards control.
+	guiltPerDeath = 2
 	// apartFor is how long a suspect waits for a server of its own, and others
 	// wait for servers without a suspect, before they share one.
 	apartFor = 2 * time.Second
+	// condemnedFor bounds how long the final answer waits until control has
+	// told all entries: the caller may send the request again to another one
+	// in the same millisecond.
+	condemnedFor = 300 * time.Millisecond
 	// maxSuspects bounds the table; the oldest goes first.
 	maxSuspects = 4096
 )
 
 // suspect is a request that ran on a server when it died.
 type suspect struct {
-	deaths int
-	// offset is how many tokens it had at its last death.
-	offset int
-	at     time.Duration
-	// cleared is set once it got beyond the place of its death.
+	// guilt counts deaths in halves.
+	guilt int
+	at    time.Duration
+	// cleared is set once it made progress again.
 	cleared bool
 }
 
@@ -59,21 +72,28 @@
 	}
 }
 
-func (t *suspectTable) died(q *request, now time.Duration) {
+// died adds a death's guilt; true when that makes another whole death.
+func (t *suspectTable) died(q *request, now time.Duration) bool {
 	s := t.byKey[q.key()]
 	if s == nil {
 		s = &suspect{}
 		t.byKey[q.key()] = s
 		t.order = append(t.order, q.key())
 	}
-	s.deaths++
-	s.offset, s.at, s.cleared = q.done+q.got, now, false
+	guilt := freshGuilt
+	if q.got >= probationTokens {
+		guilt = lateGuilt
+	}
+	before := s.guilt / guiltPerDeath
+	s.guilt += guilt
+	s.at, s.cleared = now, false
+	return s.guilt/guiltPerDeath > before
 }
 
-// progressed gives true when a suspect has just got beyond its death's place.
+// progressed gives true when a suspect has just made enough progress.
 func (t *suspectTable) progressed(q *request) bool {
 	s := t.byKey[q.key()]
-	if s == nil || s.cleared || q.done+q.got < s.offset+probationTokens {
+	if s == nil || s.cleared || q.got < probationTokens {
 		return false
 	}
 	s.cleared = true
@@ -120,7 +140,7 @@
 		return true
 	}
 	s := r.suspects.byKey[q.key()]
-	return s != nil && s.deaths >= r.quarantineDeaths()
+	return s != nil && s.guilt >= guiltPerDeath*r.quarantineDeaths()
 }
 
 func (r *Reducer) quarantineDeaths() int {
@@ -144,20 +164,36 @@
 		if other == q && ev.Outcome == outcome.NotRun {
 			continue
 		}
-		death.Suspects = append(death.Suspects, r.accuse(other)...)
+		if r.suspects.died(other, r.now) {
+			death.Suspects = append(death.Suspects, &pb.Quarantine{
+				Member: other.work.Member, Fingerprint: other.fingerprint,
+			})
+		}
 	}
 	r.report.death(death)
 	r.logServer(s, "died")
 }
 
-// accuse gives the request as a suspect. One that had got well beyond the
-// place of an earlier death was not what killed that server, and starts anew.
-func (r *Reducer) accuse(q *request) []*pb.Quarantine {
-	if s := r.suspects.byKey[q.key()]; s != nil && s.cleared && s.deaths < 2 {
-		s.deaths = 0
-		r.suspects.died(q, r.now)
-		return nil
+// condemn holds a request's final answer until control has told all entries.
+func (r *Reducer) condemn(q *request) {
+	if r.view.quarantine[q.key()] {
+		r.refuse(q, refuseQuarantined(q))
+		return
 	}
-	r.suspects.died(q, r.now)
-	return []*pb.Quarantine{{Member: q.work.Member, Fingerprint: q.fingerprint}}
+	q.condemnedUntil = r.now + condemnedFor
+	r.condemned = append(r.condemned, q)
+}
+
+// refuseCondemned gives the final answers that need not wait any longer.
+func (r *Reducer) refuseCondemned() {
+	r.condemned = slices.DeleteFunc(r.condemned, func(q *request) bool {
+		if r.requests[q.work.RequestID] != q {
+			return true
+		}
+		if !r.view.quarantine[q.key()] && r.now < q.condemnedUntil {
+			return false
+		}
+		r.refuse(q, refuseQuarantined(q))
+		return true
+	})
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -70,6 +70,7 @@
 		v.leaseUntil = until
 		r.dirty = r.dirty || wasStale
 	}
+	r.refuseCondemned()
 	r.startWaiting()
 }
 
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"syscall"
@@ -40,8 +41,12 @@
 var (
 	// NotSent: the connection could not be opened; no byte was sent.
 	NotSent = Namespace.NewType("not_sent")
+	// Refused: nothing listens at the address; the process is gone.
+	Refused = NotSent.NewSubtype("refused")
 	// Broken: the connection failed or went silent after bytes were sent.
 	Broken = Namespace.NewType("broken")
+	// Closed: the connection was opened and then closed without any answer.
+	Closed = Broken.NewSubtype("closed")
 	// Mixed: the answer is not to this request and attempt.
 	Mixed = Namespace.NewType("mixed")
 )
@@ -94,17 +99,37 @@
 	return conn, nil
 }
 
-// classify gives the error its type.
+// classify gives the error its type. Wrapping hides the cause from errors.Is, so
+// that a refused connection gets a type of its own here.
 func classify(err error) error {
 	var dial *dialError
+	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNREFUSED) {
+		return Refused.Wrap(err, "no connection")
+	}
 	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return NotSent.Wrap(err, "no connection")
 	}
+	if closedWithoutAnswer(err) {
+		return Closed.Wrap(err, "call")
+	}
 	return Broken.Wrap(err, "call")
 }
 
-// refusedConnection tells that nothing listens there: the process is gone.
-func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+func closedWithoutAnswer(err error) bool {
+	for _, known := range []error{fasthttp.ErrConnectionClosed, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
+// gone tells whether a new connection to a server shows that its process is
+// gone: nothing listens there, or what stands in between opens the connection
+// and closes it at once. A timeout does not show it: the server may be frozen.
+func gone(err error) bool {
+	return errorx.IsOfType(err, Refused) || errorx.IsOfType(err, Closed)
+}
 
 // said is what a backend server says of itself on every answer.
 type said struct {
@@ -141,6 +166,12 @@
 	return health, err == nil && status == fasthttp.StatusOK
 }
 
+// looksGone asks a server for its health to learn whether it died of a call.
+func (c *engineClient) looksGone(address string) bool {
+	_, _, err := c.bytes(fasthttp.MethodGet, "http://"+address+engineapi.PathHealth, nil, probeTimeout)
+	return err != nil && gone(err)
+}
+
 // cancel stops attempts of a request. It is idempotent and sent twice at most.
 func (c *engineClient) cancel(address string, req engineapi.CancelRequest) {
 	for range 2 {
--- a/internal/traffic/harness_test.go
+++ b/internal/traffic/harness_test.go
@@ -110,6 +110,26 @@
 	return pb.ClaimStatus_CLAIM_STATUS_UNSPECIFIED
 }
 
+// addServer makes a new view with one more server.
+func (f *fakeControl) addServer(p *pb.BackendServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = &pb.WatchResponse{
+		Version: f.view.Version + 1, Full: true, Revision: f.view.Revision, LeaseMs: f.view.LeaseMs,
+		Objects: f.view.Objects, Servers: append(f.view.Servers, p),
+	}
+}
+
+func (f *fakeControl) deaths() []*pb.ServerDeath {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*pb.ServerDeath
+	for _, r := range f.reports {
+		list = append(list, r.Deaths...)
+	}
+	return list
+}
+
 // bench is one entry between a fake control and fake backend servers.
 type bench struct {
 	t       *testing.T
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -176,7 +176,7 @@
 // failed notes how a connection failed. A connection that could not be opened
 // has sent nothing; one that is refused tells that the process is gone.
 func (a *modelAttempt) failed(err error) {
-	a.ended.ServerDied = refusedConnection(err)
+	a.ended.ServerDied = errorx.IsOfType(err, Refused) || (a.d.Reconnect && gone(err))
 	if errorx.IsOfType(err, NotSent) && !a.d.Reconnect {
 		return
 	}
--- a/internal/traffic/once_test.go
+++ b/internal/traffic/once_test.go
@@ -86,8 +86,10 @@
 // is settled as unknown, and a repeat does not run it again.
 func TestBrokenOnceOnlyCallIsUnknownForGood(t *testing.T) {
 	var calls atomic.Int32
-	b := newBench(t, nil, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		calls.Add(1)
+	b := newBench(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/balances" {
+			calls.Add(1)
+		}
 		panic(http.ErrAbortHandler)
 	}))
 	key := newKey(t)
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -166,10 +166,11 @@
 	case err == nil:
 		j.answer, ended.Whole, ended.Outcome = answer, true, outcome.Ran
 	case errorx.IsOfType(err, NotSent):
-		ended.ServerDied = refusedConnection(err)
+		ended.ServerDied = errorx.IsOfType(err, Refused)
 	case errors.Is(err, errNotStarted):
 	default:
 		ended.Outcome = outcome.Unknown
+		ended.ServerDied = errorx.IsOfType(err, Closed) && j.s.engines.looksGone(d.Address)
 	}
 	return ended
 }
--- a/internal/traffic/stream_test.go
+++ b/internal/traffic/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 const wholeText = "abcdefghijkl"
@@ -145,6 +147,33 @@
 	}
 }
 
+// A request kills the engine's process. Its connection breaks, and the next one
+// is refused: control must learn of the death and of what ran there, or the
+// request goes on to kill one engine after the other.
+func TestDeadEngineIsReportedWithWhatRanThere(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dying := &http.Server{Handler: engine(func(s *sse, _ *http.Request) {
+		_ = ln.Close()
+		s.chunk(0, "abcd", "")
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = dying.Serve(ln) }()
+	b := newBench(t, nil, nil)
+	b.control.addServer(&pb.BackendServer{
+		Id: "engine-1", Kind: pb.ServerKind_SERVER_KIND_MODEL, Model: "review", Role: pb.EngineRole_ENGINE_ROLE_MIXED,
+		Incarnation: testLife, Address: ln.Addr().String(), State: pb.ServerState_SERVER_STATE_SERVING, Slots: 8,
+	})
+	b.until("the engine is known", func() bool { return b.server.core.snapshot.Load().ViewVersion == 2 })
+	b.request("POST", "/v1/completions", as("hotels"), `{"model":"eligibility","prompt":"x","max_tokens":12,"stream":true}`)
+	b.until("the death is reported", func() bool { return len(b.control.deaths()) > 0 })
+	if d := b.control.deaths()[0]; d.Server != "engine-1" || len(d.Suspects) != 1 || d.Suspects[0].Member != "hotels" {
+		t.Fatalf("death %v", d)
+	}
+}
+
 // A caller goes away in the middle of its answer. Without a cancel the engine
 // would spend its time on tokens that nobody reads.
 func TestGoneCallersStreamIsCancelled(t *testing.T) {
