--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
@@ -30,6 +31,9 @@
 		s = q.prefill
 	}
 	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
+	if ev.Outcome != outcome.NotRun && q.reconnects == 0 && ev.Took >= longAnswerless {
+		q.reached = true
+	}
 	if ev.ServerDied {
 		r.serverDied(s, q, ev)
 	}
@@ -108,12 +112,40 @@
 	r.waitAgain(q)
 }
 
-// waitAgain puts accepted work back into the queue. Work that has begun is held
-// until a server takes it, since its caller holds a part of the answer; other
-// work until it can't be finished in time any more.
+// waitAgain lets accepted work wait for another place. Work that has begun is
+// held until a server takes it, since its caller holds a part of the answer;
+// other work until it can't be finished in time any more.
 func (r *Reducer) waitAgain(q *request) {
 	q.work.Resumed = q.mayHaveRun && q.repeat == RepeatResumable
 	q.work.FirstTokenBy = q.work.FinishBy
-	q.waitsSince = r.now
+	q.notBefore = max(q.notBefore, r.now+r.suspects.stagger(q))
+	q.waitsSince = max(r.now, q.notBefore)
+	if q.notBefore > r.now || r.suspects.onProbation(q) {
+		r.held = append(r.held, q)
+		return
+	}
 	r.decide.queue.Push(q.work)
 }
+
+// startHeld dispatches held work whose time has come. It stays out of the
+// queue, where it would stand in the way of its member's other work.
+func (r *Reducer) startHeld() {
+	r.held = slices.DeleteFunc(r.held, func(q *request) bool {
+		if r.requests[q.work.RequestID] != q {
+			return true
+		}
+		if r.now < q.notBefore {
+			return false
+		}
+		if !r.suspects.onProbation(q) {
+			r.decide.queue.Push(q.work)
+			return true
+		}
+		choice, fits := r.place(&q.work)
+		if fits {
+			r.decide.picker.Sent(r.now, &q.work, choice)
+			r.dispatch(q, r.servers.byID[choice.Server.ID], choice, false)
+		}
+		return fits
+	})
+}
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -138,6 +138,11 @@
 	return w.step(ev)
 }
 
+// began lets the server show that it has begun the attempt.
+func (w *world) began(d Dispatch) {
+	w.step(AttemptProgress{RequestID: d.RequestID, Attempt: d.Attempt})
+}
+
 func died(ev *AttemptEnded) { ev.ServerDied = true }
 
 // fataler is a test or a rapid check.
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -48,8 +48,10 @@
 	suspects suspectTable
 	// condemned waits for control before its final answer.
 	condemned []*request
-	report    reportBuffer
-	leaving   bool
+	// held is accepted work that does not wait in the queue.
+	held    []*request
+	report  reportBuffer
+	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
 	// dirty asks for a new snapshot at the end of the step.
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -40,6 +40,10 @@
 	got  int
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
+	// reached is set once the server has begun this attempt, or was known to be
+	// alive just before. Without it the request may have been sent to a server
+	// that was dead already, and did not kill it.
+	reached bool
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
 	// notBefore holds a retry back; waitsSince is when it began to wait.
@@ -119,6 +123,7 @@
 
 // startWaiting dispatches what waits and finds a place.
 func (r *Reducer) startWaiting() {
+	r.startHeld()
 	for {
 		var choice placement.Choice
 		w, ok := r.decide.queue.Pop(r.now, func(w *decision.Work) bool {
@@ -137,9 +142,6 @@
 
 func (r *Reducer) place(w *decision.Work) (placement.Choice, bool) {
 	q := r.requests[w.RequestID]
-	if r.now < q.notBefore {
-		return placement.Choice{}, false
-	}
 	fleet := r.fleet(q)
 	return r.decide.picker.Pick(r.now, w, &fleet)
 }
@@ -150,6 +152,7 @@
 	q.got = 0
 	if !reconnect {
 		q.engineAttempt = q.attempt
+		q.reached = s.ownState != "" && r.now-s.ownAt <= aliveFor
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -186,7 +189,7 @@
 	if q == nil || q.attempt != ev.Attempt || q.server == nil {
 		return
 	}
-	q.mayHaveRun = true
+	q.mayHaveRun, q.reached = true, true
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
@@ -239,19 +242,22 @@
 	}
 	if r.now-r.lastExpiry >= second {
 		r.lastExpiry = r.now
-		r.expireResumed()
+		r.expireHeld()
 	}
 }
 
-// expireResumed ends accepted work that found no server for as long again as
-// its profile allows. The queue keeps such work without end, since its caller
-// holds a part of the answer; but a caller whose connection is gone unnoticed
-// would leave it here for ever.
-func (r *Reducer) expireResumed() {
+// expireHeld ends accepted work that waits outside of the queue or that the
+// queue keeps without end. Work whose caller holds a part of the answer may wait
+// for as long again as its profile allows, and no longer: a caller whose
+// connection is gone unnoticed would leave it here for ever.
+func (r *Reducer) expireHeld() {
 	for _, id := range sortedKeys(r.requests) {
 		q := r.requests[id]
-		allowed := max(q.work.FinishBy-q.work.Arrived, minResumedWait)
-		if q.server == nil && q.work.Resumed && r.now >= max(q.work.FinishBy, q.waitsSince)+allowed {
+		end := q.work.FinishBy
+		if q.work.Resumed {
+			end = max(end, q.waitsSince) + max(end-q.work.Arrived, minResumedWait)
+		}
+		if q.server == nil && r.now >= end {
 			r.refuse(q, refuseLate(q))
 		}
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -235,6 +235,7 @@
 		usable := s.mayTakeWork(r.now, r.stale()) && r.suspects.apart(r, q, s)
 		f.Servers = append(f.Servers, r.decisionServer(s, usable))
 	}
+	r.suspects.spread(r, q, &f)
 	return f
 }
 
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,8 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -21,11 +25,23 @@
 	// taken for guilty.
 	freshGuilt = 2
 	lateGuilt  = 1
+	// aliveFor is how shortly before a request was sent its server must have
+	// given a sign of life for an answerless end to count as the request's doing.
+	aliveFor = 250 * time.Millisecond
+	// longAnswerless: a server that is dead already closes a connection, or has
+	// something in between close it, in a few milliseconds. One that kept the
+	// request for longer had begun with it.
+	longAnswerless = 10 * time.Millisecond
 	// guiltPerDeath is how much guilt makes one death towards control.
 	guiltPerDeath = 2
 	// apartFor is how long a suspect waits for a server of its own, and others
 	// wait for servers without a suspect, before they share one.
 	apartFor = 2 * time.Second
+	// staggerFor spreads the next runs of suspects over time. All entries choose
+	// for themselves: without it the suspects of one death, at several entries,
+	// start again together, and the guilty one meets the same innocent ones on
+	// the next server within milliseconds.
+	staggerFor = 500 * time.Millisecond
 	// condemnedFor bounds how long the final answer waits until control has
 	// told all entries: the caller may send the request again to another one
 	// in the same millisecond.
@@ -81,12 +97,12 @@
 		t.order = append(t.order, q.key())
 	}
 	guilt := freshGuilt
-	if q.got >= probationTokens {
+	if q.got >= probationTokens || !q.reached {
 		guilt = lateGuilt
 	}
 	before := s.guilt / guiltPerDeath
 	s.guilt += guilt
-	s.at, s.cleared = now, false
+	s.at, s.cleared = now, guilt == lateGuilt
 	return s.guilt/guiltPerDeath > before
 }
 
@@ -134,6 +150,37 @@
 	return true
 }
 
+// stagger gives how long a suspect waits before its next run.
+func (t *suspectTable) stagger(q *request) time.Duration {
+	if !t.onProbation(q) {
+		return 0
+	}
+	return time.Duration(suspectHash(q, "") % uint64(staggerFor))
+}
+
+// spread leaves a suspect one server that its hash chooses, while it waits
+// patiently: the cheapest server would be the same for the suspects of all
+// entries.
+func (t *suspectTable) spread(r *Reducer, q *request, f *decision.Fleet) {
+	if !t.onProbation(q) || r.now-q.waitsSince >= apartFor {
+		return
+	}
+	best, highest := -1, uint64(0)
+	for i := range f.Servers {
+		s := &f.Servers[i]
+		if h := suspectHash(q, s.ID); s.Serves(&q.work) && (best < 0 || h > highest) {
+			best, highest = i, h
+		}
+	}
+	for i := range f.Servers {
+		f.Servers[i].Usable = f.Servers[i].Usable && i == best
+	}
+}
+
+func suspectHash(q *request, server string) uint64 {
+	return xxhash.Sum64String(server + "/" + q.work.Member + "/" + strconv.FormatUint(q.fingerprint+uint64(q.attempts), 16))
+}
+
 // quarantined tells whether the request gets no more runs.
 func (r *Reducer) quarantined(q *request) bool {
 	if r.view.quarantine[q.key()] {
