--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -53,13 +53,13 @@
 func (h *memberHistory) current() *pb.Membership { return h.last().membership }
 
 // at gives the list in force at a log index.
-func (h *memberHistory) at(index uint64) *pb.Membership {
+func (h *memberHistory) at(index uint64) memberList {
 	for i := len(h.lists) - 1; i > 0; i-- {
 		if h.lists[i].index <= index {
-			return h.lists[i].membership
+			return h.lists[i]
 		}
 	}
-	return h.lists[0].membership
+	return h.lists[0]
 }
 
 func (h *memberHistory) add(index uint64, m *pb.Membership) {
@@ -183,7 +183,7 @@
 }
 
 // CommittedMembership is the latest member list that is known to be committed.
-func (n *Node) CommittedMembership() *pb.Membership { return n.members.at(n.log.commit) }
+func (n *Node) CommittedMembership() *pb.Membership { return n.members.at(n.log.commit).membership }
 
 // IsRemoved tells whether the committed member list has removed that identity;
 // the host then answers it with StepResponse.removed.
@@ -228,7 +228,12 @@
 	if n.role == leader {
 		n.syncProgress()
 	}
-	n.emit(MembershipChanged{Membership: n.members.current()})
+	n.emitMembers()
+}
+
+func (n *Node) emitMembers() {
+	n.announcedList = n.members.at(n.log.commit).index
+	n.emit(MembershipChanged{Membership: n.members.current(), Committed: n.CommittedMembership()})
 }
 
 // settleMembers makes a learner a voter once it has synced everything that is
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -44,7 +44,7 @@
 	term, _ := n.log.term(n.log.applied)
 	n.emit(TakeSnapshot{Meta: &pb.SnapshotMeta{
 		Index: n.log.applied, Term: term,
-		Membership: cloneMembership(n.members.at(n.log.applied)),
+		Membership: cloneMembership(n.members.at(n.log.applied).membership),
 	}})
 }
 
--- /dev/null
+++ b/internal/decision/admission/estimate.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/queue"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+)
+
+// estimate is what a request has to expect.
+type estimate struct {
+	wait      time.Duration // until a server starts on it
+	prefill   time.Duration // its own prefill
+	decode    time.Duration // its own decode
+	overShare bool
+	share     float64
+}
+
+func (e *estimate) figures() []decision.Figure {
+	return []decision.Figure{
+		{Name: "wait_seconds", Value: e.wait.Seconds()},
+		{Name: "prefill_seconds", Value: e.prefill.Seconds()},
+		{Name: "decode_seconds", Value: e.decode.Seconds()},
+		{Name: "member_share", Value: e.share},
+	}
+}
+
+// tokenTime is one token of a stream on a full engine (internal/enginemodel:
+// 36 ms for 32 streams). On mixed engines prefill slows it down to about twice
+// that; refusing on that would refuse work that mostly is in time.
+const tokenTime = 36 * time.Millisecond
+
+// urgentAhead is the part of the servers' prefill backlog that an urgent
+// request has to wait for: engines prefill by priority, so only other urgent
+// work stands before it.
+const urgentAhead = 0.1
+
+// plainCall is how long a call of a plain service takes, for the wait in a
+// queue before its servers.
+const plainCall = 20 * time.Millisecond
+
+func (c *Controller) estimate(now time.Duration, w *decision.Work, fleet *decision.Fleet, s *supply, queued *queue.Summary) estimate {
+	entries := float64(max(1, fleet.Entries))
+	key := queue.KeyOf(w)
+	mine := queued.Get(key)
+	key.Member = ""
+	profile := queued.Get(key)
+	key.Profile = ""
+	all := queued.Get(key)
+	share, over := c.members.share(now, w)
+	e := estimate{share: share, overShare: over}
+	if w.Kind == declaration.KindPlain {
+		perServer := entries * float64(all.Requests) / float64(s.slots)
+		e.wait = time.Duration(perServer * float64(plainCall))
+		return e
+	}
+	own := ownAhead(mine, profile, share)
+	e.wait = serverWait(w, s) + c.queueWait(now, w, s, own, others(w, own, profile, all), queued, entries)
+	e.prefill = seconds(float64(w.PromptTokens) / max(1, s.bestPrefill))
+	e.decode = time.Duration(w.OutputTokens) * tokenTime
+	return e
+}
+
+// load is tokens that wait.
+type load struct{ prefill, decode float64 }
+
+func (l load) cost() float64 { return l.prefill + decision.OutputCost*l.decode }
+
+// ownAhead is what of its profile is served before the work: under fair
+// queueing the lesser of all that waits and of its member's own work over the
+// member's share.
+func ownAhead(mine, profile queue.Totals, share float64) load {
+	return load{
+		min(float64(mine.PrefillTokens)/share, float64(profile.PrefillTokens)),
+		min(float64(mine.DecodeTokens)/share, float64(profile.DecodeTokens)),
+	}
+}
+
+// others is what of the other profiles is served meanwhile: all of it before
+// bulk work, at worst as much as its own before urgent work.
+func others(w *decision.Work, own load, profile, all queue.Totals) load {
+	rest := load{
+		float64(all.PrefillTokens - profile.PrefillTokens),
+		float64(all.DecodeTokens - profile.DecodeTokens),
+	}
+	if w.Class == declaration.ClassBulk {
+		return rest
+	}
+	return load{min(rest.prefill, own.prefill), min(rest.decode, own.decode)}
+}
+
+// serverWait is the wait behind the prefill that servers have already.
+func serverWait(w *decision.Work, s *supply) time.Duration {
+	backlog := s.prefillTokens
+	if w.Class != declaration.ClassBulk {
+		backlog *= urgentAhead
+	}
+	return seconds(backlog / max(1, s.prefillRate))
+}
+
+// queueWait is the wait in this entry's queue: what is ahead over the rate at
+// which the queue has been drained lately. Until that is known, the servers' own
+// rates stand in for it; every entry has its part of them.
+func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, queued *queue.Summary, entries float64) time.Duration {
+	if rate, ok := queued.DrainRate(now, queue.KeyOf(w)); ok {
+		return seconds(caution * own.cost() / max(1, rate))
+	}
+	prefill := (own.prefill + rest.prefill) * entries / max(1, s.prefillRate)
+	decode := (own.decode + rest.decode) * entries / max(1, s.decodeRate)
+	return seconds(caution * max(prefill, decode))
+}
+
+// caution lengthens the estimate: dossiers differ by half in size, and one that
+// is let in and then late costs more than one refused at once.
+const caution = 1.4
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- /dev/null
+++ b/internal/decision/queue/deadline.go
@@ -0,0 +1,66 @@
+package queue
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+)
+
+// Rates that a single request gets on a busy mixed engine: what latestStart
+// reckons with. They are those of internal/enginemodel under interference, so
+// that work which starts at its latest start still finishes in time.
+const (
+	busyPrefillRate  = 3400 // tokens/s
+	busyTokenTime    = 60 * time.Millisecond
+	quietTokenTime   = 21 * time.Millisecond
+	quietPrefillRate = 10000
+)
+
+// window is a time in which work must start: at its beginning the busiest engine
+// would just meet the deadline, at its end not even an idle one does.
+type window struct{ from, to time.Duration }
+
+func (w window) has(now time.Duration) bool { return w.from <= now && now <= w.to }
+
+// windows are those of both deadlines.
+func windows(w *decision.Work) (first, whole window) {
+	first = window{
+		from: w.FirstTokenBy - tokensAt(w, busyPrefillRate),
+		to:   w.FirstTokenBy - tokensAt(w, quietPrefillRate),
+	}
+	whole = window{
+		from: w.FinishBy - serviceTime(w, busyPrefillRate, busyTokenTime),
+		to:   w.FinishBy - serviceTime(w, quietPrefillRate, quietTokenTime),
+	}
+	return first, whole
+}
+
+// expiresAt is when the work can't be answered in time any more, even on an
+// idle engine. A bulk answer that is late for its first token is still of use;
+// nobody waits at the desk for an urgent one any more.
+func expiresAt(w *decision.Work) time.Duration {
+	if w.Resumed {
+		return w.FinishBy + neverExpires
+	}
+	_, whole := windows(w)
+	if w.Class == declaration.ClassBulk {
+		return whole.to
+	}
+	return min(whole.to, w.FirstTokenBy)
+}
+
+// neverExpires keeps work that was accepted before from being refused for load:
+// its caller holds a part of the answer.
+const neverExpires = 365 * 24 * time.Hour
+
+func serviceTime(w *decision.Work, prefillRate float64, tokenTime time.Duration) time.Duration {
+	if w.Kind == declaration.KindPlain {
+		return 0
+	}
+	return tokensAt(w, prefillRate) + time.Duration(w.OutputTokens)*tokenTime
+}
+
+func tokensAt(w *decision.Work, prefillRate float64) time.Duration {
+	return time.Duration(float64(w.PromptTokens) / prefillRate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/store/setaside.go
@@ -0,0 +1,45 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// SetAside moves a Corrupt folder's files into a new folder below it, where an
+// operator may look at them, and returns its path. The next Open must say Join.
+// Peers refuse the new life under the old id; the operator gives the replica a
+// new id in its settings, which Open takes as long as the folder is unused, and
+// replaces the old id by it. Errors: Failed.
+func SetAside(dir string) (string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return "", Failed.Wrap(err, "data folder")
+	}
+	aside, err := newAside(dir)
+	if err != nil {
+		return "", err
+	}
+	for _, e := range entries {
+		if e.IsDir() {
+			continue
+		}
+		if err := os.Rename(filepath.Join(dir, e.Name()), filepath.Join(aside, e.Name())); err != nil {
+			return "", Failed.Wrap(err, "set aside")
+		}
+	}
+	return aside, syncDir(dir)
+}
+
+func newAside(dir string) (string, error) {
+	for n := 1; ; n++ {
+		aside := filepath.Join(dir, fmt.Sprintf("damaged-%d", n))
+		err := os.Mkdir(aside, folderMode)
+		if err == nil {
+			return aside, nil
+		}
+		if !os.IsExist(err) {
+			return "", Failed.Wrap(err, "set aside")
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -246,6 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.takeNewID(o, r)
 	id := s.folder.Identity
 	if s.folder.ClusterId != o.Cluster || id.GetId() != o.ReplicaID {
 		return nil, Foreign.New("the folder belongs to replica %d of cluster %q", id.GetId(), s.folder.ClusterId)
@@ -261,6 +262,17 @@
 	return r, err
 }
 
+// takeNewID lets an operator change the id of a replica that waits to be added:
+// nothing was ever acknowledged from its folder.
+func (s *Store) takeNewID(o Options, r *Recovered) {
+	init := r.Initial
+	unused := init.HardState.GetTerm() == 0 && len(init.Entries) == 0 && s.snapshot == nil
+	if !unused || !r.Joined || !o.Join || s.folder.ClusterId != o.Cluster || s.folder.Identity.GetId() == o.ReplicaID {
+		return
+	}
+	s.folder.Identity = &pb.ReplicaIdentity{Id: o.ReplicaID, Incarnation: uuid.NewString()}
+}
+
 // countBoot draws this boot's nonce and syncs it before the replica says
 // anything. A folder put back from an older copy comes up with a boot that does
 // not follow the one that peers know: they refuse it (consensus.CheckPeer), so
