--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -30,6 +30,7 @@
 
 // group is what the traffic goroutines read of the control group.
 type group struct {
+	// members is the committed list.
 	members *pb.Membership
 	leader  uint64
 	leads   bool
@@ -108,7 +109,7 @@
 	case control.SendOrder:
 		l.engines.send(e)
 	case control.Members:
-		l.group.Store(&group{members: e.Membership, leader: e.Leader, leads: e.Leads})
+		l.group.Store(&group{members: e.Committed, leader: e.Leader, leads: e.Leads})
 		l.net.setMembers(e.Membership)
 		l.scope.Gauge("leads").Update(boolGauge(e.Leads))
 	case control.Fail:
