Replace a replica only when it is known to be lost

Change: only an answer that came after the command began counts as life; a client's first call to a replica ends after 400 ms and doubles from there, so that a frozen leader does not use up its successor's time.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,9 +26,12 @@
 )
 
 const (
-	// attemptTimeout bounds one call to one replica; a leader answers within
-	// two syncs and a round trip, and a silent one must not use up the time.
-	attemptTimeout = 1500 * time.Millisecond
+	// firstTimeout bounds the first call to one replica: a leader answers within
+	// two syncs and a round trip, and a frozen one must not use up the time of
+	// its successor. Each call that runs into its timeout doubles the next one's,
+	// up to lastTimeout, so that a slow disk is waited for in the end.
+	firstTimeout = 400 * time.Millisecond
+	lastTimeout  = 5 * time.Second
 	// retryPause is between rounds over replicas of which none leads: an
 	// election takes a few of them.
 	retryPause = 100 * time.Millisecond
@@ -72,11 +76,15 @@
 
 func (c *Client) call(ctx context.Context, do func(ctx context.Context, base string) error) error {
 	var last error
+	timeout := firstTimeout
 	for n := 0; ; n++ {
-		err := c.attempt(ctx, do)
+		err := c.attempt(ctx, timeout, do)
 		if err == nil {
 			return nil
 		}
+		if timedOut(err) {
+			timeout = min(2*timeout, lastTimeout)
+		}
 		if final(err) {
 			return Refused.Wrap(err, "control")
 		}
@@ -88,12 +96,19 @@
 	}
 }
 
-func (c *Client) attempt(ctx context.Context, do func(ctx context.Context, base string) error) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func (c *Client) attempt(
+	ctx context.Context, timeout time.Duration, do func(ctx context.Context, base string) error,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return do(ctx, c.auth.URL(c.next))
 }
 
+func timedOut(err error) bool {
+	t, ok := err.(twirp.Error)
+	return ok && t.Code() == twirp.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded)
+}
+
 // final tells whether asking another replica would not help.
 func final(err error) bool {
 	t, ok := err.(twirp.Error)
--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -15,6 +15,10 @@
 // promotionInterval is how often replace looks whether the new replica votes.
 const promotionInterval = 200 * time.Millisecond
 
+// deadAfter is for how long a voter must have been silent to count as lost: five
+// election timeouts by default.
+const deadAfter = 2 * time.Second
+
 // newReplicaFlags are what a replica is added with.
 type newReplicaFlags struct{ address, dataCentre, region string }
 
@@ -129,13 +133,8 @@
 }
 
 func (c *Client) member(ctx context.Context, id uint64) (*pb.ReplicaMember, error) {
-	resp, err := c.Replicas(ctx)
-	for _, r := range resp.GetReplicas() {
-		if r.GetMember().GetIdentity().GetId() == id {
-			return r.GetMember(), err
-		}
-	}
-	return nil, err
+	r, err := c.replica(ctx, id)
+	return r.GetMember(), err
 }
 
 // addReplica adds unless the replica is there: the answer to an earlier call may
@@ -216,22 +215,43 @@
 
 // removeDead removes a voter that does not answer under its old identity. One
 // that answers, or learns, is the new one of an earlier run of the command.
+//
+// Failure: the command runs right after the VM came back empty, while the leader
+// still counts the old life as active; the command would report success and
+// leave the group with a voter that can't vote. So only an answer that came
+// after the command began shows that the voter lives.
 func (c *Client) removeDead(ctx context.Context, out io.Writer, id uint64) error {
-	resp, err := c.Replicas(ctx)
-	if err != nil {
-		return err
-	}
-	for _, r := range resp.GetReplicas() {
-		m := r.GetMember()
-		if m.GetIdentity().GetId() != id {
-			continue
+	began := time.Now()
+	for {
+		r, err := c.replica(ctx, id)
+		if err != nil {
+			return err
 		}
-		if r.GetRecentlyActive() || m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_LEARNER {
+		silent := time.Duration(r.GetSilentMs()) * time.Millisecond
+		switch {
+		case r == nil || r.GetMember().GetRole() == pb.ReplicaRole_REPLICA_ROLE_LEARNER:
+			return nil
+		case r.GetLeader() || r.GetRecentlyActive() && silent < time.Since(began):
 			return nil
+		case silent > deadAfter:
+			return c.removeReplica(ctx, out, id)
+		}
+		select {
+		case <-ctx.Done():
+			return NoAnswer.New("whether replica %d lives is not known; run the command again", id)
+		case <-time.After(promotionInterval):
 		}
-		return c.removeReplica(ctx, out, id)
 	}
-	return nil
+}
+
+func (c *Client) replica(ctx context.Context, id uint64) (*pb.ReplicaStatus, error) {
+	resp, err := c.Replicas(ctx)
+	for _, r := range resp.GetReplicas() {
+		if r.GetMember().GetIdentity().GetId() == id {
+			return r, err
+		}
+	}
+	return nil, err
 }
 
 func (c *Client) waitVoter(ctx context.Context, id uint64) error {
