--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -38,6 +38,7 @@
 		r.serverDied(s, q, ev)
 	}
 	q.done += ev.Tokens
+	q.here += ev.Tokens
 	q.got = 0
 	r.detach(q)
 	r.decide.observe(r.now, s, ev)
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -36,8 +36,10 @@
 	server  *server
 	prefill *server
 	// done is how many tokens earlier attempts gave, got those of this one.
+	// here is how many this server gave before a fresh connection to it.
 	done int
 	got  int
+	here int
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
 	// reached is set once the server has begun this attempt, or was known to be
@@ -152,6 +154,7 @@
 	q.got = 0
 	if !reconnect {
 		q.engineAttempt = q.attempt
+		q.here = 0
 		q.reached = s.ownState != "" && r.now-s.ownAt <= aliveFor
 	}
 	q.server = s
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -97,7 +97,7 @@
 		t.order = append(t.order, q.key())
 	}
 	guilt := freshGuilt
-	if q.got >= probationTokens || !q.reached {
+	if q.here+q.got >= probationTokens || !q.reached {
 		guilt = lateGuilt
 	}
 	before := s.guilt / guiltPerDeath
@@ -109,7 +109,7 @@
 // progressed gives true when a suspect has just made enough progress.
 func (t *suspectTable) progressed(q *request) bool {
 	s := t.byKey[q.key()]
-	if s == nil || s.cleared || q.got < probationTokens {
+	if s == nil || s.cleared || q.here+q.got < probationTokens {
 		return false
 	}
 	s.cleared = true
