--- a/internal/entry/reducer_test.go
+++ b/internal/entry/reducer_test.go
@@ -142,6 +142,37 @@
 	w.dispatched()
 }
 
+// Two requests ran on an engine when it died, and one engine is left. Run there
+// together, its death would not tell which of them did it, and both would be
+// refused for good. The second one waits until the first has shown progress.
+func TestSuspectsNeverShareAServer(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	w.arrive("r1")
+	first := w.dispatched()
+	w.arrive("other-2")
+	other := w.dispatched()
+	w.began(first)
+	w.began(other)
+	w.view(serving(2)...)
+	w.ended(first, died)
+	w.ended(other, died)
+	for range 3 {
+		w.after(staggerFor)
+		w.renew()
+		if runs := len(w.r.servers.byID["engine-1"].running); runs != 1 {
+			t.Fatalf("%d suspects run on the engine that is left", runs)
+		}
+	}
+	id := w.r.servers.byID["engine-1"].running[0]
+	w.step(AttemptProgress{RequestID: id, Attempt: w.r.requests[id].attempt, Tokens: probationTokens})
+	w.after(apartFor)
+	w.renew()
+	if runs := len(w.r.servers.byID["engine-1"].running); runs != 2 {
+		t.Fatalf("%d requests run after the first has shown progress", runs)
+	}
+}
+
 // An engine has died, which this entry does not know yet: it sends requests to
 // it, and something in between opens the connections and closes them. These
 // requests never ran there and must not be taken for what killed it.
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -155,7 +155,7 @@
 	if !reconnect {
 		q.engineAttempt = q.attempt
 		q.here = 0
-		q.reached = s.ownState != "" && r.now-s.ownAt <= aliveFor
+		q.reached = s.aliveAt > 0 && r.now-s.aliveAt <= aliveFor
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -193,6 +193,7 @@
 		return
 	}
 	q.mayHaveRun, q.reached = true, true
+	q.server.aliveAt = r.now
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -25,6 +25,8 @@
 // and its own word from announcements, answers and probes.
 type server struct {
 	pb *pb.BackendServer
+	// aliveAt is when it last showed any sign of life.
+	aliveAt time.Duration
 	// ownState is its own last word in this incarnation, ownAt when it came.
 	ownState engineapi.State
 	ownAt    time.Duration
@@ -34,7 +36,7 @@
 	reportedAt time.Duration
 	failures   int
 	coolUntil  time.Duration
-	// died is set once this life was reported dead.
+	// died is set once this life was reported dead, until it shows otherwise.
 	died bool
 	// running holds the ids of the requests that this entry has there.
 	running []string
@@ -115,12 +117,12 @@
 // began to leave may come after the word of leaving: leaving is never taken
 // back within an incarnation.
 func (s *server) hear(state engineapi.State, now time.Duration) {
-	s.ownState, s.ownAt = state, now
+	s.ownState, s.ownAt, s.aliveAt = state, now, now
 	if state == engineapi.StateLeaving {
 		s.leaving = true
 	}
 	if state == engineapi.StateServing {
-		s.failures, s.coolUntil = 0, 0
+		s.failures, s.coolUntil, s.died = 0, 0, false
 	}
 }
 
@@ -151,7 +153,7 @@
 // server leaves (the entry may be cut off from control), so that then only a
 // server counts that has said within confirmFor that it serves.
 func (s *server) mayTakeWork(now time.Duration, stale bool) bool {
-	if s.leaving || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
+	if s.leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
 		return false
 	}
 	if s.ownState == engineapi.StateChanging || now < s.coolUntil {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -31,7 +31,7 @@
 	// longAnswerless: a server that is dead already closes a connection, or has
 	// something in between close it, in a few milliseconds. One that kept the
 	// request for longer had begun with it.
-	longAnswerless = 10 * time.Millisecond
+	longAnswerless = 5 * time.Millisecond
 	// guiltPerDeath is how much guilt makes one death towards control.
 	guiltPerDeath = 2
 	// apartFor is how long a suspect waits for a server of its own, and others
--- a/internal/traffic/stream_test.go
+++ b/internal/traffic/stream_test.go
@@ -202,20 +202,18 @@
 // request that is kept past its handler turns into the next member's: when the
 // first member resumes its stream, it would get an answer to the other's prompt.
 func TestKeptRequestIsNotOverwritten(t *testing.T) {
-	release := make(chan struct{})
 	b := newBench(t, engine(func(s *sse, _ *http.Request) {
-		s.chunk(0, "a", "")
-		<-release
+		s.chunk(0, wholeText, "length")
+		s.done()
 	}), nil)
-	defer close(release)
 	body := `{"model":"eligibility","prompt":"of the member %s","max_tokens":12,"stream":true}`
 	for i := range 20 {
 		id := fmt.Sprintf("mine-%04d", i)
-		b.request("POST", "/v1/completions", as("hotels").with(outcome.HeaderRequestID, id), fmt.Sprintf(body, "AAAAAA"))
+		b.do("POST", "/v1/completions", as("hotels").with(outcome.HeaderRequestID, id), fmt.Sprintf(body, "AAAAAA"))
 	}
 	for i := range 40 {
 		id := fmt.Sprintf("not-%05d", i)
-		b.do("POST", "/v1/completions", as("importers").with(outcome.HeaderRequestID, id), fmt.Sprintf(body, strings.Repeat("B", 6))[:60])
+		b.do("POST", "/v1/completions", as("importers").with(outcome.HeaderRequestID, id), fmt.Sprintf(body, "BBBBBB"))
 	}
 	for i := range 20 {
 		r := b.server.records.lookup("hotels", fmt.Sprintf("mine-%04d", i))
