--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -54,6 +55,8 @@
 	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
+	// sharedFleet is the fleet of this step, nil when it must be made anew.
+	sharedFleet *decision.Fleet
 	// dirty asks for a new snapshot at the end of the step.
 	dirty       bool
 	lastProbe   time.Duration
@@ -79,6 +82,7 @@
 func (r *Reducer) Step(now time.Duration, ev Event) []Effect {
 	r.now = now
 	r.effects = nil
+	r.sharedFleet = nil
 	switch ev := ev.(type) {
 	case Tick:
 		r.tick()
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -229,15 +229,31 @@
 	}
 }
 
-// fleet gives the servers as the decisions see them, for one request.
+// fleet gives the servers as the decisions see them, for one request. While
+// there are no suspects it is the same for all and made once per step and
+// dispatch: with thousands of servers and a full queue it is the largest cost
+// of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
+	if len(r.suspects.byKey) > 0 {
+		f := r.newFleet(func(s *server) bool { return r.suspects.apart(r, q, s) })
+		r.suspects.spread(r, q, &f)
+		return f
+	}
+	if r.sharedFleet == nil {
+		f := r.newFleet(func(*server) bool { return true })
+		r.sharedFleet = &f
+	}
+	return *r.sharedFleet
+}
+
+func (r *Reducer) newFleet(allowed func(*server) bool) decision.Fleet {
 	f := decision.Fleet{DataCentre: r.cfg.Identity.DataCentre, Entries: max(1, len(r.view.entries))}
 	f.Servers = make([]decision.Server, 0, len(r.servers.sorted))
+	stale := r.stale()
 	for _, s := range r.servers.sorted {
-		usable := s.mayTakeWork(r.now, r.stale()) && r.suspects.apart(r, q, s)
+		usable := s.mayTakeWork(r.now, stale) && allowed(s)
 		f.Servers = append(f.Servers, r.decisionServer(s, usable))
 	}
-	r.suspects.spread(r, q, &f)
 	return f
 }
 
