Leave a frozen leader out while its successor is elected

Cause: after a leader's freeze goldcrestctl went back to it as often as the followers named it, p50 1.31 s, max 2.94 s of 25 to the next accepted change. Change: a replica that has just run into a timeout is left out for twice as long.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -37,7 +37,7 @@
 	retryPause = 100 * time.Millisecond
 )
 
-// Client calls the leader of the control group.
+// Client calls the leader of the control group. It is not safe for concurrent use.
 type Client struct {
 	cluster   string
 	addresses []string
@@ -45,6 +45,9 @@
 	http      *http.Client
 	// next is the address to try first.
 	next string
+	// frozen is the address that ran into a timeout last, until frozenUntil.
+	frozen      string
+	frozenUntil time.Time
 }
 
 // NewClient gives a client of the group at addresses.
@@ -83,6 +86,7 @@
 			return nil
 		}
 		if timedOut(err) {
+			c.frozen, c.frozenUntil = c.next, time.Now().Add(2*timeout)
 			timeout = min(2*timeout, lastTimeout)
 		}
 		if final(err) {
@@ -123,16 +127,30 @@
 	return false
 }
 
-// choose picks whom to ask next: the leader that the answer names, once, or the
-// next replica in turn.
+// choose picks whom to ask next: the leader that the answer names, or the next
+// replica in turn.
+//
+// Failure: a leader freezes, and the others go on naming it until they have
+// elected the next one. A client that goes back each time waits out one timeout
+// after the other. So one that has just run into its timeout is left out for
+// twice as long, unless there is no other.
 func (c *Client) choose(err error, n int) {
 	if t, ok := err.(twirp.Error); ok {
-		if leader := t.Meta("leader"); leader != "" && leader != c.next {
+		if leader := t.Meta("leader"); leader != "" && leader != c.next && !c.isFrozen(leader) {
 			c.next = leader
 			return
 		}
 	}
-	c.next = c.addresses[n%len(c.addresses)]
+	for i := range c.addresses {
+		c.next = c.addresses[(n+i)%len(c.addresses)]
+		if !c.isFrozen(c.next) {
+			return
+		}
+	}
+}
+
+func (c *Client) isFrozen(address string) bool {
+	return address == c.frozen && time.Now().Before(c.frozenUntil)
 }
 
 // pause waits a little after each round; false when ctx has ended.
