Demand that callers notice nothing but a pause; send stream heads at once

Cause: the stand-in held the head of a stream back until its first token, so that an entry could not tell a request that an engine began from one that it never saw, and a crashing request killed a third engine. Engines send the head when they accept. Change: the head is flushed; proofs of planned stops, engine faults, silent connections, leader kills and role changes now fail when any caller has to resume.

--- a/internal/proof/crash_test.go
+++ b/internal/proof/crash_test.go
@@ -38,7 +38,7 @@
 // the engine would have given.
 func TestEngineKilledMidStream(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			busiest(t, tr, tr.Bed.Engines).Kill()
 		})
@@ -77,7 +77,7 @@
 // The streams go on elsewhere; when it thaws, its late tokens go nowhere.
 func TestEngineFrozenAndThawed(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			engine := busiest(t, tr, tr.Bed.Engines)
 			engine.Signal(syscall.SIGSTOP)
@@ -93,7 +93,7 @@
 func TestOpenConnectionsGoSilent(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, _ *Trial, seed uint64) {
 		tr := NewTrial(forwardedBed(t, ctx), seed, defaultPatience)
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			for _, f := range tr.Bed.Forwarders {
 				f.SilenceOpen()
@@ -107,7 +107,7 @@
 // leader and still run once.
 func TestControlLeaderKilled(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			leader, err := tr.Bed.Leader(ctx)
 			if err != nil {
--- a/internal/proof/fixture_test.go
+++ b/internal/proof/fixture_test.go
@@ -139,6 +139,19 @@
 	return out
 }
 
+// runUnnoticed is run for faults that callers may see as a pause only: none has
+// to resume its stream.
+func runUnnoticed(t *testing.T, ctx context.Context, tr *Trial, l Load, faults func(context.Context)) *Outcome {
+	t.Helper()
+	out := run(t, ctx, tr, l, faults)
+	for _, d := range out.Done {
+		if d.Result.Resumes > 0 {
+			t.Errorf("%s %s: its caller had to resume it %d times: %v", d.Class, d.Mark, d.Result.Resumes, d.Result.Err)
+		}
+	}
+	return out
+}
+
 // check fails the test on every broken promise.
 func check(t *testing.T, out *Outcome) {
 	t.Helper()
--- a/internal/proof/orders_test.go
+++ b/internal/proof/orders_test.go
@@ -16,7 +16,7 @@
 // second and cuts nobody's answer.
 func TestRoleChangeUnderLoadCutsNoStream(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		out := run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		out := runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			engine := busiest(t, tr, tr.Bed.Engines).Name
 			for _, role := range []string{"decode", "mixed"} {
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -26,7 +26,7 @@
 // there. Each gets the rest; callers with an old list of entries are served.
 func TestPlannedStopOfAnEntryCutsNothing(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			stop(t, tr.Bed.Entries[0])
 		})
@@ -38,7 +38,7 @@
 // sends it new work.
 func TestPlannedStopOfAnEngineCutsNothing(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		out := run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
+		out := runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
 			pauseFor(ctx, faultAt)
 			stop(t, busiest(t, tr, tr.Bed.Engines))
 		})
--- a/internal/proof/trial.go
+++ b/internal/proof/trial.go
@@ -48,7 +48,12 @@
 // longTokens makes streams last long enough for a fault to meet them.
 const longTokens = 400
 
-const defaultPatience = 40 * time.Second
+const (
+	defaultPatience = 40 * time.Second
+	// callerStall is far above what any fault may cost, so that a busy machine
+	// does not make callers resume streams that live.
+	callerStall = 12 * time.Second
+)
 
 func (l Load) workload() *workload.Workload {
 	w := &workload.Workload{Seed: l.Seed, Duration: l.Duration, MaxRequests: 2000, Patience: l.Patience}
@@ -90,6 +95,7 @@
 		t.Callers[member] = caller.New(caller.Config{
 			Seeds: bed.EntryAddresses(), DataCentre: bed.Entries[i*len(bed.Entries)/len(Members)].DataCentre,
 			Member: member, Token: testbed.Token(Deployment, member), Patience: patience, Seed: seed + uint64(i),
+			Stall: callerStall,
 		})
 	}
 	return t
--- a/internal/standin/server/completions.go
+++ b/internal/standin/server/completions.go
@@ -117,6 +117,10 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	out := &eventWriter{w: w, flush: http.NewResponseController(w), key: st.key, offset: from}
+	// The head goes out at once, as engines send it when a request is accepted.
+	if out.flush.Flush() != nil {
+		return
+	}
 	time.Sleep(late(st.request.Prompt))
 	heartbeat := time.NewTicker(heartbeatEvery)
 	defer heartbeat.Stop()
