Count a request sent to a dead server as a quarter of a death

Cause: an innocent request with progress was sent to two more servers that were dead already and counted as guilty; the final answer came 15 ms before another entry knew of the quarantine.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -42,9 +42,8 @@
 	here int
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
-	// reached is set once the server has begun this attempt, or was known to be
-	// alive just before. Without it the request may have been sent to a server
-	// that was dead already, and did not kill it.
+	// reached is set once the server has shown that it has this attempt. Without
+	// it the request may have been sent to a server that was dead already.
 	reached bool
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
@@ -54,6 +53,7 @@
 	// condemnedUntil is when a request that crashed servers gets its final
 	// answer at the latest.
 	condemnedUntil time.Duration
+	condemnedKnown bool
 }
 
 func (q *request) prefillLeft() int {
@@ -156,7 +156,7 @@
 	if !reconnect {
 		q.engineAttempt = q.attempt
 		q.here = 0
-		q.reached = s.aliveAt > 0 && r.now-s.aliveAt <= aliveFor
+		q.reached = false
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -195,7 +195,6 @@
 		return
 	}
 	q.mayHaveRun, q.reached = true, true
-	q.server.aliveAt = r.now
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -25,8 +25,6 @@
 // and its own word from announcements, answers and probes.
 type server struct {
 	pb *pb.BackendServer
-	// aliveAt is when it last showed any sign of life.
-	aliveAt time.Duration
 	// ownState is its own last word in this incarnation, ownAt when it came.
 	ownState engineapi.State
 	ownAt    time.Duration
@@ -117,7 +115,7 @@
 // began to leave may come after the word of leaving: leaving is never taken
 // back within an incarnation.
 func (s *server) hear(state engineapi.State, now time.Duration) {
-	s.ownState, s.ownAt, s.aliveAt = state, now, now
+	s.ownState, s.ownAt = state, now
 	if state == engineapi.StateLeaving {
 		s.leaving = true
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -18,22 +18,21 @@
 	// look innocent of its death: a request that crashes servers does so as it
 	// starts, or again and again at the same place of its answer.
 	probationTokens = 8
-	// freshGuilt and lateGuilt are what a death adds for a request without and
-	// with that progress; they count in halves of a death. The late half keeps
-	// a request that crashes servers only after many tokens from going on for
-	// ever, while a dossier whose servers die of something else twice is not
-	// taken for guilty.
-	freshGuilt = 2
-	lateGuilt  = 1
-	// aliveFor is how shortly before a request was sent its server must have
-	// given a sign of life for an answerless end to count as the request's doing.
-	aliveFor = 250 * time.Millisecond
+	// freshGuilt, lateGuilt and doubtGuilt are what a death adds for a request
+	// that began there without progress, for one with progress, and for one of
+	// which it is not known that the server was still alive. They count in
+	// quarters of a death. The lesser ones keep a request that crashes servers
+	// late, or at once, from going on for ever, while a dossier whose servers
+	// die of something else several times is not taken for guilty.
+	freshGuilt = 4
+	lateGuilt  = 2
+	doubtGuilt = 1
+	// guiltPerDeath is how much guilt makes one death towards control.
+	guiltPerDeath = 4
 	// longAnswerless: a server that is dead already closes a connection, or has
 	// something in between close it, in a few milliseconds. One that kept the
 	// request for longer had begun with it.
 	longAnswerless = 5 * time.Millisecond
-	// guiltPerDeath is how much guilt makes one death towards control.
-	guiltPerDeath = 2
 	// apartFor is how long a suspect waits for a server of its own, and others
 	// wait for servers without a suspect, before they share one.
 	apartFor = 2 * time.Second
@@ -46,13 +45,16 @@
 	// told all entries: the caller may send the request again to another one
 	// in the same millisecond.
 	condemnedFor = 300 * time.Millisecond
+	// viewSpread is how much later other entries may learn what this one has
+	// just learned from control.
+	viewSpread = 100 * time.Millisecond
 	// maxSuspects bounds the table; the oldest goes first.
 	maxSuspects = 4096
 )
 
 // suspect is a request that ran on a server when it died.
 type suspect struct {
-	// guilt counts deaths in halves.
+	// guilt counts deaths in quarters.
 	guilt int
 	at    time.Duration
 	// cleared is set once it made progress again.
@@ -96,16 +98,24 @@
 		t.byKey[q.key()] = s
 		t.order = append(t.order, q.key())
 	}
-	guilt := freshGuilt
-	if q.here+q.got >= probationTokens || !q.reached {
-		guilt = lateGuilt
-	}
+	guilt := q.guilt()
 	before := s.guilt / guiltPerDeath
 	s.guilt += guilt
-	s.at, s.cleared = now, guilt == lateGuilt
+	s.at, s.cleared = now, guilt != freshGuilt
 	return s.guilt/guiltPerDeath > before
 }
 
+func (q *request) guilt() int {
+	switch {
+	case !q.reached:
+		return doubtGuilt
+	case q.here+q.got >= probationTokens:
+		return lateGuilt
+	default:
+		return freshGuilt
+	}
+}
+
 // progressed gives true when a suspect has just made enough progress.
 func (t *suspectTable) progressed(q *request) bool {
 	s := t.byKey[q.key()]
@@ -223,21 +233,22 @@
 
 // condemn holds a request's final answer until control has told all entries.
 func (r *Reducer) condemn(q *request) {
-	if r.view.quarantine[q.key()] {
-		r.refuse(q, refuseQuarantined(q))
-		return
-	}
 	q.condemnedUntil = r.now + condemnedFor
 	r.condemned = append(r.condemned, q)
 }
 
-// refuseCondemned gives the final answers that need not wait any longer.
+// refuseCondemned gives the final answers that need not wait any longer: control
+// has the quarantine and other entries have had the time to learn it.
 func (r *Reducer) refuseCondemned() {
 	r.condemned = slices.DeleteFunc(r.condemned, func(q *request) bool {
 		if r.requests[q.work.RequestID] != q {
 			return true
 		}
-		if !r.view.quarantine[q.key()] && r.now < q.condemnedUntil {
+		if r.view.quarantine[q.key()] && !q.condemnedKnown {
+			q.condemnedKnown = true
+			q.condemnedUntil = min(q.condemnedUntil, r.now+viewSpread)
+		}
+		if r.now < q.condemnedUntil {
 			return false
 		}
 		r.refuse(q, refuseQuarantined(q))
