--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -29,8 +29,7 @@
 		return nil
 	}
 	return &outcome.Refusal{
-		Status: statusOf(v.Code), Code: v.Code, Message: v.Reason,
-		Outcome: outcome.NotRun, RetryAfter: v.RetryAfter,
+		Status: statusOf(v.Code), Code: v.Code, Message: v.Reason, RetryAfter: v.RetryAfter,
 	}
 }
 
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -56,11 +56,11 @@
 		r.suspects.cleared(q)
 		r.finish(q)
 	case ev.Invalid:
-		r.refuse(q, refuseInvalid(q))
+		r.refuse(q, refuseInvalid())
 	case r.quarantined(q):
 		r.condemn(q)
 	case q.attempts >= maxAttempts:
-		r.refuse(q, refuseFailed(q))
+		r.refuse(q, refuseFailed())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
 	case q.repeat == RepeatOnce:
@@ -86,7 +86,7 @@
 func (r *Reducer) retryCall(q *request, s *server) {
 	s.fail(r.now)
 	if !r.decide.admission.Retry(q.work.Profile) {
-		r.refuse(q, refuseFailed(q))
+		r.refuse(q, refuseFailed())
 		return
 	}
 	r.waitAgain(q)
--- a/internal/entry/reducer_test.go
+++ b/internal/entry/reducer_test.go
@@ -289,6 +289,20 @@
 	}
 }
 
+// A stream comes to an entry that is closing, to go on there. It has run before:
+// "not run" would be false.
+func TestResumedRequestIsNeverCalledNotRun(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(1)...)
+	w.step(Stop{})
+	resumed := w.arrival("r1", "hotels")
+	resumed.Attempt, resumed.Work.Resumed = 3, true
+	w.step(resumed)
+	if r := w.refused(); r.Code != outcome.CodeLeaving || r.Outcome != outcome.Unknown {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
 // A lost caller's work is stopped at the engine, but only after the time that
 // the caller needs to go on elsewhere.
 func TestGoneCallersWorkIsCancelled(t *testing.T) {
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -14,7 +14,8 @@
 	later = 2 * time.Second
 )
 
-// outcomeOf is what is known of a request that gets no answer.
+// outcomeOf is what is known of a request that gets no answer. Reducer.refuse
+// sets it on every refusal.
 func outcomeOf(q *request) outcome.Outcome {
 	if q.mayHaveRun {
 		return outcome.Unknown
@@ -24,64 +25,64 @@
 
 func refuseNoView() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView, Outcome: outcome.NotRun,
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView,
 		Message: "this entry has not learned its configuration yet; ask another", RetryAfter: soon,
 	}
 }
 
 func refuseStale() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView, Outcome: outcome.NotRun,
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView,
 		Message: "this entry is cut off and no backend server confirmed itself; ask another", RetryAfter: soon,
 	}
 }
 
 func refuseLeaving() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeLeaving, Outcome: outcome.NotRun,
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeLeaving,
 		Message: "this entry stops; ask another", RetryAfter: soon,
 	}
 }
 
 func refuseFull() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusTooManyRequests, Code: outcome.CodeOverloaded, Outcome: outcome.NotRun,
+		Status: http.StatusTooManyRequests, Code: outcome.CodeOverloaded,
 		Message: "this entry has as many requests as it may hold", RetryAfter: later,
 	}
 }
 
 // refuseQuarantined: 422, since sending the same content again can't help.
-func refuseQuarantined(q *request) *outcome.Refusal {
+func refuseQuarantined() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusUnprocessableEntity, Code: outcome.CodeQuarantined, Outcome: outcomeOf(q),
+		Status: http.StatusUnprocessableEntity, Code: outcome.CodeQuarantined,
 		Message: "this request has crashed the backend servers that ran it and is not run again",
 	}
 }
 
-func refuseInvalid(q *request) *outcome.Refusal {
+func refuseInvalid() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusBadRequest, Code: outcome.CodeInvalidRequest, Outcome: outcomeOf(q),
+		Status: http.StatusBadRequest, Code: outcome.CodeInvalidRequest,
 		Message: "the backend server does not take this request",
 	}
 }
 
-func refuseFailed(q *request) *outcome.Refusal {
+func refuseFailed() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusBadGateway, Code: outcome.CodeServerFailed, Outcome: outcomeOf(q),
+		Status: http.StatusBadGateway, Code: outcome.CodeServerFailed,
 		Message: "the backend servers that were tried gave no whole answer", RetryAfter: later,
 	}
 }
 
 func refuseUnknown() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusBadGateway, Code: outcome.CodeOutcomeUnknown, Outcome: outcome.Unknown,
+		Status: http.StatusBadGateway, Code: outcome.CodeOutcomeUnknown,
 		Message: "the call was sent once and no answer came; it may have run and is not sent again",
 	}
 }
 
-func refuseLate(q *request) *outcome.Refusal {
+func refuseLate() *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeDeadline, Outcome: outcomeOf(q),
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeDeadline,
 		Message: "it can't be answered before its deadline any more", RetryAfter: later,
 	}
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -108,7 +108,7 @@
 	case r.closed():
 		return refuseLeaving()
 	case r.quarantined(q):
-		return refuseQuarantined(q)
+		return refuseQuarantined()
 	case len(r.requests) >= r.cfg.MaxStreams:
 		return refuseFull()
 	}
@@ -221,7 +221,11 @@
 	r.emit(Finish{RequestID: q.work.RequestID})
 }
 
+// refuse gives the final answer. A refusal that is true of this entry's part may
+// be wrong of the whole: a resumed request has run elsewhere before, and "not
+// run" would let its caller send once more what was done already.
 func (r *Reducer) refuse(q *request, refusal *outcome.Refusal) {
+	refusal.Outcome = outcomeOf(q)
 	r.forget(q)
 	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal})
 	r.log(LogRefuse, q, "", string(refusal.Code), []Figure{
@@ -242,7 +246,7 @@
 func (r *Reducer) expireWaiting() {
 	for _, w := range r.decide.queue.Expire(r.now) {
 		if q := r.requests[w.RequestID]; q != nil {
-			r.refuse(q, refuseLate(q))
+			r.refuse(q, refuseLate())
 		}
 	}
 	if r.now-r.lastExpiry >= second {
@@ -263,7 +267,7 @@
 			end = max(end, q.waitsSince) + max(end-q.work.Arrived, minResumedWait)
 		}
 		if q.server == nil && r.now >= end {
-			r.refuse(q, refuseLate(q))
+			r.refuse(q, refuseLate())
 		}
 	}
 }
--- a/internal/entry/schedule_test.go
+++ b/internal/entry/schedule_test.go
@@ -93,6 +93,7 @@
 
 func (s *schedule) finishAttempt(d Dispatch, how int) {
 	ev := AttemptEnded{RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.Unknown}
+	ev.AtPrefill = how > 0 && d.PrefillServer != "" && d.Attempt%2 == 0
 	switch how {
 	case 0:
 		ev.Whole, ev.Outcome = true, outcome.Ran
@@ -146,6 +147,7 @@
 func (s *schedule) newView() {
 	servers := serving(scheduleServers)
 	for _, p := range servers {
+		p.Role = pb.EngineRole(rapid.IntRange(1, 3).Draw(s.rt, "role"))
 		if s.left[p.Id] || rapid.IntRange(0, 19).Draw(s.rt, "view leaves") == 0 {
 			p.State = pb.ServerState_SERVER_STATE_LEAVING
 			s.left[p.Id] = true
@@ -175,7 +177,7 @@
 	if !d.Reconnect {
 		confirmed, ok := s.confirmed[d.Server]
 		stale := s.now >= s.sentAt+1500*time.Millisecond
-		if s.left[d.Server] || (stale && (!ok || s.now-confirmed >= confirmFor)) {
+		if s.left[d.Server] || s.left[d.PrefillServer] || (stale && (!ok || s.now-confirmed >= confirmFor)) {
 			s.rt.Fatalf("new work for %s: left %v, stale %v", d.Server, s.left[d.Server], stale)
 		}
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -251,7 +251,7 @@
 		if r.now < q.condemnedUntil {
 			return false
 		}
-		r.refuse(q, refuseQuarantined(q))
+		r.refuse(q, refuseQuarantined())
 		return true
 	})
 }
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -55,6 +55,10 @@
 func (s *Server) anyPlain(c *fiber.Ctx) error {
 	name := strings.Clone(c.Params("service"))
 	k, refusal := s.readCall(c)
+	if refusal != nil && refusal.Status >= http.StatusInternalServerError && k.headers[outcome.HeaderIdempotencyKey] != "" {
+		// An earlier call under the key may have run at another entry.
+		return asUnknown(refusal)
+	}
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/traffic/resume.go
+++ b/internal/traffic/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,8 +25,27 @@
 	Stream *bool `json:"stream,omitempty"`
 }
 
-// postResume goes on with a stream that broke, at any entry.
+// postResume goes on with a stream that broke, at any entry. The request has
+// been accepted before, so that no refusal may say that it was not run.
 func (s *Server) postResume(c *fiber.Ctx) error {
+	err := s.resume(c)
+	var refusal *outcome.Refusal
+	if errors.As(err, &refusal) {
+		return asUnknown(refusal)
+	}
+	return err
+}
+
+// asUnknown gives the refusal with the outcome unknown in place of "not run".
+func asUnknown(refusal *outcome.Refusal) *outcome.Refusal {
+	r := *refusal
+	if r.Outcome == outcome.NotRun {
+		r.Outcome = outcome.Unknown
+	}
+	return &r
+}
+
+func (s *Server) resume(c *fiber.Ctx) error {
 	k, refusal := s.readCall(c)
 	if refusal != nil {
 		return refusal
