Seek another holder when one is lost; don't go back to a silent leader

Change: a failed renewal hands the whole record to another holder; a replica that gave no answer is avoided for 1 s; requests never sent are handed on as not run.

--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -229,7 +229,17 @@
 		event.Usage = &completionUsage{PromptTokens: promptTokens(j.request.Prompt), CompletionTokens: p.offset}
 		return c.JSON(event)
 	}
-	return handedOn()
+	return j.handedOn()
+}
+
+// handedOn ends a request that this entry lets go of at its stop. One that was
+// never sent to a server is told so.
+func (j *modelJob) handedOn() *outcome.Refusal {
+	refusal := handedOn()
+	if j.record.neverSent() {
+		refusal.Outcome = outcome.NotRun
+	}
+	return refusal
 }
 
 func handedOn() *outcome.Refusal {
@@ -246,7 +256,7 @@
 	select {
 	case p, ok := <-j.pieces:
 		if !ok {
-			return handedOn()
+			return j.handedOn()
 		}
 		if p.refusal != nil {
 			return p.refusal
@@ -287,7 +297,7 @@
 		select {
 		case p, ok := <-e.job.pieces:
 			if !ok {
-				return e.refusal(handedOn())
+				return e.refusal(e.job.handedOn())
 			}
 			if done, err := e.piece(p); done || err != nil {
 				return err
--- a/internal/traffic/control.go
+++ b/internal/traffic/control.go
@@ -20,6 +20,9 @@
 	metaLeader = "leader"
 	// controlPause is the wait between tries when no replica leads.
 	controlPause = 30 * time.Millisecond
+	// avoidSilent is how long a replica that gave no answer is not gone back to
+	// on another one's word: about an election.
+	avoidSilent = time.Second
 	// controlTry bounds one try of a short call. A replica whose connection has
 	// gone silent costs this much before another one is asked.
 	controlTry = 500 * time.Millisecond
@@ -34,12 +37,15 @@
 	addresses []string
 	current   string
 	clients   map[string]pb.Control
+	// silent holds when a replica last gave no answer at all.
+	silent map[string]time.Time
 }
 
 func newControlClient(auth *rpc.Auth, addresses []string) *controlClient {
 	return &controlClient{
 		auth: auth, http: auth.Client(), addresses: slices.Clone(addresses),
 		current: addresses[rand.IntN(len(addresses))], clients: make(map[string]pb.Control),
+		silent: make(map[string]time.Time),
 	}
 }
 
@@ -66,7 +72,9 @@
 }
 
 // moveOn chooses whom to ask next after address failed: the leader that it
-// named, else the next replica.
+// named, else the next replica. A leader that has gone silent is still named by
+// the others until they have elected another; going back to it would cost a
+// timeout each time and the lease with them.
 func (c *controlClient) moveOn(address string, err error) {
 	named := ""
 	var twerr twirp.Error
@@ -78,7 +86,10 @@
 	if c.current != address {
 		return
 	}
-	if named != "" && named != address {
+	if named == "" {
+		c.silent[address] = time.Now()
+	}
+	if named != "" && named != address && time.Since(c.silent[named]) > avoidSilent {
 		c.current = named
 		return
 	}
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -111,9 +111,10 @@
 // renew tells holders how far streams have got, in batches.
 func (p *peers) renew(ctx context.Context, store *recordStore) {
 	for pause(ctx, renewTick) {
-		byHolder := make(map[string][]*pb.StreamRecord)
+		byHolder := make(map[string][]*streamRecord)
 		for _, r := range store.sweep(time.Now()) {
-			byHolder[r.holder] = append(byHolder[r.holder], r.copy(false))
+			holder := r.heldBy()
+			byHolder[holder] = append(byHolder[holder], r)
 		}
 		for address, records := range byHolder {
 			p.run(func() { p.renewAt(address, records) })
@@ -121,11 +122,23 @@
 	}
 }
 
-func (p *peers) renewAt(address string, records []*pb.StreamRecord) {
+// renewAt renews records at their holder. When that fails another holder is
+// sought: else the loss of holder and owner, one after the other, would lose the
+// streams.
+func (p *peers) renewAt(address string, records []*streamRecord) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTry)
 	defer cancel()
-	if err := p.remember(ctx, address, records); err != nil {
-		p.log.Warn("renewal of stream records failed", "peer", address, "records", len(records), "error", err)
+	list := make([]*pb.StreamRecord, 0, len(records))
+	for _, r := range records {
+		list = append(list, r.copy(false))
+	}
+	err := p.remember(ctx, address, list)
+	if err == nil {
+		return
+	}
+	p.log.Warn("renewal of stream records failed", "peer", address, "records", len(records), "error", err)
+	for _, r := range records {
+		p.run(func() { p.replicate(r) })
 	}
 }
 
--- a/internal/traffic/records.go
+++ b/internal/traffic/records.go
@@ -67,6 +67,26 @@
 	r.pb.Finished, r.urgent = true, true
 }
 
+// follows takes over what an earlier entry's record tells of its attempts.
+func (r *streamRecord) follows(earlier *pb.StreamRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pb.CreatedUnixMs, r.pb.Attempt = earlier.CreatedUnixMs, earlier.Attempt
+}
+
+// neverSent tells that no attempt of the request was sent, here or elsewhere.
+func (r *streamRecord) neverSent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pb.Attempt == 0
+}
+
+func (r *streamRecord) heldBy() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder
+}
+
 // copy gives the record as it is now; without the body for a renewal.
 func (r *streamRecord) copy(withBody bool) *pb.StreamRecord {
 	r.mu.Lock()
--- a/internal/traffic/resume.go
+++ b/internal/traffic/resume.go
@@ -159,7 +159,7 @@
 		return nil, invalid("offset is beyond the answer's end")
 	}
 	j := s.newModelJob(&first, req, service, record.WireId)
-	j.record.pb.CreatedUnixMs = record.CreatedUnixMs
+	j.record.follows(record)
 	j.offset, j.from, j.text = want.Offset, want.Offset, []byte(want.Text)
 	if want.Text == "" && want.Offset > 0 {
 		j.useRecordedText(record)
