--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -98,6 +98,9 @@
 	}
 	r.decide.queue.Push(q.work)
 	r.startWaiting()
+	if q.server == nil {
+		r.log(LogWait, q, "", "no server has room", []Figure{{Name: "waiting", Value: float64(r.decide.queue.Len())}})
+	}
 }
 
 // turnAway gives the refusal for a request that is not taken on, or nil.
--- a/internal/traffic/carryout.go
+++ b/internal/traffic/carryout.go
@@ -65,7 +65,7 @@
 	}
 	attrs := []slog.Attr{slog.String("kind", d.Kind), slog.String("reason", d.Reason)}
 	for _, a := range []struct{ name, value string }{
-		{"request_id", d.RequestID}, {"member", d.Member}, {"profile", d.Profile},
+		{"request_id", wireIDOf(d.RequestID)}, {"member", d.Member}, {"profile", d.Profile},
 		{"class", d.Class}, {"server", d.Server},
 	} {
 		if a.value != "" {
--- /dev/null
+++ b/internal/traffic/control_test.go
@@ -0,0 +1,86 @@
+package traffic
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// follower is a control replica that names another one as the leader.
+type follower struct {
+	pb.Control
+	leader string
+	calls  atomic.Int32
+}
+
+func (f *follower) Report(context.Context, *pb.ReportRequest) (*pb.ReportResponse, error) {
+	f.calls.Add(1)
+	return nil, twirp.NewError(twirp.Unavailable, "not the leader").WithMeta(metaLeader, f.leader)
+}
+
+// frozen takes calls and never answers.
+type frozen struct {
+	pb.Control
+	calls atomic.Int32
+}
+
+func (f *frozen) Report(ctx context.Context, _ *pb.ReportRequest) (*pb.ReportResponse, error) {
+	f.calls.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Control's leader is frozen, and the others name it until they have elected
+// another. An entry that goes back to it each time spends its whole lease on
+// timeouts, and refuses its callers.
+func TestFrozenLeaderIsNotAskedAgainAtOnce(t *testing.T) {
+	ice := &frozen{}
+	iceAt := serve(t, pb.NewControlServer(ice))
+	first, second := &follower{leader: iceAt}, &follower{leader: iceAt}
+	c := newControlClient(&rpc.Auth{}, []string{
+		iceAt, serve(t, pb.NewControlServer(first)), serve(t, pb.NewControlServer(second)),
+	})
+	c.current = iceAt
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	report := func(ctx context.Context, control pb.Control) error {
+		_, err := control.Report(ctx, &pb.ReportRequest{})
+		return err
+	}
+	for range 4 {
+		if err := c.once(ctx, 50*time.Millisecond, report); err == nil {
+			t.Fatal("an answer without a leader")
+		}
+	}
+	if n := ice.calls.Load(); n != 1 {
+		t.Fatalf("the frozen leader was asked %d times", n)
+	}
+}
+
+// A replica that does not lead names the leader: the next try goes there.
+func TestLeaderIsFollowed(t *testing.T) {
+	leader := &fakeControl{}
+	leaderAt := serve(t, pb.NewControlServer(leader))
+	behind := &follower{leader: leaderAt}
+	c := newControlClient(&rpc.Auth{}, []string{serve(t, pb.NewControlServer(behind))})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for range 2 {
+		err := c.call(ctx, patience, func(ctx context.Context, control pb.Control) error {
+			_, err := control.Report(ctx, &pb.ReportRequest{})
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if behind.calls.Load() != 1 || len(leader.reports) != 2 {
+		t.Fatalf("%d calls at the follower, %d reports", behind.calls.Load(), len(leader.reports))
+	}
+}
