--- a/internal/traffic/control.go
+++ b/internal/traffic/control.go
@@ -93,7 +93,20 @@
 		c.current = named
 		return
 	}
-	c.current = c.addresses[(slices.Index(c.addresses, address)+1)%len(c.addresses)]
+	c.current = c.after(address)
+}
+
+// after gives the next replica that has not just been silent, else the next one.
+// It must be called with mu held.
+func (c *controlClient) after(address string) string {
+	at := slices.Index(c.addresses, address)
+	for i := 1; i < len(c.addresses); i++ {
+		next := c.addresses[(at+i+len(c.addresses))%len(c.addresses)]
+		if time.Since(c.silent[next]) > avoidSilent {
+			return next
+		}
+	}
+	return c.addresses[(at+1)%len(c.addresses)]
 }
 
 // call tries fn at the leader, each time with a deadline of its own, until it
