--- a/internal/entry/reducer_test.go
+++ b/internal/entry/reducer_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -249,6 +250,43 @@
 	}
 }
 
+// A plain service has become slow and every lookup fails. With a retry for each
+// its load would double just then. The profile's budget bounds the retries, and
+// a lookup beyond it is answered at once; model work is not cut off for it but
+// waits a little.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(4)...)
+	sends, refused := 0, 0
+	const lookups = 40
+	for i := range lookups {
+		call := w.arrival(fmt.Sprintf("lookup-%d", i), "hotels")
+		call.Repeat = RepeatAllowed
+		w.step(call)
+		for list := pick[Dispatch](w.effects); len(list) == 1; list = pick[Dispatch](w.effects) {
+			sends++
+			w.ended(list[0], func(*AttemptEnded) {})
+		}
+		refused += len(pick[Refuse](w.effects))
+		w.after(second)
+		w.renew()
+		for server := range 4 {
+			w.said(server, engineapi.StateServing)
+		}
+	}
+	if refused != lookups || sends < lookups || sends >= lookups*3/2 {
+		t.Fatalf("%d sends for %d lookups, %d of them refused", sends, lookups, refused)
+	}
+	w.arrive("question")
+	w.ended(w.dispatched(), func(ev *AttemptEnded) { ev.StreamUnknown = true })
+	if len(w.effects) != 0 {
+		t.Fatalf("beyond the budget: %v", w.effects)
+	}
+	w.after(retryPause)
+	w.renew()
+	w.dispatched()
+}
+
 // A caller goes on with a stream at another entry while the first entry, which
 // has not noticed, still sends attempts. The second entry's attempts must have
 // higher numbers, or a late cancel of the first would stop them.
