--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -39,40 +39,6 @@
 	bytesPerToken = 4
 )
 
-// completionRequest is the body of POST /v1/completions.
-type completionRequest struct {
-	// Model names the service.
-	Model     string  `json:"model"`
-	Prompt    string  `json:"prompt"`
-	MaxTokens int     `json:"max_tokens"`
-	Stream    bool    `json:"stream"`
-	Seed      *uint64 `json:"seed,omitempty"`
-}
-
-// completionEvent is the data of one event of a stream, and the body of an
-// answer that is not streamed.
-type completionEvent struct {
-	ID        string             `json:"id"`
-	Object    string             `json:"object"`
-	RequestID string             `json:"request_id"`
-	Offset    int                `json:"offset"`
-	Tokens    int                `json:"tokens"`
-	Text      string             `json:"text"`
-	Choices   []completionChoice `json:"choices"`
-	Usage     *completionUsage   `json:"usage,omitempty"`
-}
-
-type completionChoice struct {
-	Index        int     `json:"index"`
-	Text         string  `json:"text"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type completionUsage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-}
-
 func (s *Server) postCompletions(c *fiber.Ctx) error {
 	k, refusal := s.readCall(c)
 	if refusal != nil {
@@ -213,7 +179,6 @@
 
 func (s *Server) answerWhole(c *fiber.Ctx, j *modelJob) error {
 	var text strings.Builder
-	start := j.from
 	for p := range j.pieces {
 		text.WriteString(p.text)
 		if !p.end {
@@ -223,11 +188,7 @@
 			return p.refusal
 		}
 		s.head(c, outcome.Ran)
-		event := j.event(p)
-		event.Text, event.Choices[0].Text = text.String(), text.String()
-		event.Tokens = p.offset - start
-		event.Usage = &completionUsage{PromptTokens: promptTokens(j.request.Prompt), CompletionTokens: p.offset}
-		return c.JSON(event)
+		return c.JSON(j.whole(p, text.String()))
 	}
 	return j.handedOn()
 }
@@ -372,16 +333,3 @@
 	}
 	return e.w.Flush()
 }
-
-func (j *modelJob) event(p piece) completionEvent {
-	_, requestID, _ := engineapi.SplitWireID(j.wireID)
-	event := completionEvent{
-		ID: "cmpl-" + requestID, Object: "text_completion", RequestID: requestID,
-		Offset: p.offset, Tokens: p.tokens, Text: p.text,
-		Choices: []completionChoice{{Text: p.text}},
-	}
-	if p.finish != "" {
-		event.Choices[0].FinishReason = &p.finish
-	}
-	return event
-}
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -55,6 +55,7 @@
 	app.Get("/v1/entries", s.getEntries)
 	app.Post(engineapi.PathAnnounce, s.postAnnounce)
 	app.Post("/v1/completions", s.postCompletions)
+	app.Post("/v1/chat/completions", s.postChat)
 	app.Post("/v1/requests/:id/resume", s.postResume)
 	app.All("/svc/:service/*", s.anyPlain)
 	app.Use(func(*fiber.Ctx) error { return notFound("there is no such path") })
--- a/internal/traffic/stream_test.go
+++ b/internal/traffic/stream_test.go
@@ -147,6 +147,27 @@
 	}
 }
 
+// The same answer in one body, as a chat in one body, and as a chat's stream.
+func TestAnswerForms(t *testing.T) {
+	b := newBench(t, engine(func(s *sse, _ *http.Request) {
+		s.chunk(0, wholeText, "length")
+		s.done()
+	}), nil)
+	for _, c := range []struct{ path, body, want string }{
+		{"/v1/completions", `"prompt":"q"`, `"choices":[{"index":0,"text":"abcdefghijkl","finish_reason":"length"}]`},
+		{"/v1/chat/completions", `"messages":[{"role":"user","content":"q"}]`, `"message":{"role":"assistant","content":"abcdefghijkl"},"finish_reason":"length"`},
+		{"/v1/chat/completions", `"stream":true,"messages":[{"role":"user","content":"q"}]`, `"delta":{"content":"abcdefghijkl"}`},
+	} {
+		a := b.do("POST", c.path, as("hotels"), `{"model":"eligibility","max_tokens":12,`+c.body+`}`)
+		if a.status != http.StatusOK || !strings.Contains(a.body, c.want) || a.outcome() != outcome.Ran {
+			t.Errorf("%s: %d %s", c.path, a.status, a.body)
+		}
+	}
+	if a := b.do("POST", "/v1/chat/completions", as("hotels"), `{"model":"eligibility"}`); a.status != http.StatusBadRequest {
+		t.Errorf("without messages: %d", a.status)
+	}
+}
+
 // A request kills the engine's process. Its connection breaks, and the next one
 // is refused: control must learn of the death and of what ran there, or the
 // request goes on to kill one engine after the other.
