--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -78,16 +78,16 @@
 // force stays then.
 func (r *Reducer) applyView(resp *pb.WatchResponse) bool {
 	v := &r.view
-	objects := nextObjects(v.objects, resp)
 	if resp.Full || len(resp.Objects) > 0 || len(resp.RemovedObjects) > 0 {
+		objects := nextObjects(v.objects, resp)
 		d, err := declaration.FromObjects(resp.Revision, sortedObjects(objects))
 		if err != nil {
 			r.logView("unreadable", resp)
 			return false
 		}
 		v.setDeclaration(d, resp.Revision)
+		v.objects = objects
 	}
-	v.objects = objects
 	r.applyEntries(resp)
 	v.applyQuarantine(resp)
 	for _, id := range r.servers.applyView(resp, r.now) {
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -193,7 +193,7 @@
 		a.ended.Outcome = outcome.Unknown
 	case stream.status == fasthttp.StatusOK:
 		return true
-	case stream.status == fasthttp.StatusConflict || stream.said.notStarted:
+	case stream.status == fasthttp.StatusConflict, stream.status == fasthttp.StatusTooManyRequests, stream.said.notStarted:
 		a.ended.Outcome = outcome.NotRun
 	case stream.status == fasthttp.StatusNotFound && a.d.Reconnect:
 		a.ended.StreamUnknown, a.ended.Outcome = true, outcome.Unknown
