--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -41,21 +41,22 @@
 
 // Server is one entry.
 type Server struct {
-	settings *settings.Entry
-	identity *pb.EntryIdentity
-	log      *slog.Logger
-	metrics  *obs.Metrics
-	auth     *rpc.Auth
-	core     *core
-	control  *controlClient
-	engines  *engineClient
-	records  *recordStore
-	peers    *peers
-	claims   *claims
-	cancels  *cancels
-	jobs     *jobs
-	app      *fiber.App
-	tasks    conc.WaitGroup
+	settings  *settings.Entry
+	identity  *pb.EntryIdentity
+	log       *slog.Logger
+	metrics   *obs.Metrics
+	auth      *rpc.Auth
+	core      *core
+	control   *controlClient
+	engines   *engineClient
+	records   *recordStore
+	peers     *peers
+	claims    *claims
+	cancels   *cancels
+	jobs      *jobs
+	decisions *decisionLog
+	app       *fiber.App
+	tasks     conc.WaitGroup
 	// background ends when the entry must let go of what still runs.
 	background context.Context
 	letGo      context.CancelFunc
@@ -103,6 +104,7 @@
 	s.engines = newEngineClient()
 	s.records = newRecordStore()
 	s.jobs = newJobs()
+	s.decisions = newDecisionLog(s.metrics.Scope)
 	s.cancels = newCancels(func(address string, req engineapi.CancelRequest) {
 		s.engines.cancel(address, req)
 	})
@@ -130,6 +132,7 @@
 	failed := make(chan error, 2)
 	var loops conc.WaitGroup
 	loops.Go(func() { s.orDie(func() { s.core.run(work) }) })
+	loops.Go(func() { s.orDie(func() { s.writeDecisions(work) }) })
 	loops.Go(func() { s.orDie(func() { s.watch(work) }) })
 	loops.Go(func() { s.orDie(func() { s.peers.renew(work, s.records) }) })
 	loops.Go(func() { s.orDie(func() { s.claims.runClaims(work, s.spawn) }) })
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -31,7 +31,7 @@
 		})
 		if err != nil {
 			s.log.Warn("watch failed", "error", err)
-			pause(ctx, controlPause)
+			pause(ctx, time.Second)
 			continue
 		}
 		s.control.learn(resp.Control)
