--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -57,12 +57,13 @@
 	fresh *fasthttp.Client
 	// pooled uses connections again: idempotent calls.
 	pooled *fasthttp.Client
-	// streams opens connections whose reads have a progress deadline.
+	// streams and rejoins open connections whose reads have a progress deadline.
 	streams *fasthttp.Client
+	rejoins *fasthttp.Client
 }
 
 func newEngineClient() *engineClient {
-	return &engineClient{fresh: newHTTPClient(), pooled: newHTTPClient(), streams: newStreamClient()}
+	return &engineClient{fresh: newHTTPClient(), pooled: newHTTPClient(), streams: newStreamClient(firstLimit), rejoins: newStreamClient(rejoinLimit)}
 }
 
 // newHTTPClient gives a client that never repeats a call by itself.
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -19,29 +19,49 @@
 // maxEventBytes bounds one event of an engine's stream.
 const maxEventBytes = 1 << 20
 
-// progressConn lets each read take progressLimit and no longer. A connection
-// can go silent for good while new ones work: without the limit the stream
-// would wait for ever, with it the entry opens a new one and goes on there.
-type progressConn struct{ net.Conn }
+const (
+	// firstLimit is how long a new stream may take to show its first sign: two
+	// heartbeats.
+	firstLimit = time.Second
+	// rejoinLimit is that for a fresh connection to a stream that runs: the
+	// engine has tokens or a heartbeat for it at once. Together with the
+	// progressLimit that went before, a caller of a frozen engine waits 2.1 s
+	// and not the 3 s after which callers give a connection up.
+	rejoinLimit = 600 * time.Millisecond
+)
 
-func (c progressConn) Read(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(progressLimit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
+// progressConn lets each read take progressLimit and no longer, the first one
+// firstRead. A connection can go silent for good while new ones work: without
+// the limit the stream would wait for ever, with it the entry opens a new one
+// and goes on there.
+type progressConn struct {
+	net.Conn
+	firstRead time.Duration
+	begun     bool
 }
 
-func dialStream(address string) (net.Conn, error) {
-	conn, err := dialServer(address)
-	if err != nil {
-		return nil, err
+func (c *progressConn) Read(p []byte) (int, error) {
+	limit := progressLimit
+	if !c.begun {
+		limit = c.firstRead
 	}
-	return progressConn{conn}, nil
+	if err := c.Conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.begun = c.begun || n > 0
+	return n, err
 }
 
-func newStreamClient() *fasthttp.Client {
+func newStreamClient(firstRead time.Duration) *fasthttp.Client {
 	c := newHTTPClient()
-	c.Dial = dialStream
+	c.Dial = func(address string) (net.Conn, error) {
+		conn, err := dialServer(address)
+		if err != nil {
+			return nil, err
+		}
+		return &progressConn{Conn: conn, firstRead: firstRead}, nil
+	}
 	c.StreamResponseBody = true
 	c.MaxResponseBodySize = 0
 	c.WriteTimeout = progressLimit
@@ -66,17 +86,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.stream(fasthttp.MethodPost, "http://"+address+engineapi.PathCompletions, body, req.RequestID, req.Attempt)
+	return stream(c.streams, fasthttp.MethodPost, "http://"+address+engineapi.PathCompletions, body, req.RequestID, req.Attempt)
 }
 
 // rejoinStream goes on with a stream that the engine runs. Errors: NotSent, Broken.
 func (c *engineClient) rejoinStream(address, wireID string, attempt uint32, from int) (*engineStream, error) {
 	query := "?attempt=" + strconv.FormatUint(uint64(attempt), 10) + "&from=" + strconv.Itoa(from)
 	uri := "http://" + address + engineapi.PathStreams + url.PathEscape(wireID) + query
-	return c.stream(fasthttp.MethodGet, uri, nil, wireID, attempt)
+	return stream(c.rejoins, fasthttp.MethodGet, uri, nil, wireID, attempt)
 }
 
-func (c *engineClient) stream(method, uri string, body []byte, wireID string, attempt uint32) (*engineStream, error) {
+func stream(client *fasthttp.Client, method, uri string, body []byte, wireID string, attempt uint32) (*engineStream, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(method)
@@ -87,7 +107,7 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	if err := c.streams.Do(req, resp); err != nil {
+	if err := client.Do(req, resp); err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, classify(err)
 	}
