Look for streams that an order cut and for callers with old lists

Change: stand-ins write down the order that cut a stream, and a test demands that no caller needs a second try.

--- a/internal/proof/orders.go
+++ b/internal/proof/orders.go
@@ -16,7 +16,8 @@
 
 // CheckOrders goes through the journals and tells of every conflicting order
 // that an engine began: another one while one was carried out, one with an older
-// token than one begun before, or the same one twice. began counts orders begun.
+// token than one begun before, or the same one twice; and of every stream that
+// an engine still ran when it began an order. began counts orders begun.
 func CheckOrders(records []journal.Record) (began int, findings []string) {
 	lives := make(map[string]*engineOrders)
 	for _, r := range records {
@@ -32,6 +33,8 @@
 		case journal.OrderBegan:
 			began++
 			findings = append(findings, e.begin(r)...)
+		case journal.Cancelled:
+			findings = append(findings, r.Server+" cut "+r.RequestID+" for an order")
 		case journal.OrderDone:
 			if e.running == r.Order.ID {
 				e.running = ""
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -33,6 +33,23 @@
 	})
 }
 
+// Members' apps keep the list of entries for as long as they were told and
+// connect to an entry that an operator has just stopped. It must serve them
+// until the last list with its address has run out: none may need a second try.
+func TestStoppingEntryServesCallersWithOldLists(t *testing.T) {
+	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
+		out := run(t, ctx, tr, Load{Seed: seed, Duration: 4 * time.Second, Lookups: 80}, func(ctx context.Context) {
+			pauseFor(ctx, faultAt)
+			stop(t, tr.Bed.Entries[0])
+		})
+		for _, d := range out.Done {
+			if d.Result.Tries > 1 {
+				t.Errorf("%s %s: %d tries, %v", d.Class, d.Mark, d.Result.Tries, d.Result.Err)
+			}
+		}
+	})
+}
+
 // An engine is withdrawn while it makes answers. It says that it leaves,
 // finishes them and stops; nobody's answer is cut, and after two seconds nobody
 // sends it new work.
--- a/internal/standin/server/completions.go
+++ b/internal/standin/server/completions.go
@@ -93,7 +93,7 @@
 	}
 	s.mu.Lock()
 	s.advance()
-	s.cutStreams("cancelled", func(k streamKey) bool {
+	s.cutStreams(nil, func(k streamKey) bool {
 		return k.requestID == req.RequestID && k.attempt <= req.Attempt
 	})
 	s.mu.Unlock()
@@ -102,12 +102,12 @@
 }
 
 // cutStreams ends the streams chosen without an end marker. It must be called
-// with mu held.
-func (s *Server) cutStreams(reason string, chosen func(streamKey) bool) {
+// with mu held. order is what cuts them, nil for a cancel.
+func (s *Server) cutStreams(order *engineapi.Order, chosen func(streamKey) bool) {
 	for id, st := range s.running {
 		if chosen(st.key) {
 			s.model.Cancel(id)
-			s.endStream(st, "", journal.Cancelled, reason)
+			s.endStream(st, "", journal.Cancelled, order)
 		}
 	}
 }
--- a/internal/standin/server/model.go
+++ b/internal/standin/server/model.go
@@ -71,11 +71,11 @@
 	if st.request.PrefillOnly {
 		finish = finishPrefilled
 	}
-	s.endStream(st, finish, journal.Finished, "")
+	s.endStream(st, finish, journal.Finished, nil)
 }
 
 // endStream must be called with mu held.
-func (s *Server) endStream(st *stream, finish string, event journal.Event, reason string) {
+func (s *Server) endStream(st *stream, finish string, event journal.Event, order *engineapi.Order) {
 	delete(s.running, st.key.String())
 	if !st.end(finish) {
 		return
@@ -83,7 +83,7 @@
 	s.ended[st.key] = time.Now()
 	rec := requestRecord(event, st.request)
 	rec.Offset, rec.Tokens = st.produced()
-	rec.Reason = reason
+	rec.Order = order
 	s.journal.Write(rec)
 }
 
--- a/internal/standin/server/orders.go
+++ b/internal/standin/server/orders.go
@@ -87,7 +87,7 @@
 	b.results[o.ID] = engineapi.OrderRunning
 	s.journal.Write(journal.Record{Event: journal.OrderBegan, Order: &o})
 	if o.Kind != engineapi.OrderLoadAdapter {
-		s.cutStreams("order "+o.ID, func(streamKey) bool { return true })
+		s.cutStreams(&o, func(streamKey) bool { return true })
 	}
 	time.AfterFunc(s.config.real(s.config.ChangeTime), func() { s.finishOrder(o) })
 }
