--- a/cmd/goldcrest-load/main.go
+++ b/cmd/goldcrest-load/main.go
@@ -10,6 +10,7 @@
 	root.AddCommand(newPlay())
 	root.AddCommand(newDemo())
 	root.AddCommand(newOverhead())
+	root.AddCommand(newFaults())
 	root.AddCommand(newPolicyCommand())
 	root.AddCommand(newCapacity())
 	cli.Main(root)
--- a/internal/proof/crash_test.go
+++ b/internal/proof/crash_test.go
@@ -2,25 +2,18 @@
 
 import (
 	"context"
-	"syscall"
 	"testing"
-	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
 
-// faultAt is when faults begin: streams of the load are under way then.
-const faultAt = 1200 * time.Millisecond
-
-// mixed is the load of most trials: long streams with plain calls beside them.
-func mixed(seed uint64) Load {
-	return Load{Seed: seed, Duration: 4 * time.Second, Streams: 12, Bulk: 3, Once: 8, Lookups: 6}
-}
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// inject waits until streams are under way and lets the fault happen.
+func inject(t *testing.T, tr *Trial, name string) func(context.Context) {
+	return func(ctx context.Context) {
+		pause(ctx, FaultAt)
+		if err := FaultNamed(name).Inject(ctx, tr); err != nil {
+			t.Error(err)
+		}
 	}
 }
 
@@ -38,10 +31,7 @@
 // the engine would have given.
 func TestEngineKilledMidStream(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			busiest(t, tr, tr.Bed.Engines).Kill()
-		})
+		runUnnoticed(t, ctx, tr, Mixed(seed), inject(t, tr, "engine killed"))
 	})
 }
 
@@ -49,10 +39,7 @@
 // killed. The caller asks another entry of its list to go on and gets the rest.
 func TestEntryKilledMidStream(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		out := run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			tr.Bed.Entries[0].Kill()
-		})
+		out := run(t, ctx, tr, Mixed(seed), inject(t, tr, "entry killed"))
 		if out.Resumes() == 0 {
 			t.Error("no stream was resumed: the fault met none")
 		}
@@ -64,12 +51,7 @@
 // entry, which must find another engine too.
 func TestEngineAndEntryKilledAtOnce(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		run(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			engine := busiest(t, tr, tr.Bed.Engines)
-			tr.Bed.Entries[0].Signal(syscall.SIGKILL)
-			engine.Signal(syscall.SIGKILL)
-		})
+		run(t, ctx, tr, Mixed(seed), inject(t, tr, "engine and entry killed"))
 	})
 }
 
@@ -77,13 +59,7 @@
 // The streams go on elsewhere; when it thaws, its late tokens go nowhere.
 func TestEngineFrozenAndThawed(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			engine := busiest(t, tr, tr.Bed.Engines)
-			engine.Signal(syscall.SIGSTOP)
-			pauseFor(ctx, 4*time.Second)
-			engine.Signal(syscall.SIGCONT)
-		})
+		runUnnoticed(t, ctx, tr, Mixed(seed), inject(t, tr, "engine frozen"))
 	})
 }
 
@@ -93,12 +69,7 @@
 func TestOpenConnectionsGoSilent(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, _ *Trial, seed uint64) {
 		tr := NewTrial(forwardedBed(t, ctx), seed, defaultPatience)
-		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			for _, f := range tr.Bed.Forwarders {
-				f.SilenceOpen()
-			}
-		})
+		runUnnoticed(t, ctx, tr, Mixed(seed), inject(t, tr, "open connections silent"))
 	})
 }
 
@@ -107,18 +78,6 @@
 // leader and still run once.
 func TestControlLeaderKilled(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
-			leader, err := tr.Bed.Leader(ctx)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			leader.Kill()
-			pauseFor(ctx, 2*time.Second)
-			if err := leader.Start(); err != nil {
-				t.Error(err)
-			}
-		})
+		runUnnoticed(t, ctx, tr, Mixed(seed), inject(t, tr, "control leader killed"))
 	})
 }
--- a/internal/proof/member_test.go
+++ b/internal/proof/member_test.go
@@ -39,7 +39,7 @@
 		var wg conc.WaitGroup
 		wg.Go(func() { own.Result = tr.Callers[Members[0]].Complete(ctx, req) })
 		wg.Go(func() { foreign.Result = tr.Callers[Members[1]].Complete(ctx, theirs) })
-		pauseFor(ctx, 500*time.Millisecond)
+		pause(ctx, 500*time.Millisecond)
 		ask := func() {
 			for _, entry := range tr.Bed.EntryAddresses() {
 				res := thief.Resume(ctx, req.ID, entry)
@@ -71,7 +71,7 @@
 		}
 		var last *caller.Result
 		out := run(t, ctx, tr, Load{Seed: seed, Duration: 6 * time.Second, Streams: 12}, func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+			pause(ctx, FaultAt)
 			for range 4 {
 				poison.ID = uuid.NewString()
 				last = tr.Callers[Members[0]].Complete(ctx, poison)
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -34,7 +34,7 @@
 			both.Wait()
 			h.Send(ctx, client, call, "", 3*i+2)
 		})
-		pauseFor(ctx, 100*time.Millisecond)
+		pause(ctx, 100*time.Millisecond)
 	}
 	wg.Wait()
 }
@@ -61,7 +61,7 @@
 		var wg conc.WaitGroup
 		wg.Go(func() {
 			for _, e := range []int{0, 3} {
-				pauseFor(ctx, 700*time.Millisecond)
+				pause(ctx, 700*time.Millisecond)
 				tr.Bed.Entries[e].Kill()
 			}
 		})
@@ -79,14 +79,14 @@
 		rng, h := rand.New(rand.NewPCG(seed, 8)), &OnceHistory{}
 		var wg conc.WaitGroup
 		wg.Go(func() {
-			pauseFor(ctx, 600*time.Millisecond)
+			pause(ctx, 600*time.Millisecond)
 			leader, err := tr.Bed.Leader(ctx)
 			if err != nil {
 				t.Error(err)
 				return
 			}
 			leader.Kill()
-			pauseFor(ctx, 600*time.Millisecond)
+			pause(ctx, 600*time.Millisecond)
 			tr.Bed.Plain[0].Kill()
 		})
 		sendEverywhere(ctx, tr, h, rng)
--- a/internal/proof/orders_test.go
+++ b/internal/proof/orders_test.go
@@ -16,8 +16,8 @@
 // second and cuts nobody's answer.
 func TestRoleChangeUnderLoadCutsNoStream(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		out := runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+		out := runUnnoticed(t, ctx, tr, Mixed(seed), func(ctx context.Context) {
+			pause(ctx, FaultAt)
 			engine := busiest(t, tr, tr.Bed.Engines).Name
 			for _, role := range []string{"decode", "mixed"} {
 				changeRole(t, ctx, tr, engine, role)
@@ -33,7 +33,7 @@
 func changeRole(t *testing.T, ctx context.Context, tr *Trial, engine, role string) {
 	t.Helper()
 	for tr.Bed.ChangeRole(ctx, engine, role) != nil {
-		pauseFor(ctx, 200*time.Millisecond)
+		pause(ctx, 200*time.Millisecond)
 		if ctx.Err() != nil {
 			t.Errorf("%s was never ordered to be %s", engine, role)
 			return
@@ -55,7 +55,7 @@
 				return
 			}
 		}
-		pauseFor(ctx, 100*time.Millisecond)
+		pause(ctx, 100*time.Millisecond)
 	}
 	t.Errorf("%s never became %s", engine, role)
 }
@@ -88,7 +88,7 @@
 				wg.Go(func() { insist(ctx, tr, engine, role, time.Duration(100+70*i)*time.Millisecond) })
 			}
 			for range 2 {
-				pauseFor(ctx, 700*time.Millisecond)
+				pause(ctx, 700*time.Millisecond)
 				freezeLeader(t, ctx, tr, 2500*time.Millisecond)
 			}
 			wg.Wait()
@@ -104,7 +104,7 @@
 		try, cancel := context.WithTimeout(ctx, 2*time.Second)
 		_ = tr.Bed.ChangeRole(try, engine, role)
 		cancel()
-		pauseFor(ctx, every)
+		pause(ctx, every)
 	}
 }
 
@@ -117,5 +117,5 @@
 	}
 	leader.Signal(syscall.SIGSTOP)
 	defer leader.Signal(syscall.SIGCONT)
-	pauseFor(ctx, d)
+	pause(ctx, d)
 }
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -26,8 +26,8 @@
 // there. Each gets the rest; callers with an old list of entries are served.
 func TestPlannedStopOfAnEntryCutsNothing(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+		runUnnoticed(t, ctx, tr, Mixed(seed), func(ctx context.Context) {
+			pause(ctx, FaultAt)
 			stop(t, tr.Bed.Entries[0])
 		})
 	})
@@ -39,7 +39,7 @@
 func TestStoppingEntryServesCallersWithOldLists(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
 		out := run(t, ctx, tr, Load{Seed: seed, Duration: 4 * time.Second, Lookups: 80}, func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+			pause(ctx, FaultAt)
 			stop(t, tr.Bed.Entries[0])
 		})
 		for _, d := range out.Done {
@@ -55,8 +55,8 @@
 // sends it new work.
 func TestPlannedStopOfAnEngineCutsNothing(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
-		out := runUnnoticed(t, ctx, tr, mixed(seed), func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+		out := runUnnoticed(t, ctx, tr, Mixed(seed), func(ctx context.Context) {
+			pause(ctx, FaultAt)
 			stop(t, busiest(t, tr, tr.Bed.Engines))
 		})
 		checkNoNewWork(t, out.Records)
@@ -69,7 +69,7 @@
 func TestLeavingServerGetsNoNewWorkFromCutOffEntries(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, tr *Trial, seed uint64) {
 		out := run(t, ctx, tr, Load{Seed: seed, Duration: 7 * time.Second, Streams: 20}, func(ctx context.Context) {
-			pauseFor(ctx, faultAt)
+			pause(ctx, FaultAt)
 			for _, c := range tr.Bed.Control {
 				c.Kill()
 			}
