--- a/internal/control/claims_test.go
+++ b/internal/control/claims_test.go
@@ -93,14 +93,7 @@
 	if n := len(w.State().claims.byKey); n != 0 {
 		t.Fatalf("%d claims are kept beyond the window", n)
 	}
-	longer := declare(2, 1, "ann", "b")
-	for _, o := range longer.GetObjects() {
-		if o.GetKind() == "limits" {
-			o.Content = []byte(`{"once_window":86400000000000,"quarantine_deaths":2}`)
-		}
-	}
-	longer.Digest = digestOf(longer)
-	w.apply(longer)
+	w.apply(with(declare(2, 1, "ann", "b"), "limits", `{"once_window":86400000000000}`))
 	if got := w.claim(c).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_EXPIRED {
 		t.Fatalf("under a longer window: %v", got)
 	}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -10,8 +10,6 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-func digestOf(d *pb.Declaration) string { return declaration.Digest(d.GetObjects()) }
-
 func (w *world) state(id string) pb.ServerState { return w.server(id).GetState() }
 
 const (
@@ -95,7 +93,12 @@
 	for name, deafen := range map[string]func(*world){
 		"no reports": func(w *world) {
 			w.lastTold = w.clock + 20*time.Second
-			w.advance(20 * time.Second)
+			for range 20 {
+				w.advance(time.Second)
+				if w.state("a") != serving {
+					return
+				}
+			}
 		},
 		"stopped process": func(w *world) { w.clock += 20 * time.Second },
 		"new leader":      func(w *world) { w.follow(2); w.clock += 20 * time.Second; w.lead(3) },
@@ -104,9 +107,12 @@
 		w.engine("a")
 		w.advance(2 * time.Second)
 		deafen(w)
-		w.advance(3 * time.Second)
-		if got := w.state("a"); got != serving {
-			t.Errorf("%s: %v", name, got)
+		for range 60 {
+			w.tick()
+			if got := w.state("a"); got != serving {
+				t.Fatalf("%s: %v", name, got)
+			}
+			w.advance(50 * time.Millisecond)
 		}
 	}
 }
--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -17,10 +17,19 @@
 
 // done lets the engine answer the last order as carried out.
 func (w *world) done(a *pb.Announcement) {
-	last := w.orders[len(w.orders)-1]
-	a.OrderId = last.Order.ID
-	a.OrderToken = &pb.FencingToken{Term: last.Order.Token.Term, Sequence: last.Order.Token.Sequence}
-	w.step(OrderAnswered{Server: last.Server, Answer: engineapi.OrderAnswer{ID: last.Order.ID, Result: engineapi.OrderDone}})
+	w.answer(a, w.orders[len(w.orders)-1].Order.ID)
+}
+
+// answer lets the engine answer the order with that id as carried out.
+func (w *world) answer(a *pb.Announcement, id string) {
+	for _, o := range w.orders {
+		if o.Order.ID == id {
+			a.OrderToken = &pb.FencingToken{Term: o.Order.Token.Term, Sequence: o.Order.Token.Sequence}
+		}
+	}
+	a.OrderId = id
+	answer := engineapi.OrderAnswer{ID: id, Result: engineapi.OrderDone}
+	w.step(OrderAnswered{Server: a.GetServer().GetId(), Answer: answer})
 }
 
 const (
@@ -74,20 +83,22 @@
 }
 
 // Two operators order different roles of one engine, one of them twice after a
-// lost answer, and a third one orders a second engine of the model. One order
-// is under way at a time, and a resent call gets its own order again.
+// lost answer, and others order more engines of the model. One order is under way
+// for each engine, no more engines than roles.max_away, and a resent call gets
+// its own order again.
 func TestOneOrderAtATime(t *testing.T) {
 	w := newWorld(t)
-	w.apply(declare(1, 0, "ann", "a"))
+	w.apply(with(declare(1, 0, "ann", "a"), "roles", `{"max_away":2}`))
 	a := w.engine("checks-1")
 	w.engine("checks-2")
+	w.engine("checks-3")
 	first := w.changeRole("checks-1", prefill, "op1")
-	for _, refused := range []*pb.Order{
-		w.changeRole("checks-1", decode, "op2"),
-		w.changeRole("checks-2", decode, "op3"),
+	for i, want := range []pb.OrderState{
+		pb.OrderState_ORDER_STATE_REFUSED, pb.OrderState_ORDER_STATE_PREPARING, pb.OrderState_ORDER_STATE_REFUSED,
 	} {
-		if refused.GetState() != pb.OrderState_ORDER_STATE_REFUSED {
-			t.Errorf("a second order: %v", refused)
+		server := []string{"checks-1", "checks-2", "checks-3"}[i]
+		if o := w.changeRole(server, decode, "other-"+server); o.GetState() != want {
+			t.Errorf("order to %s: %v, want %v", server, o, want)
 		}
 	}
 	again := w.changeRole("checks-1", prefill, "op1")
@@ -95,16 +106,27 @@
 		t.Errorf("resent: %v, first %v", again, first)
 	}
 	w.advance(5 * time.Second)
-	w.done(a)
+	w.answer(a, "op1")
 	if again := w.changeRole("checks-1", prefill, "op1"); again.GetState() != pb.OrderState_ORDER_STATE_DONE {
 		t.Errorf("resent after its end: %v", again)
 	}
 	w.advance(5 * time.Second)
-	if len(w.orders) != 1 {
-		t.Errorf("%d orders went out", len(w.orders))
+	if n := w.sentTo("checks-1"); n != 1 {
+		t.Errorf("%d orders went to it", n)
 	}
 }
 
+// sentTo counts the orders that went to a server.
+func (w *world) sentTo(server string) int {
+	n := 0
+	for _, o := range w.orders {
+		if o.Server == server {
+			n++
+		}
+	}
+	return n
+}
+
 // The leader is lost with an order on its way, and an operator asks the next one
 // for the opposite role. The unresolved order goes first, under its old token.
 // For an engine that ignores tokens the opposite one then waits until no copy of
@@ -199,14 +221,7 @@
 	w := newWorld(t)
 	fleet := []*pb.Announcement{w.engine("checks-1"), w.engine("checks-2"), w.engine("checks-3")}
 	w.apply(declare(1, 0, "ann", "a"))
-	next := declare(2, 1, "ann", "a")
-	for _, o := range next.GetObjects() {
-		if o.GetKind() == "model" {
-			o.Content = []byte(`{"name":"m","version":"v2"}`)
-		}
-	}
-	next.Digest = digestOf(next)
-	w.apply(next)
+	w.apply(with(declare(2, 1, "ann", "a"), "model", `{"name":"m","version":"v2"}`))
 	for loaded := 0; loaded < len(fleet); {
 		w.advance(100 * time.Millisecond)
 		if away := w.State().away("m"); away > 1 {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -236,6 +236,17 @@
 	return d.ToProto()
 }
 
+// with gives the declaration with the objects of a kind changed.
+func with(d *pb.Declaration, kind, content string) *pb.Declaration {
+	for _, o := range d.GetObjects() {
+		if o.GetKind() == kind {
+			o.Content = []byte(content)
+		}
+	}
+	d.Digest = declaration.Digest(d.GetObjects())
+	return d
+}
+
 func (w *world) apply(d *pb.Declaration) *pb.ApplyResponse {
 	w.t.Helper()
 	return ask[*pb.ApplyResponse](w, &pb.ApplyRequest{ClusterId: cluster, Declaration: proto.CloneOf(d)})
--- a/internal/proof/control/control_test.go
+++ b/internal/proof/control/control_test.go
@@ -16,6 +16,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/ctl"
 	"goldcrestseam.dev/goldcrestseam/internal/proof"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
 
@@ -189,13 +190,60 @@
 			for n := range 2 {
 				sleep(ctx, calm)
 				victim := c.victim(ctx)
+				before := incarnation(t, ctx, bed, victim)
 				if err := c.loseDisk(ctx, victim, n == 0); err != nil {
 					list, _ := bed.Ctl(ctx, "replica", "list")
 					t.Errorf("%v\n%s", err, list)
 					return
 				}
+				checkReplaced(t, ctx, bed, victim, before)
 				c.kill(ctx, (victim+1+c.random.IntN(2))%len(bed.Control))
 			}
 		})
 	})
 }
+
+// incarnation gives the life of a replica that the member list names.
+func incarnation(t *testing.T, ctx context.Context, bed *testbed.Bed, victim int) string {
+	t.Helper()
+	resp, err := newClient(t, bed).Replicas(ctx)
+	if err != nil {
+		t.Error(err)
+	}
+	for _, r := range resp.GetReplicas() {
+		id := r.GetMember().GetIdentity()
+		if id.GetId() == uint64(victim+1) && r.GetMember().GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER {
+			return id.GetIncarnation()
+		}
+	}
+	return ""
+}
+
+// checkReplaced expects the replica that lost its disk to vote under a new life.
+func checkReplaced(t *testing.T, ctx context.Context, bed *testbed.Bed, victim int, before string) {
+	t.Helper()
+	if now := incarnation(t, ctx, bed, victim); now == "" || now == before {
+		t.Errorf("replica %d was said to be replaced, and its life is %q after %q", victim+1, now, before)
+	}
+}
+
+// A follower's VM comes back with an empty disk, and the operator replaces it at
+// once, while the leader still counts its old life as active. The command must
+// not report success before the new life votes.
+func TestReplaceRightAfterTheLoss(t *testing.T) {
+	each(t, false, func(t *testing.T, ctx context.Context, bed *testbed.Bed, seed uint64) {
+		leader, err := waitLeader(ctx, bed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		victim := 0
+		if bed.Control[victim] == leader {
+			victim = 1
+		}
+		before := incarnation(t, ctx, bed, victim)
+		if err := newChaos(bed, seed).loseDisk(ctx, victim, true); err != nil {
+			t.Fatal(err)
+		}
+		checkReplaced(t, ctx, bed, victim, before)
+	})
+}
