--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -75,6 +75,8 @@
 
 	removed   bool
 	announced LeaderChanged
+	// announcedList is the index of the committed member list last told.
+	announcedList uint64
 }
 
 // NewNode rebuilds a replica from what its store recovered.
@@ -89,7 +91,7 @@
 		snapshot: init.Snapshot, snapshotData: init.SnapshotData,
 	}
 	n.members = newMemberHistory(init)
-	n.formation = newFormation(cfg, init)
+	n.formation = newFormation(init)
 	n.persist.syncedTerm = n.term
 	return n
 }
@@ -120,7 +122,7 @@
 		n.heardAt = n.now - n.cfg.ElectionTimeout
 	}
 	n.resetElectionDeadline()
-	n.emit(MembershipChanged{Membership: n.members.current()})
+	n.emitMembers()
 }
 
 func (n *Node) dispatch(ev Event) {
@@ -229,8 +231,12 @@
 	n.maybeAskSnapshot()
 }
 
-// announce tells of a change of term, leader or readiness, once.
+// announce tells of a newly committed member list, and of a change of term,
+// leader or readiness, once.
 func (n *Node) announce() {
+	if n.members.at(n.log.commit).index != n.announcedList {
+		n.emitMembers()
+	}
 	now := LeaderChanged{Term: n.term, Leader: n.leader, Leads: n.ready()}
 	if now != n.announced {
 		n.announced = now
