--- a/internal/control/delivery.go
+++ b/internal/control/delivery.go
@@ -174,8 +174,14 @@
 	cmd := &pb.Command{Op: &pb.Command_Order{Order: &pb.OrderUpdate{Order: next}}}
 	r.propose(cmd, func(answer proto.Message, ok bool) {
 		d.proposing = false
-		if resp, is := answer.(*pb.ChangeRoleResponse); is && ok {
-			r.logOrder(resp.GetOrder(), "order moved")
+		resp, is := answer.(*pb.ChangeRoleResponse)
+		if !is || !ok {
+			return
+		}
+		r.logOrder(resp.GetOrder(), "order moved")
+		if r.lead != nil && o.proto.GetState() == pb.OrderState_ORDER_STATE_SENT {
+			// At once: each moment until the next sweep keeps the engine away.
+			r.send(o, d)
 		}
 	})
 }
--- a/internal/proof/control/control_test.go
+++ b/internal/proof/control/control_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"goldcrestseam.dev/goldcrestseam/internal/ctl"
 	"goldcrestseam.dev/goldcrestseam/internal/proof"
@@ -247,3 +250,70 @@
 		checkReplaced(t, ctx, bed, victim, before)
 	})
 }
+
+// A process of another deployment, an old life of a replica and garbage talk to
+// the replicas. All are refused, and nothing changes.
+func TestBadInputIsRefused(t *testing.T) {
+	each(t, false, func(t *testing.T, ctx context.Context, bed *testbed.Bed, _ uint64) {
+		before, err := newClient(t, bed).Status(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		auth, err := rpc.LoadAuth(bed.Auth())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range bed.Control {
+			replica := pb.NewReplicaProtobufClient(auth.URL(p.Address), auth.Client())
+			for _, req := range badSteps() {
+				if _, err := replica.Step(ctx, req); err == nil {
+					t.Errorf("%s took %v", p.Name, req)
+				}
+			}
+			operator := pb.NewOperatorProtobufClient(auth.URL(p.Address), auth.Client())
+			if _, err := operator.Drain(ctx, &pb.DrainRequest{ClusterId: "other", Server: "x", Drained: true}); err == nil {
+				t.Errorf("%s took a call of another cluster", p.Name)
+			}
+			checkRaw(t, auth, p.Address)
+		}
+		after, err := newClient(t, bed).Status(ctx)
+		if err != nil || !proto.Equal(before, after) {
+			t.Errorf("before %v, after %v, error %v", before, after, err)
+		}
+	})
+}
+
+// badSteps would each make a replica follow a leader that there is not.
+func badSteps() []*pb.StepRequest {
+	var list []*pb.StepRequest
+	for id := uint64(1); id <= 3; id++ {
+		vote := []*pb.Message{{Kind: pb.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 2, To: id, Term: 1 << 40}}
+		liar := &pb.ReplicaIdentity{Id: 2, Incarnation: "old", Boot: 1, BootNonce: 9}
+		list = append(list,
+			&pb.StepRequest{ClusterId: "other", From: liar, To: &pb.ReplicaIdentity{Id: id}, Messages: vote},
+			&pb.StepRequest{ClusterId: proof.Deployment, From: liar, To: &pb.ReplicaIdentity{Id: id}, Messages: vote},
+			&pb.StepRequest{ClusterId: proof.Deployment, To: &pb.ReplicaIdentity{Id: id}, Messages: vote},
+			&pb.StepRequest{ClusterId: proof.Deployment, From: liar, To: &pb.ReplicaIdentity{Id: id, Incarnation: "old"}, Messages: vote},
+		)
+	}
+	return list
+}
+
+// checkRaw sends garbage with the key and a good call without it.
+func checkRaw(t *testing.T, auth *rpc.Auth, address string) {
+	t.Helper()
+	for _, try := range []struct {
+		client *http.Client
+		body   string
+	}{{auth.Client(), "\xff\xff garbage"}, {&http.Client{}, ""}} {
+		resp, err := try.client.Post(auth.URL(address)+"/twirp/goldcrest.v1.Operator/Status",
+			"application/protobuf", strings.NewReader(try.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode < 400 {
+			t.Errorf("status %d for %q", resp.StatusCode, try.body)
+		}
+	}
+}
