Bound backend servers, keep order records past the longest pause, write gauges

Cause: a server that was forgotten 5 minutes after it went could come back and get an order while an order_pause of up to an hour still runs; made-up server ids could fill memory; a wiped replica filled its peers' logs. Change: records of ordered servers stay for an hour, at most 10,000 servers, gauges of the state's sizes, refused replica messages are thinned in the log; measurements of a planned stop and of claims.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -44,7 +44,6 @@
 	answer      *pb.StoredAnswer
 	// answered orders the stored answers: log index, then place in the command.
 	answered uint64
-	keyMS    int64
 }
 
 // claims holds the once-only claims of the window.
@@ -156,7 +155,7 @@
 	}
 	granted := &claim{
 		requestID: c.GetRequestId(), owner: ownerOf(c.GetOwner()), fingerprint: c.GetFingerprint(),
-		status: pb.ClaimStatus_CLAIM_STATUS_RUNNING, keyMS: keyMS,
+		status: pb.ClaimStatus_CLAIM_STATUS_RUNNING,
 	}
 	s.claims.byKey[key] = granted
 	s.claims.addRunning(granted.owner, key)
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -249,8 +249,8 @@
 			return true
 		}
 	}
-	for _, sv := range s.servers {
-		if sv.goneMS != 0 && nowMS-sv.goneMS >= goneKept.Milliseconds() {
+	for id, sv := range s.servers {
+		if s.forgettable(id, sv, nowMS) {
 			return true
 		}
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -61,6 +61,10 @@
 	if sv := r.state.servers[told.GetId()]; sv != nil && slices.Contains(sv.past, told.GetIncarnation()) {
 		return
 	}
+	if r.lead.servers[told.GetId()] == nil && len(r.lead.servers) >= maxServers {
+		r.log(slog.LevelError, "too many backend servers; announcement refused", Field{"server", told.GetId()})
+		return
+	}
 	w := r.serverWatch(told)
 	if olderToken(a.GetOrderToken(), w.token) {
 		// It was said before the server carried out its last order.
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -24,6 +24,8 @@
 	tickInterval = 50 * time.Millisecond
 	// eventQueue is how many events may wait; who posts more waits itself.
 	eventQueue = 1024
+	// gaugeInterval is how often the state's sizes are written to the metrics.
+	gaugeInterval = 5 * time.Second
 	// callTimeout bounds every call but Watch, whose hold is shorter.
 	callTimeout = 5 * time.Second
 )
@@ -80,6 +82,8 @@
 func (l *loop) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	gauges := time.NewTicker(gaugeInterval)
+	defer gauges.Stop()
 	for {
 		select {
 		case <-l.stop:
@@ -88,10 +92,28 @@
 			l.step(ev)
 		case <-ticker.C:
 			l.step(control.Tick{WallMS: time.Now().UnixMilli()})
+		case <-gauges.C:
+			l.updateGauges()
 		}
 	}
 }
 
+func (l *loop) updateGauges() {
+	f := l.reducer.State().Figures()
+	for _, g := range []struct {
+		name  string
+		value float64
+	}{
+		{"applied_index", float64(f.Index)}, {"revision", float64(f.Revision)},
+		{"view_version", float64(f.ViewVersion)}, {"role_changes", float64(f.RoleChanges)},
+		{"backend_servers", float64(f.Servers)}, {"entries", float64(f.Entries)},
+		{"unresolved_orders", float64(f.UnresolvedOrders)}, {"claims", float64(f.Claims)},
+		{"suspects", float64(f.Suspects)}, {"stored_answer_bytes", float64(f.AnswerBytes)},
+	} {
+		l.scope.Gauge(g.name).Update(g.value)
+	}
+}
+
 func (l *loop) step(ev control.Event) {
 	for _, eff := range l.reducer.Step(clock.Boot(), ev) {
 		l.carryOut(eff)
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/twitchtv/twirp"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
@@ -22,6 +24,7 @@
 // need no key: they tell nothing that can change the system.
 func (r *Runner) handler() http.Handler {
 	s := &services{cluster: r.cfg.Cluster, loop: r.loop, store: r.store, net: r.net}
+	s.refusals = rate.Sometimes{First: refusalsFirst, Interval: refusalsEvery}
 	protected := http.NewServeMux()
 	replica := pb.NewReplicaServer(s)
 	control := pb.NewControlServer(s)
@@ -42,8 +45,16 @@
 	loop    *loop
 	store   *store.Store
 	net     *transport
+	// refusals thins the log lines of refused replica messages: a replica that
+	// lost its disk sends ten a second until it is added again.
+	refusals rate.Sometimes
 }
 
+const (
+	refusalsFirst = 10
+	refusalsEvery = 5 * time.Second
+)
+
 // Step takes messages of another replica once it is known who sends them.
 func (s *services) Step(ctx context.Context, req *pb.StepRequest) (*pb.StepResponse, error) {
 	if req.GetClusterId() != s.cluster {
@@ -75,8 +86,10 @@
 
 func (s *services) refuse(req *pb.StepRequest, why string) error {
 	s.loop.scope.Counter("replica_refused").Inc(1)
-	s.loop.log.Warn("replica message refused", "cluster", req.GetClusterId(),
-		"replica", req.GetFrom().GetId(), "incarnation", req.GetFrom().GetIncarnation(), "why", why)
+	s.refusals.Do(func() {
+		s.loop.log.Warn("replica message refused", "cluster", req.GetClusterId(),
+			"replica", req.GetFrom().GetId(), "incarnation", req.GetFrom().GetIncarnation(), "why", why)
+	})
 	return twirp.NewError(twirp.FailedPrecondition, why)
 }
 
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -16,6 +16,13 @@
 	maxPastIncarnations = 8
 	// goneKept is how long a GONE server is shown before it is forgotten.
 	goneKept = 5 * time.Minute
+	// orderedKept is the same for a server that was sent an order: the longest
+	// order_pause that settings allow. Forgotten earlier, the server could come
+	// back and get an order while a copy of the old one is on its way.
+	orderedKept = time.Hour
+	// maxServers bounds the servers that may register: nearly four times the
+	// fleet that is aimed at. Announcements with made-up ids can't fill memory.
+	maxServers = 10_000
 )
 
 // server is a backend server as it announced itself. Its state is what it
@@ -42,6 +49,9 @@
 
 func (s *State) registerServer(told *pb.BackendServer) {
 	sv := s.servers[told.GetId()]
+	if sv == nil && len(s.servers) >= maxServers {
+		return
+	}
 	if sv == nil {
 		sv = &server{}
 		s.servers[told.GetId()] = sv
@@ -117,11 +127,20 @@
 	return &pb.DrainResponse{Server: s.shown(sv)}
 }
 
-// expireServers forgets servers that have been GONE for goneKept.
+// forgettable tells whether a server has been GONE for long enough.
+func (s *State) forgettable(id string, sv *server, nowMS int64) bool {
+	keep := goneKept
+	if o := s.orders[id]; o != nil && o.sentTerm() != 0 {
+		keep = orderedKept
+	}
+	return sv.goneMS != 0 && nowMS-sv.goneMS >= keep.Milliseconds()
+}
+
+// expireServers forgets servers that have been GONE for long.
 func (s *State) expireServers() {
 	var gone []string
 	for id, sv := range s.servers {
-		if sv.goneMS != 0 && s.nowMS-sv.goneMS >= goneKept.Milliseconds() {
+		if s.forgettable(id, sv, s.nowMS) {
 			gone = append(gone, id)
 		}
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -187,7 +187,7 @@
 		known := &claim{
 			requestID: r.GetClaim().GetRequestId(), owner: ownerOf(r.GetClaim().GetOwner()),
 			fingerprint: r.GetClaim().GetFingerprint(), status: r.GetStatus(),
-			answer: r.GetAnswer(), answered: r.GetAnswered(), keyMS: keyMS,
+			answer: r.GetAnswer(), answered: r.GetAnswered(),
 		}
 		c.byKey[key] = known
 		bucket := keyMS / claimBucket.Milliseconds()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -55,6 +55,27 @@
 // ViewVersion is the log index of the last change of the view.
 func (s *State) ViewVersion() uint64 { return s.changes.version }
 
+// Figures are sizes of the state, for metrics.
+type Figures struct {
+	Index, Revision, ViewVersion, RoleChanges                         uint64
+	Servers, Entries, UnresolvedOrders, Claims, Suspects, AnswerBytes int
+}
+
+// Figures gives the state's sizes.
+func (s *State) Figures() Figures {
+	f := Figures{
+		Index: s.index, Revision: s.Revision(), ViewVersion: s.ViewVersion(), RoleChanges: s.roleChanges,
+		Servers: len(s.servers), Entries: len(s.entries), Claims: len(s.claims.byKey),
+		Suspects: len(s.suspects.byKey), AnswerBytes: s.claims.answerBytes,
+	}
+	for _, o := range s.orders {
+		if o.unresolved() {
+			f.UnresolvedOrders++
+		}
+	}
+	return f
+}
+
 // Apply applies one committed log entry and gives the answer for its proposer,
 // nil for entries that have none. An entry that can't be read changes nothing:
 // every replica sees the same bytes and skips it alike.
--- a/internal/proof/control/claims.go
+++ b/internal/proof/control/claims.go
@@ -97,12 +97,7 @@
 
 func (c *claimant) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.seq++
-		claim := &pb.Claim{
-			Member: "m", Service: "s", Key: c.keys[c.random.IntN(len(c.keys))], Fingerprint: 1,
-			RequestId: strconv.Itoa(c.id) + "-" + strconv.Itoa(c.seq),
-			Owner:     &pb.EntryIdentity{Name: "entry-" + strconv.Itoa(c.id), Incarnation: "1"},
-		}
+		claim := c.next()
 		if c.claim(ctx, claim) == granted {
 			end := notRun
 			if c.random.IntN(4) == 0 {
@@ -113,6 +108,16 @@
 	}
 }
 
+// next gives a claim of any of the keys under a request id of its own.
+func (c *claimant) next() *pb.Claim {
+	c.seq++
+	return &pb.Claim{
+		Member: "m", Service: "s", Key: c.keys[c.random.IntN(len(c.keys))], Fingerprint: 1,
+		RequestId: strconv.Itoa(c.id) + "-" + strconv.Itoa(c.seq),
+		Owner:     &pb.EntryIdentity{Name: "entry-" + strconv.Itoa(c.id), Incarnation: "1"},
+	}
+}
+
 func (c *claimant) claim(ctx context.Context, claim *pb.Claim) (status pb.ClaimStatus) {
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
--- a/internal/proof/control/measure_test.go
+++ b/internal/proof/control/measure_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"goldcrestseam.dev/goldcrestseam/internal/ctl"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/proof"
@@ -95,6 +99,10 @@
 			"freeze", func(p *testbed.Process) { p.Signal(syscall.SIGSTOP) },
 			func(p *testbed.Process) { p.Signal(syscall.SIGCONT) },
 		},
+		{
+			"planned stop", func(p *testbed.Process) { p.Signal(syscall.SIGTERM) },
+			func(p *testbed.Process) { <-p.Done(); _ = p.Start() },
+		},
 	} {
 		var took []time.Duration
 		for range 25 {
@@ -244,3 +252,40 @@
 		sleep(ctx, 2*time.Millisecond)
 	}
 }
+
+// How many once-only claims a second are granted and settled, and how long does
+// each take?
+func TestMeasureClaims(t *testing.T) {
+	ctx := measuring(t)
+	bed := newBed(t, false)
+	if _, err := waitLeader(ctx, bed); err != nil {
+		t.Fatal(err)
+	}
+	for _, clients := range []int{1, 8, 64} {
+		work, cancel := context.WithTimeout(ctx, 5*time.Second)
+		var mu sync.Mutex
+		var took []time.Duration
+		var wg conc.WaitGroup
+		for i := range clients {
+			c := &claimant{id: i, client: newClient(t, bed), cluster: proof.Deployment, random: rand.New(rand.NewPCG(1, uint64(i))), log: newHistory()}
+			wg.Go(func() {
+				for work.Err() == nil {
+					c.keys = newKeys(1)
+					began := time.Now()
+					claim := c.next()
+					if c.claim(work, claim) != granted {
+						continue
+					}
+					mu.Lock()
+					took = append(took, time.Since(began))
+					mu.Unlock()
+					c.settle(work, claim, done)
+				}
+			})
+		}
+		wg.Wait()
+		cancel()
+		t.Logf("%d claimants: %.0f claims/s granted and settled", clients, float64(len(took))/5)
+		tell(t, "claim", took)
+	}
+}
