--- a/internal/control/delivery.go
+++ b/internal/control/delivery.go
@@ -282,7 +282,9 @@
 	}
 	d := r.lead.deliveries[e.Server]
 	if d == nil {
-		return
+		// A copy of an earlier term in which this replica led.
+		d = &delivery{}
+		r.lead.deliveries[e.Server] = d
 	}
 	if !e.NotSent {
 		d.unsureAt = r.now
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -137,7 +137,10 @@
 	if err != nil {
 		return Failed.Wrap(err, "listen")
 	}
-	r.server = &http.Server{Handler: r.handler(), ReadHeaderTimeout: callTimeout}
+	r.server = &http.Server{
+		Handler: r.handler(), ReadHeaderTimeout: callTimeout,
+		ErrorLog: slog.NewLogLogger(r.log.Handler(), slog.LevelWarn),
+	}
 	var wg conc.WaitGroup
 	wg.Go(r.loop.run)
 	wg.Go(r.loop.disk.run)
