Let a replaced replica come back under its old id

Change: identities are removed, not ids. What made this unsafe to follow is met otherwise: messages that only a leader sends are taken whoever sends them, so a replica that missed a replacement still catches up from the new life; a learner whose life is not named yet is addressed by its id and may be taken over, and a leader forgets the progress of a learner's earlier life. An identity removed before its incarnation was known still blocks its id. Store.Admit takes the whole request; the runner passes it (one line in internal/control). Ruled out: ids that never come back, which binds an operator's hands for nothing.

--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -28,7 +28,7 @@
 //   - A store error ends the process: what is on the disk is not known then.
 //
 // For each StepRequest the host checks the cluster id, Store.Addressed(to) and
-// Store.Admit(from, MembershipChanged.Committed), in this order, and refuses the whole
+// Store.Admit(req, MembershipChanged.Committed), in this order, and refuses the whole
 // request if one fails. It answers removed if Node.IsRemoved(from); a sender that
 // reads removed steps RemovedByPeer. It steps Receive with the sender's
 // incarnation. A request is addressed to Store.Target (given
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -25,7 +25,7 @@
 // and boot of that id that the host has synced (nil if none) and the committed
 // member list. If the answer is nil and from is news, the host syncs it before
 // it steps on the messages. Errors: WrongIdentity, RolledBack, Unintroduced,
-// RemovedIdentity.
+// RemovedIdentity. Messages of a leader need no such check; see FromLeader.
 //
 // It guards against a replica that has forgotten what it promised: a wiped or
 // foreign folder speaks under another incarnation, and a folder put back from an
@@ -39,23 +39,48 @@
 	if from.GetId() == 0 || from.Incarnation == "" || from.Boot == 0 || from.BootNonce == 0 {
 		return WrongIdentity.New("the identity is not complete")
 	}
-	if wasRemoved(committed, from.Id) {
+	if wasRemoved(committed, from) {
 		return RemovedIdentity.New("replica %d (%s) was removed", from.Id, from.Incarnation)
 	}
 	member := findMember(committed, from.Id)
 	if bound := member.GetIdentity().GetIncarnation(); bound != "" && bound != from.Incarnation {
 		return WrongIdentity.New("replica %d is %s, not %s", from.Id, bound, from.Incarnation)
 	}
-	if known == nil || known.Incarnation != from.Incarnation && takesOver(from, member) {
+	if known == nil || known.Incarnation != from.Incarnation && takesOver(from, known, committed) {
 		return nil
 	}
 	return checkLife(from, known)
 }
 
 // takesOver tells whether another life may speak under an id: the member list
-// names it, or the id is no member's yet, so that its word counts nowhere.
-func takesOver(from *pb.ReplicaIdentity, member *pb.ReplicaMember) bool {
-	return member == nil || member.Identity.Incarnation == from.Incarnation
+// names it, or the known one was removed, or its word counts nowhere yet, since
+// the id is no member's or that of a learner whose life is still to be named.
+func takesOver(from, known *pb.ReplicaIdentity, committed *pb.Membership) bool {
+	member := findMember(committed, from.Id)
+	named := member != nil && member.Identity.Incarnation == from.Incarnation
+	return member == nil || named || wasRemoved(committed, known) || unnamedLearner(member)
+}
+
+func unnamedLearner(m *pb.ReplicaMember) bool {
+	return m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_LEARNER && m.Identity.Incarnation == ""
+}
+
+// FromLeader tells whether all the messages are such as only the leader of a term
+// sends. They are taken whoever the sender is: a life that the group does not
+// count never wins an election. And they must be taken: a replica that has missed
+// a replacement under an old id would refuse that id's new life, and would never
+// catch up while that life leads.
+func FromLeader(messages []*pb.Message) bool {
+	for _, m := range messages {
+		switch m.GetKind() {
+		case pb.MessageKind_MESSAGE_KIND_APPEND,
+			pb.MessageKind_MESSAGE_KIND_HEARTBEAT,
+			pb.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		default:
+			return false
+		}
+	}
+	return len(messages) > 0
 }
 
 func checkLife(from, known *pb.ReplicaIdentity) error {
@@ -96,14 +121,21 @@
 	id.BootNonce = max(nonce, 1)
 }
 
-// TargetIdentity is the identity under which to address a replica: the member
-// list's, or the life that spoke last (nil if none), or just the id.
-func TargetIdentity(id uint64, known *pb.ReplicaIdentity, members *pb.Membership) *pb.ReplicaIdentity {
-	if bound := findMember(members, id).GetIdentity().GetIncarnation(); bound != "" {
-		return &pb.ReplicaIdentity{Id: id, Incarnation: bound}
+// TargetIdentity is the identity under which to address a replica: the life that
+// leads under that id (empty if none was heard), the member list's, the life that
+// spoke last (nil if none), or just the id. A learner whose life is still to be
+// named is addressed by its id: an earlier life may have spoken under it.
+func TargetIdentity(id uint64, leads string, known *pb.ReplicaIdentity, members *pb.Membership) *pb.ReplicaIdentity {
+	member := findMember(members, id)
+	lives := []string{leads, member.GetIdentity().GetIncarnation(), known.GetIncarnation()}
+	if unnamedLearner(member) {
+		lives = nil
 	}
-	if known == nil {
-		return &pb.ReplicaIdentity{Id: id}
+	for _, life := range lives {
+		to := &pb.ReplicaIdentity{Id: id, Incarnation: life}
+		if life != "" && !wasRemoved(members, to) {
+			return to
+		}
 	}
-	return &pb.ReplicaIdentity{Id: id, Incarnation: known.Incarnation}
+	return &pb.ReplicaIdentity{Id: id}
 }
--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -64,12 +64,17 @@
 		}
 		pr := old[id]
 		if pr == nil {
-			pr = &progress{next: n.log.lastIndex() + 1, movedAt: n.now, activeAt: n.now}
+			fresh := n.newProgress()
+			pr = &fresh
 		}
 		n.lead.progress[id] = pr
 	}
 }
 
+func (n *Node) newProgress() progress {
+	return progress{next: n.log.lastIndex() + 1, movedAt: n.now, activeAt: n.now}
+}
+
 // peers lists the other members in the order of the member list.
 func (n *Node) peers() []uint64 {
 	ids := make([]uint64, 0, len(n.lead.progress))
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -8,7 +8,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-// maxRemoved bounds the list of removed ids. One that has dropped off it is still
+// maxRemoved bounds the list of removed identities. One that has dropped off it is still
 // no member, so no quorum counts it; it is just not told to stop.
 const maxRemoved = 64
 
@@ -129,7 +129,7 @@
 
 func addLearner(m *pb.Membership, add *pb.ReplicaMember) RefusalReason {
 	id := add.GetIdentity().GetId()
-	if id == 0 || add.Address == "" || findMember(m, id) != nil || wasRemoved(m, id) {
+	if id == 0 || add.Address == "" || findMember(m, id) != nil || wasRemoved(m, add.Identity) {
 		return InvalidChange
 	}
 	learner := proto.Clone(add).(*pb.ReplicaMember)
@@ -170,12 +170,11 @@
 	return ""
 }
 
-// wasRemoved tells whether the group has removed that id. An id never comes back:
-// a replica that has not heard of its removal would refuse its next life's
-// messages for good, even as its leader.
-func wasRemoved(m *pb.Membership, id uint64) bool {
+// wasRemoved tells whether the group has removed that identity. One that was
+// removed before its incarnation was known stands for all of its id.
+func wasRemoved(m *pb.Membership, id *pb.ReplicaIdentity) bool {
 	for _, gone := range m.GetRemoved() {
-		if gone.Id == id {
+		if gone.Id == id.GetId() && (gone.Incarnation == "" || gone.Incarnation == id.GetIncarnation()) {
 			return true
 		}
 	}
@@ -188,7 +187,7 @@
 // IsRemoved tells whether the committed member list has removed that identity;
 // the host then answers it with StepResponse.removed.
 func (n *Node) IsRemoved(id *pb.ReplicaIdentity) bool {
-	return wasRemoved(n.CommittedMembership(), id.GetId())
+	return wasRemoved(n.CommittedMembership(), id)
 }
 
 func (n *Node) appendMembership(m *pb.Membership) *pb.LogEntry {
@@ -291,7 +290,7 @@
 			continue
 		}
 		n.noteBound(m)
-		if wasRemoved(m, n.cfg.ID) {
+		if wasRemoved(m, n.identity) {
 			n.onRemoved()
 			return
 		}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -185,6 +185,10 @@
 	if pr == nil {
 		return
 	}
+	if pr.incarnation != incarnation && pr.heard {
+		// Another life of a learner: what the earlier one had synced is gone.
+		*pr = n.newProgress()
+	}
 	pr.activeAt, pr.heard, pr.incarnation = n.now, true, incarnation
 	switch m.Kind {
 	case pb.MessageKind_MESSAGE_KIND_HEARTBEAT_RESPONSE:
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -206,7 +206,7 @@
 	n.membersChanged()
 	n.introduceAgain()
 	n.noteBound(n.members.current())
-	if wasRemoved(n.members.current(), n.cfg.ID) {
+	if wasRemoved(n.members.current(), n.identity) {
 		n.onRemoved()
 		return
 	}
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -52,7 +52,7 @@
 	if err := s.store.Addressed(req.GetTo()); err != nil {
 		return nil, s.refuse(req, err.Error())
 	}
-	err := s.store.Admit(req.GetFrom(), s.loop.view().members)
+	err := s.store.Admit(req, s.loop.view().members)
 	if errorx.IsOfType(err, consensus.RemovedIdentity) {
 		return answer[*pb.StepResponse](s.loop.ask(ctx, func(id uint64) control.Event {
 			return control.AskRemoved{ID: id, Identity: req.GetFrom()}
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -7,12 +7,18 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-// Admit decides by consensus.CheckPeer whether a peer's messages may be taken,
-// given the committed member list. It remembers a peer's latest life and
-// boot, synced, before it returns. Errors: those of CheckPeer, Failed.
-func (s *Store) Admit(from *pb.ReplicaIdentity, committed *pb.Membership) error {
+// Admit decides whether a request's messages may be taken, given the committed
+// member list: those of a leader always, others by consensus.CheckPeer. It
+// remembers a peer's latest life and boot, synced, before it returns. Errors:
+// those of CheckPeer, Failed.
+func (s *Store) Admit(req *pb.StepRequest, committed *pb.Membership) error {
+	from := req.GetFrom()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if consensus.FromLeader(req.Messages) {
+		s.leads[from.GetId()] = from.GetIncarnation()
+		return nil
+	}
 	known := s.peers[from.GetId()]
 	if err := consensus.CheckPeer(from, known, committed); err != nil {
 		return err
@@ -45,5 +51,5 @@
 func (s *Store) Target(id uint64, members *pb.Membership) *pb.ReplicaIdentity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return consensus.TargetIdentity(id, s.peers[id], members)
+	return consensus.TargetIdentity(id, s.leads[id], s.peers[id], members)
 }
--- a/internal/store/setaside.go
+++ b/internal/store/setaside.go
@@ -7,10 +7,10 @@
 )
 
 // SetAside moves a Corrupt folder's files into a new folder below it, where an
-// operator may look at them, and returns its path. The next Open must say Join.
-// Peers refuse the new life under the old id; the operator gives the replica a
-// new id in its settings, which Open takes as long as the folder is unused, and
-// replaces the old id by it. Errors: Failed.
+// operator may look at them, and returns its path. The next Open must say Join:
+// the replica comes back under a new incarnation, which peers refuse until the
+// operator has replaced the old one by it, under the same id or a new one.
+// Errors: Failed.
 func SetAside(dir string) (string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -61,6 +61,8 @@
 	snapshot *pb.SnapshotMeta
 	bounds   *pb.LogBounds
 	peers    map[uint64]*pb.ReplicaIdentity
+	// leads holds the incarnation under which an id was last heard to lead.
+	leads map[uint64]string
 }
 
 // Open reads and checks a data folder, creates it if it is empty, and counts the
@@ -207,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Store{db: db, dir: dir, peers: map[uint64]*pb.ReplicaIdentity{}}
+	s = &Store{db: db, dir: dir, peers: map[uint64]*pb.ReplicaIdentity{}, leads: map[uint64]string{}}
 	if err := db.View(checkStructure); err != nil {
 		_ = db.Close()
 		return nil, Corrupt.Wrap(err, "%s", fileName)
