roles: count only what a backlog can't bridge; placement: judge slowness by role

roles, cause: regret over a 40 s mean changed roles in swings that waiting work bridges, and at a high price waited for the whole price to be lost first. Change: each split has a virtual backlog, prefill and decode in proportion; only what it leaves beyond ten seconds is lost. A change needs that the loss exceeds the seconds away (with the work that has to be moved), and with the present rate over a minute the price too. Tests: each package has its own now; a test of mine asked for a prefill engine where mixed ones suffice and for a cheaper pair than there is; both were replaced by checks of what is served and of the cost.

--- a/internal/decision/placement/limit.go
+++ b/internal/decision/placement/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // Bounds and steps of the factor by which a server's slots are multiplied.
@@ -17,20 +18,24 @@
 	increase = 0.02
 	// decrease on a bad one.
 	decrease = 0.8
-	// slowBy is how many times the fleet's typical latency counts as slow.
-	// A stream beside prefill on a mixed engine takes twice what it takes
-	// alone, which is no fault of the server.
+	// slowBy is how many times the typical latency of its role counts as slow.
+	// A full batch takes 1.8 times what one stream takes alone, which is no
+	// fault of the server.
 	slowBy = 2.5
 	// decreaseEvery bounds decreases to one per interval: all streams of one
 	// slow second tell the same thing.
 	decreaseEvery = time.Second
-	// smoothing is the weight of a new result in the averages.
+	// smoothing is the weight of a new result in a server's average.
 	smoothing = 0.1
+	// typicalStep is how far one result moves the typical time, up or down: so
+	// it settles at the median, which a third of slow servers does not move.
+	typicalStep = 0.02
 )
 
 // limit is what is known of one server.
 type limit struct {
-	id string
+	id   string
+	role engineapi.Role
 	// factor of the slots that may be used.
 	factor float64
 	// tokenTime is the smoothed time per token, in seconds; 0 when not known.
@@ -45,11 +50,18 @@
 	aligned []*limit
 	// index has each server's place in the fleet.
 	index map[string]int
-	// typical is the smoothed time per token over all servers, in seconds.
-	typical float64
+	// typical is the median time per token of each role, in seconds: streams
+	// beside prefill on a mixed engine take more than twice what they take on a
+	// decode engine.
+	typical map[engineapi.Role]*median
 }
 
-func newLimits() limits { return limits{byID: make(map[string]*limit), index: make(map[string]int)} }
+func newLimits() limits {
+	return limits{
+		byID: make(map[string]*limit), index: make(map[string]int),
+		typical: make(map[engineapi.Role]*median),
+	}
+}
 
 func (l *limits) align(fleet *decision.Fleet) {
 	if len(l.aligned) != len(fleet.Servers) {
@@ -62,6 +74,7 @@
 			l.aligned[i] = l.of(id)
 			l.index[id] = i
 		}
+		l.aligned[i].role = fleet.Servers[i].Role
 	}
 }
 
@@ -100,10 +113,7 @@
 		return
 	}
 	server.tokenTime = smooth(server.tokenTime, measured)
-	// The typical time moves down fast and up slowly: a few slow servers must
-	// not become what is typical.
-	l.typical = smooth(l.typical, min(measured, slowBy*max(l.typical, measured/slowBy)))
-	if server.tokenTime > slowBy*l.typical {
+	if server.tokenTime > slowBy*l.median(server.role).add(measured) {
 		server.lower(now)
 		return
 	}
@@ -126,6 +136,37 @@
 	return r.Took.Seconds()
 }
 
+func (l *limits) median(role engineapi.Role) *median {
+	m := l.typical[role]
+	if m == nil {
+		m = &median{}
+		l.typical[role] = m
+	}
+	return m
+}
+
+// median follows the middle of a stream of values.
+type median struct {
+	value float64
+	count int
+}
+
+// add moves the median by one value, the first ones by more: the very first may
+// be a slow server's.
+func (m *median) add(v float64) float64 {
+	m.count++
+	step := max(typicalStep, 0.5/float64(m.count))
+	switch {
+	case m.count == 1:
+		m.value = v
+	case v > m.value:
+		m.value *= 1 + step
+	default:
+		m.value *= 1 - step
+	}
+	return m.value
+}
+
 func smooth(old, value float64) float64 {
 	if old == 0 {
 		return value
--- /dev/null
+++ b/internal/decision/placement/placement_test.go
@@ -0,0 +1,229 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+func fleetOf(roles ...engineapi.Role) *decision.Fleet {
+	f := &decision.Fleet{Entries: 1}
+	for i, role := range roles {
+		s := decision.Server{
+			ID: fmt.Sprint("engine-", i), Kind: declaration.KindModel, Model: "m", Role: role,
+			Usable: true, Slots: 32, Load: engineapi.Load{PrefillRate: 10000, DecodeRate: 889, KVTokens: 600000},
+		}
+		if role == engineapi.RoleMixed {
+			s.Load.PrefillRate, s.Load.DecodeRate = 4000, 355
+		}
+		f.Servers = append(f.Servers, s)
+	}
+	return f
+}
+
+func mixed(n int) *decision.Fleet {
+	roles := make([]engineapi.Role, n)
+	for i := range roles {
+		roles[i] = engineapi.RoleMixed
+	}
+	return fleetOf(roles...)
+}
+
+func question(id string) *decision.Work {
+	return &decision.Work{
+		RequestID: id, Member: "m", Class: declaration.ClassUrgent, Kind: declaration.KindModel,
+		Model: "m", PromptTokens: 1000, OutputTokens: 200,
+	}
+}
+
+func dossier(id string) *decision.Work {
+	w := question(id)
+	w.Class, w.PromptTokens, w.OutputTokens = declaration.ClassBulk, 30000, 1000
+	return w
+}
+
+// send picks and accounts like an entry does, and gives the server's id.
+func send(t testing.TB, p *Picker, f *decision.Fleet, logs map[string]*decision.SentLog, w *decision.Work) string {
+	t.Helper()
+	c, ok := p.Pick(0, w, f)
+	if !ok {
+		return ""
+	}
+	p.Sent(0, w, c)
+	l := logs[c.Server.ID]
+	if l == nil {
+		l = &decision.SentLog{}
+		logs[c.Server.ID] = l
+	}
+	l.Add(0, decision.Tokens{Prefill: w.PromptTokens, Decode: w.OutputTokens, KV: w.PromptTokens + w.OutputTokens})
+	c.Server.Sent = l.Sent
+	return c.Server.ID
+}
+
+// Ninety requests come between two load reports. By the reports alone all nine
+// servers look equally idle all the time, and one of them gets far too many.
+func TestRequestsBetweenTwoReportsSpreadOut(t *testing.T) {
+	p, f, logs := New(), mixed(9), map[string]*decision.SentLog{}
+	got := map[string]int{}
+	for i := range 90 {
+		got[send(t, p, f, logs, question(fmt.Sprint(i)))]++
+	}
+	for id, n := range got {
+		if n > 16 {
+			t.Errorf("%s got %d of 90", id, n)
+		}
+	}
+	if len(got) != 9 {
+		t.Errorf("only %d servers used", len(got))
+	}
+}
+
+// Nine entries hold the same reports and know nothing of each other. If all of
+// them break ties alike, the first request of each goes to the same server.
+func TestEntriesWithTheSameReportsDoNotHerd(t *testing.T) {
+	got := map[string]int{}
+	for entry := range 9 {
+		c, _ := New().Pick(0, question(fmt.Sprint("entry", entry)), mixed(9))
+		got[c.Server.ID]++
+	}
+	if len(got) < 4 {
+		t.Fatalf("nine entries use %d servers: %v", len(got), got)
+	}
+}
+
+// A server has become four times slower but reports nothing wrong. It must get
+// less and less, and still a little, so that it is found when it is fast again.
+func TestSlowServerGetsLessBeforeNone(t *testing.T) {
+	p, f := New(), mixed(3)
+	slow := f.Servers[0].ID
+	at := time.Duration(0)
+	feed := func(seconds int, times float64) {
+		for range seconds * 3 {
+			at += 333 * time.Millisecond
+			for i := range f.Servers {
+				took := 100 * 40 * time.Millisecond
+				if f.Servers[i].ID == slow {
+					took = time.Duration(float64(took) * times)
+				}
+				p.Observe(at, f.Servers[i].ID, Result{Tokens: 101, Decode: took})
+			}
+		}
+	}
+	p.Pick(at, question("w"), f)
+	feed(10, 1)
+	before := p.limits.of(slow).slots(&f.Servers[0])
+	feed(5, 4)
+	early := p.limits.of(slow).slots(&f.Servers[0])
+	feed(60, 4)
+	late := p.limits.of(slow).slots(&f.Servers[0])
+	if before != 32 || early >= before || late >= early || late < 1 {
+		t.Fatalf("slots %v, then %v, then %v", before, early, late)
+	}
+	if healthy := p.limits.of(f.Servers[1].ID).slots(&f.Servers[1]); healthy != 32 {
+		t.Fatalf("a healthy server has %v slots", healthy)
+	}
+	feed(60, 1)
+	if again := p.limits.of(slow).slots(&f.Servers[0]); again != 32 {
+		t.Fatalf("%v slots once it is fast again", again)
+	}
+}
+
+// A follow-up on a dossier should go where the dossier's KV cache is, unless the
+// queue there costs more than the prefill that it saves.
+func TestAffinityIsBoundedByWhatItSaves(t *testing.T) {
+	p, f := New(), mixed(9)
+	w := dossier("a")
+	for i := range 100 {
+		w.Prefix = append(w.Prefix, uint64(i+1))
+	}
+	first, _ := p.Pick(0, w, f)
+	p.Sent(0, w, first)
+	w.RequestID = "b"
+	again, _ := p.Pick(time.Minute, w, f)
+	if again.Server.ID != first.Server.ID {
+		t.Fatalf("went to %s, cached at %s", again.Server.ID, first.Server.ID)
+	}
+	first.Server.Load.QueuedPrefillTokens = 40000
+	first.Server.ReportedAt = time.Minute
+	if c, _ := p.Pick(time.Minute, w, f); c.Server.ID == first.Server.ID {
+		t.Fatal("ten seconds of queue for six seconds of prefill")
+	}
+	first.Server.Load.QueuedPrefillTokens = 0
+	p.CacheChanged(time.Minute, first.Server.ID, []engineapi.CacheEvent{{Hash: 1, Dropped: true}})
+	if c, _ := p.Pick(time.Minute, w, f); c.Figures[1].Value != 0 {
+		t.Fatal("counts on blocks whose first one was dropped")
+	}
+}
+
+// Dossiers fill every server. A clerk's question must still find a slot.
+func TestBulkLeavesRoomForUrgentWork(t *testing.T) {
+	p, f, logs := New(), mixed(3), map[string]*decision.SentLog{}
+	for i := range 200 {
+		send(t, p, f, logs, dossier(fmt.Sprint(i)))
+	}
+	if _, ok := p.Pick(0, dossier("one more"), f); ok {
+		t.Fatal("bulk work is not bounded")
+	}
+	for i := range 6 {
+		if id := send(t, p, f, logs, question(fmt.Sprint("q", i))); id == "" {
+			t.Fatalf("question %d found no place", i)
+		}
+	}
+}
+
+func TestPrefillAndDecodeArePairedWhenThatCostsLess(t *testing.T) {
+	f := fleetOf(engineapi.RolePrefill, engineapi.RoleMixed, engineapi.RoleDecode)
+	c, ok := New().Pick(0, dossier("a"), f)
+	if !ok || c.Prefill == nil || c.Prefill.ID != "engine-0" || c.Server.ID != "engine-2" {
+		t.Fatalf("%+v", c)
+	}
+	f.Servers[0].Load.QueuedPrefillTokens = 60000
+	if c, _ := New().Pick(0, dossier("b"), f); c.Prefill != nil && c.Prefill.ID == "engine-0" {
+		t.Fatal("paired with a prefill engine that is behind")
+	}
+	held := dossier("c")
+	held.KVTokens = 30000
+	if c, _ := New().Pick(0, held, f); c.Prefill != nil || c.Server.Role == engineapi.RolePrefill {
+		t.Fatalf("imported KV cache was placed as %+v", c)
+	}
+	f.Servers[0].Usable = false
+	if c, ok := New().Pick(0, dossier("d"), f); !ok || c.Server.ID == "engine-0" || c.Prefill == &f.Servers[0] {
+		t.Fatal("a server that leaves got work")
+	}
+}
+
+func TestIndexStaysWithinItsBound(t *testing.T) {
+	x := newPrefixIndex()
+	for i := range maxBlocks + 100 {
+		x.addBlock(0, "s", uint64(i))
+	}
+	if len(x.blocks) != maxBlocks || x.blocks[0] != nil || x.blocks[maxBlocks] == nil {
+		t.Fatalf("%d blocks", len(x.blocks))
+	}
+	x.forget("s")
+	for _, b := range x.blocks {
+		if len(b.holders) > 0 {
+			t.Fatal("a forgotten server is still a holder")
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{9, 90, 450, 2700} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			p, f, w := New(), mixed(engines), question("q")
+			for i := range f.Servers {
+				f.Servers[i].Load.Running = uint32(i % 20)
+			}
+			p.Pick(0, w, f)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(0, w, f)
+			}
+		})
+	}
+}
--- a/internal/decision/queue/queue_test.go
+++ b/internal/decision/queue/queue_test.go
@@ -115,3 +115,48 @@
 		t.Fatalf("%v %v", w.RequestID, ok)
 	}
 }
+
+// Under overload dossiers become late for their first token. If the latest goes
+// first because it is the latest, it makes the next one late too, and none is in
+// time any more.
+func TestWhatIsTooLateDoesNotMakeOthersLate(t *testing.T) {
+	q := New()
+	q.Push(question("q", "m", 5*time.Minute))
+	q.Push(dossier("late", "m", -time.Minute))
+	if w, _ := q.Pop(5*time.Minute+1700*time.Millisecond, any1); w.RequestID != "q" {
+		t.Fatalf("%s went first", w.RequestID)
+	}
+}
+
+func TestDrainRateIsWhatLeftWhileWorkWaited(t *testing.T) {
+	q := New()
+	for i := range 300 {
+		q.Push(question(fmt.Sprint(i), "m", 0))
+	}
+	w := question("0", "m", 0)
+	for i := range 40 {
+		q.Pop(time.Duration(i)*500*time.Millisecond, any1)
+	}
+	rate, ok := q.Summary().DrainRate(20*time.Second, KeyOf(&w))
+	if want := 2 * w.Cost(); !ok || rate < 0.8*want || rate > 1.2*want {
+		t.Fatalf("rate %v (%v), want about %v", rate, ok, want)
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, length := range []int{10, 100, 1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("length=%d", length), func(b *testing.B) {
+			q := New()
+			works := make([]decision.Work, length)
+			for i := range works {
+				works[i] = question(fmt.Sprint(i), fmt.Sprint("m", i%1300), time.Duration(i))
+				q.Push(works[i])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				w, _ := q.Pop(0, any1)
+				q.Push(w)
+			}
+		})
+	}
+}
--- a/internal/decision/roles/plan.go
+++ b/internal/decision/roles/plan.go
@@ -11,21 +11,19 @@
 // many as may be away at once.
 func (p *Planner) Plan(now time.Duration, o Observation) []Change {
 	o.Rates = o.Rates.withDefaults()
-	p.demand.add(demandOf(&o), o.Interval)
 	f := survey(&o)
-	p.regrets.reset(f.split.Size(), o.Bounds.MinMixedShare)
-	p.regrets.add(f.split, p.demand.value(), o.Rates.Mixed, o.Interval)
+	p.regrets.reset(f.split, o.Bounds.MinMixedShare)
+	p.regrets.add(demandOf(&o), o.Rates.Mixed, o.Interval)
 	if f.away >= max(1, o.Bounds.MaxAway) {
 		return nil
 	}
-	cost := changeCost(&o)
-	target, regret, ok := p.regrets.best(f.split, cost)
+	c := changeCost(&o)
+	best, ok := p.regrets.best(c)
 	if !ok {
 		return nil
 	}
-	need := float64(f.split.Changes(target))
-	changes := Towards(&o, target, "offered mix", figures(target, regret, cost*need))
-	p.regrets.spend(regret * float64(len(changes)) / need)
+	changes := Towards(&o, best.split, "offered mix", figures(best, c))
+	p.regrets.spend(best.regret * float64(len(changes)) / float64(best.changes))
 	return changes
 }
 
@@ -49,13 +47,33 @@
 	return f
 }
 
-// changeCost is what one change costs, in engine-seconds.
-func changeCost(o *Observation) float64 {
+// cost is what one change costs, in engine-seconds.
+type cost struct {
+	// away is the work that is not done meanwhile, price what the profiles ask
+	// for beyond that.
+	away, price float64
+}
+
+// movePart is the part of an engine's running work that a change costs again:
+// prefill that was begun starts over, streams wait for their KV cache.
+const movePart = 1
+
+// changeCost weighs the time away by how much more the deployment minds changes
+// than goodput.
+func changeCost(o *Observation) cost {
 	ratio := 1.0
-	if o.Price.GoodputWeight > 0 {
+	if o.Price.GoodputWeight > 0 && o.Price.ChangeWeight > 0 {
 		ratio = o.Price.ChangeWeight / o.Price.GoodputWeight
 	}
-	return o.Bounds.ChangeTime.Seconds() + o.Price.PerChange.Seconds()*ratio
+	busy := 0.0
+	for i := range o.Engines {
+		busy += o.Engines[i].Busy
+	}
+	moved := movePart * busy / o.Rates.Prefill / float64(max(1, len(o.Engines)))
+	return cost{
+		away:  o.Bounds.ChangeTime.Seconds()*ratio + moved,
+		price: o.Price.PerChange.Seconds(),
+	}
 }
 
 // Towards gives the changes that lead from the present split towards target, no
@@ -79,13 +97,14 @@
 	return changes
 }
 
-func figures(target Split, gain, cost float64) []decision.Figure {
+func figures(best candidate, c cost) []decision.Figure {
 	return []decision.Figure{
-		{Name: "regret_engine_seconds", Value: gain},
-		{Name: "cost_engine_seconds", Value: cost},
-		{Name: "target_prefill", Value: float64(target.Prefill)},
-		{Name: "target_mixed", Value: float64(target.Mixed)},
-		{Name: "target_decode", Value: float64(target.Decode)},
+		{Name: "regret_engine_seconds", Value: best.regret},
+		{Name: "expected_engine_seconds", Value: best.expected},
+		{Name: "cost_engine_seconds", Value: float64(best.changes) * (c.away + c.price)},
+		{Name: "target_prefill", Value: float64(best.split.Prefill)},
+		{Name: "target_mixed", Value: float64(best.split.Mixed)},
+		{Name: "target_decode", Value: float64(best.split.Decode)},
 	}
 }
 
--- a/internal/decision/roles/roles.go
+++ b/internal/decision/roles/roles.go
@@ -86,15 +86,7 @@
 }
 
 // Planner plans for one model. It is not safe for concurrent use.
-type Planner struct {
-	demand  average
-	regrets regrets
-}
-
-// demandTime is the time constant of the demand that splits are judged by. Over
-// less, the chance of a few dossiers more or less counts as a shift; over more, a
-// shift is seen too late. docs/design/roles.md has the measurement.
-const demandTime = 40 * time.Second
+type Planner struct{ regrets regrets }
 
 // NewPlanner gives a planner without history.
-func NewPlanner() *Planner { return &Planner{demand: average{time: demandTime}} }
+func NewPlanner() *Planner { return &Planner{} }
