--- a/internal/policy/tally.go
+++ b/internal/policy/tally.go
@@ -23,6 +23,29 @@
 	unfinished                int
 	changes                   int
 	urgentFirst               *hdrhistogram.Histogram
+	// members counts offers and answers in time by member and class.
+	members map[memberClass]*memberCount
+}
+
+// memberClass names one member's work of one class.
+type memberClass struct {
+	member string
+	class  declaration.Class
+}
+
+type memberCount struct{ offered, good int }
+
+func (t *tally) member(w *decision.Work) *memberCount {
+	if t.members == nil {
+		t.members = make(map[memberClass]*memberCount)
+	}
+	key := memberClass{w.Member, w.Class}
+	c := t.members[key]
+	if c == nil {
+		c = &memberCount{}
+		t.members[key] = c
+	}
+	return c
 }
 
 // engineSeconds is a request's work at the rates of specialised engines.
@@ -37,6 +60,7 @@
 
 func (t *tally) offered(w *decision.Work) {
 	t.offer += value(w)
+	t.member(w).offered++
 	if w.Class == declaration.ClassBulk {
 		t.bulkOffered++
 	} else {
@@ -52,6 +76,7 @@
 	good := r.firstAt <= w.FirstTokenBy && at <= w.FinishBy
 	if good {
 		t.goodput += value(w)
+		t.member(w).good++
 	}
 	if w.Class == declaration.ClassBulk {
 		count(good, &t.bulkGood, &t.bulkLate)
--- a/internal/policy/trace.go
+++ b/internal/policy/trace.go
@@ -32,6 +32,9 @@
 	// prefill.
 	load, prefillShare func(t time.Duration) float64
 	losses             []Loss
+	// heavy is the part of all work that the first member sends beyond its
+	// equal part; zero counts as normalHeavy.
+	heavy float64
 }
 
 // traceLength is long enough for several swings and for the queue's five
@@ -231,9 +234,16 @@
 	}
 }
 
-// member draws a member; the first one sends half of all work.
+// normalHeavy: the consultancy sends half of all work and its part of the rest.
+const normalHeavy = 0.5
+
+// member draws a member.
 func (g *generator) member() *declaration.Member {
-	if g.rng.Float64() < 0.5 {
+	heavy := g.shape.heavy
+	if heavy == 0 {
+		heavy = normalHeavy
+	}
+	if g.rng.Float64() < heavy {
 		return &g.scenario.Members[0]
 	}
 	return &g.scenario.Members[g.rng.IntN(len(g.scenario.Members))]
