queue: make the last call of fits the one for the work returned

Cause: when the first head that fitted needed rounds of the others, cheaper ones were tried after it; a caller that keeps the server found in a variable, as the entry does, was left with the last try's, possibly none. Change: heads are tried in the order in which they would be served and the first that fits is taken. The new test asks it of a mix with every third call fitting.

--- a/internal/decision/queue/profile.go
+++ b/internal/decision/queue/profile.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
@@ -73,32 +74,43 @@
 	return first
 }
 
-// next gives the member's head whose turn it is by deficit round robin. Rounds
-// in which nobody can afford its head are passed over in one step.
+// next gives the member's head whose turn it is by deficit round robin: of those
+// that fit, the one that needs the fewest rounds. Rounds in which nobody can
+// afford its head are passed over in one step.
 func (p *profileQueue) next(fits func(*decision.Work) bool, tries *int) *item {
-	best, rounds := -1, 0.0
-	for i := range p.active {
-		index := (p.turn + i) % len(p.active)
+	var tried [maxTries]*flow
+	for n := 0; n < maxTries && *tries > 0; n++ {
+		index, rounds := p.nearest(tried[:n])
+		if index < 0 {
+			return nil
+		}
 		f := p.active[index]
-		need := f.roundsToAfford()
-		if best >= 0 && need >= rounds {
-			continue
+		if try(f.head(), fits, tries) {
+			return p.serve(index, rounds)
 		}
-		if !try(f.head(), fits, tries) {
-			if *tries <= 0 {
-				break
-			}
+		tried[n] = f
+	}
+	return nil
+}
+
+// nearest gives the flow that needs the fewest rounds, the first in turn of
+// several, and how many it needs; -1 when all were tried.
+func (p *profileQueue) nearest(tried []*flow) (index int, rounds float64) {
+	index = -1
+	for i := range p.active {
+		at := (p.turn + i) % len(p.active)
+		if slices.Contains(tried, p.active[at]) {
 			continue
 		}
-		best, rounds = index, need
+		need := p.active[at].roundsToAfford()
+		if index < 0 || need < rounds {
+			index, rounds = at, need
+		}
 		if need == 0 {
 			break
 		}
 	}
-	if best < 0 {
-		return nil
-	}
-	return p.serve(best, rounds)
+	return index, rounds
 }
 
 // serve charges the member's head after giving all members their rounds.
--- a/internal/decision/queue/queue.go
+++ b/internal/decision/queue/queue.go
@@ -65,7 +65,7 @@
 }
 
 // Pop takes the next work that fits. It tries a bounded number of heads; the
-// last call of fits that gave true is the one for the work returned.
+// last call of fits is the one for the work returned.
 func (q *Queue) Pop(now time.Duration, fits func(*decision.Work) bool) (decision.Work, bool) {
 	for i := range q.pools {
 		p := q.pools[(q.next+i)%len(q.pools)]
--- a/internal/decision/queue/queue_test.go
+++ b/internal/decision/queue/queue_test.go
@@ -160,3 +160,25 @@
 		})
 	}
 }
+
+// Callers keep the server that fits found in a variable. If a call for other work
+// came after it, the work would be sent to nowhere.
+func TestTheLastCallOfFitsIsForTheWorkReturned(t *testing.T) {
+	q := New()
+	for i := range 20 {
+		q.Push(dossier(fmt.Sprint("d", i), fmt.Sprint("m", i%5), time.Duration(i)))
+		q.Push(question(fmt.Sprint("q", i), fmt.Sprint("m", i%7), 0))
+	}
+	calls := 0
+	for q.Len() > 0 {
+		last, fitted := "", false
+		w, ok := q.Pop(time.Second, func(w *decision.Work) bool {
+			calls++
+			last, fitted = w.RequestID, calls%3 == 0
+			return fitted
+		})
+		if ok && (!fitted || last != w.RequestID) {
+			t.Fatalf("returned %s, last asked for %s (%v)", w.RequestID, last, fitted)
+		}
+	}
+}
