--- a/internal/consensus/effect.go
+++ b/internal/consensus/effect.go
@@ -67,8 +67,13 @@
 	Leads bool
 }
 
-// MembershipChanged tells the member list now in force.
-type MembershipChanged struct{ Membership *pb.Membership }
+// MembershipChanged tells the member list now in force, by which messages are
+// addressed, and the latest that is known to be committed, by which peers are
+// admitted.
+type MembershipChanged struct {
+	Membership *pb.Membership
+	Committed  *pb.Membership
+}
 
 // TakeSnapshot asks the host for a snapshot of the state that the Apply effects
 // up to here have built. Meta gives index, term and membership; the host syncs
@@ -103,6 +108,8 @@
 	NotReady
 	// InvalidChange: the change names an unknown, present or removed replica.
 	InvalidChange
+	// QuorumAtRisk: after the removal, the voters that answer are no quorum.
+	QuorumAtRisk
 	// Overloaded: too many bytes wait to be committed.
 	Overloaded
 )
--- a/internal/control/effect.go
+++ b/internal/control/effect.go
@@ -44,7 +44,9 @@
 // Members tells the member list now in force and who leads (zero if unknown).
 type Members struct {
 	Membership *pb.Membership
-	Leader     uint64
+	// Committed is the latest list known to be committed; peers are admitted by it.
+	Committed *pb.Membership
+	Leader    uint64
 	// Leads is true while this replica leads and is ready.
 	Leads bool
 }
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -54,6 +54,8 @@
 	term    uint64
 	leader  uint64
 	members *pb.Membership
+	// committed is the latest member list known to be committed.
+	committed *pb.Membership
 	// lead is what only a ready leader keeps; nil otherwise.
 	lead *leadership
 
@@ -81,7 +83,7 @@
 // NewReducer gives a replica that starts from state.
 func NewReducer(cfg Config, node Node, state *State) *Reducer {
 	return &Reducer{
-		cfg: cfg, node: node, state: state, members: &pb.Membership{},
+		cfg: cfg, node: node, state: state, members: &pb.Membership{}, committed: &pb.Membership{},
 		proposals: make(map[uint64]*proposal),
 		appended:  make(map[uint64]*proposal),
 		reads:     make(map[uint64]func(bool)),
@@ -174,7 +176,7 @@
 	case consensus.LeaderChanged:
 		r.onLeaderChanged(e)
 	case consensus.MembershipChanged:
-		r.members = e.Membership
+		r.members, r.committed = e.Membership, e.Committed
 		r.emitMembers()
 	case consensus.TakeSnapshot:
 		r.onTakeSnapshot(e)
@@ -215,7 +217,7 @@
 }
 
 func (r *Reducer) emitMembers() {
-	r.emit(Members{Membership: r.members, Leader: r.leader, Leads: r.lead != nil})
+	r.emit(Members{Membership: r.members, Committed: r.committed, Leader: r.leader, Leads: r.lead != nil})
 }
 
 // endLeadership answers all that wait: what they asked for may still come about,
--- a/internal/control/runner/transport.go
+++ b/internal/control/runner/transport.go
@@ -147,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := pb.NewReplicaProtobufClient(t.auth.URL(address), client).Step(ctx, &pb.StepRequest{
-		ClusterId: t.cfg.Cluster, From: t.store.Identity(),
+		ClusterId: t.cfg.Cluster, From: t.sender(batch),
 		To: t.store.Target(key.peer, members), Messages: batch, FromAddress: t.cfg.Address,
 	})
 	if err != nil {
@@ -159,6 +159,17 @@
 	return nil
 }
 
+// sender is the own identity, with the history of boots where a peer may need it.
+func (t *transport) sender(batch []*pb.Message) *pb.ReplicaIdentity {
+	for _, m := range batch {
+		switch m.GetKind() {
+		case pb.MessageKind_MESSAGE_KIND_HELLO, pb.MessageKind_MESSAGE_KIND_HELLO_RESPONSE:
+			return t.store.Introduction()
+		}
+	}
+	return t.store.Identity()
+}
+
 // learn remembers where an admitted sender listens.
 func (t *transport) learn(id uint64, address string) {
 	if address == "" {
