entry: count what was sent where it is worked on, for the correction of load

Cause: a pair's prompt was counted at the decode engine and not at the prefill engine, and KV memory nowhere, so that between two reports all prompts went to the same prefill engine and a decode engine could be filled beyond its memory. internal/entry's tests pass.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -153,7 +153,12 @@
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
-	s.since = append(s.since, sentWork{at: r.now, prefill: q.work.PromptTokens + q.done, decode: q.decodeLeft()})
+	context := q.work.PromptTokens + q.done
+	tokens := decision.Tokens{Prefill: context, Decode: q.decodeLeft(), KV: context + q.decodeLeft()}
+	if choice.Prefill != nil {
+		tokens.Prefill = 0
+	}
+	s.since = append(s.since, sentWork{r.now, tokens})
 	d := Dispatch{
 		RequestID: q.work.RequestID, Attempt: q.attempt, EngineAttempt: q.engineAttempt, Server: s.pb.Id,
 		Incarnation: s.pb.Incarnation, Address: s.pb.Address, Reconnect: reconnect,
@@ -162,6 +167,7 @@
 		p := r.servers.byID[choice.Prefill.ID]
 		q.prefill = p
 		p.running = append(p.running, q.work.RequestID)
+		p.since = append(p.since, sentWork{r.now, decision.Tokens{Prefill: context, KV: context}})
 		d.PrefillServer, d.PrefillIncarnation, d.PrefillAddress = p.pb.Id, p.pb.Incarnation, p.pb.Address
 	}
 	r.emit(d)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -43,9 +43,8 @@
 }
 
 type sentWork struct {
-	at      time.Duration
-	prefill int
-	decode  int
+	at     time.Duration
+	tokens decision.Tokens
 }
 
 type serverTable struct {
@@ -257,8 +256,9 @@
 	}
 	for _, w := range s.since {
 		sent.SinceRequests++
-		sent.SincePrefillTokens += w.prefill
-		sent.SinceDecodeTokens += w.decode
+		sent.SincePrefillTokens += w.tokens.Prefill
+		sent.SinceDecodeTokens += w.tokens.Decode
+		sent.SinceKVTokens += w.tokens.KV
 	}
 	return sent
 }
