--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -1,26 +1,10 @@
 package placement
 
 import (
-	"time"
-
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 )
 
-// whole is a candidate that does prefill and decode.
-type whole struct {
-	index int
-	cost  float64
-	held  int // blocks of the prompt in its cache
-}
-
-// pair is a candidate with prefill and decode apart.
-type pair struct {
-	prefill, decode int
-	cost            float64
-	held            int
-}
-
 // near is the part of the cost within which servers count as alike.
 const near = 0.05
 
@@ -32,37 +16,6 @@
 // 160 kB a token over 25 Gbit/s.
 const kvTokenRate = 20000
 
-// pickWhole looks at every server that does both parts.
-func (p *Picker) pickWhole(now time.Duration, w *decision.Work, fleet *decision.Fleet, held []int) whole {
-	best := noEnd
-	turn := spread(w.RequestID)
-	for i := range fleet.Servers {
-		server := &fleet.Servers[i]
-		if !server.Serves(w) || !doesWhole(server, w) {
-			continue
-		}
-		l := loadOf(now, server, fleet.Entries)
-		if !hasRoom(w, server, &l, p.limits.aligned[i].slots(server), both) {
-			continue
-		}
-		best.offer(i, p.wholeCost(i, w, server, l, held[i])+distance(fleet, server), turn)
-	}
-	if best.index < 0 {
-		return whole{index: -1}
-	}
-	return whole{index: best.index, cost: best.cost, held: held[best.index]}
-}
-
-func (p *Picker) wholeCost(i int, w *decision.Work, server *decision.Server, l load, held int) float64 {
-	if w.Kind == declaration.KindPlain {
-		return plainCost(p.limits.aligned[i], server, l)
-	}
-	if w.KVTokens > 0 {
-		return float64(w.KVTokens)/kvTokenRate + p.decodeCost(i, w, server, l)
-	}
-	return prefillCost(w, server, l, held) + p.decodeCost(i, w, server, l)
-}
-
 // plainCost is the time of a call with the others before it.
 func plainCost(known *limit, server *decision.Server, l load) float64 {
 	time := known.tokenTime
--- a/internal/decision/placement/filter.go
+++ b/internal/decision/placement/filter.go
@@ -5,7 +5,6 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
-	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // Bounds on bulk work at one server. Without them a burst of dossiers takes all
@@ -61,11 +60,3 @@
 	need := float64(w.PromptTokens + w.OutputTokens)
 	return l.kv+need <= share*float64(server.Load.KVTokens)
 }
-
-// doesWhole tells whether the server's role does all that is left of the work.
-func doesWhole(server *decision.Server, w *decision.Work) bool {
-	if w.KVTokens > 0 {
-		return server.Role != engineapi.RolePrefill
-	}
-	return w.Kind == declaration.KindPlain || server.Role == engineapi.RoleMixed || server.Role == ""
-}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -69,15 +69,32 @@
 func (p *Picker) Pick(now time.Duration, w *decision.Work, fleet *decision.Fleet) (Choice, bool) {
 	p.limits.align(fleet)
 	held := p.held(now, w, fleet)
-	best := p.pickWhole(now, w, fleet, held)
-	pair := p.pickPair(now, w, fleet, held)
+	b := p.scan(now, w, fleet, held)
+	pair := b.pair(w)
 	switch {
-	case best.index < 0 && pair.decode < 0:
+	case b.whole.index < 0 && pair.decode < 0:
 		return Choice{}, false
-	case pair.decode >= 0 && (best.index < 0 || pair.cost < best.cost):
-		return p.pairChoice(fleet, pair), true
+	case pair.decode >= 0 && (b.whole.index < 0 || pair.cost < b.whole.cost):
+		server := &fleet.Servers[pair.decode]
+		return Choice{
+			Server: server, Prefill: &fleet.Servers[pair.prefill],
+			Reason:  "lowest cost: prefill and decode apart",
+			Figures: p.figures(pair.cost, held[pair.prefill], pair.decode, server),
+		}, true
 	default:
-		return p.wholeChoice(fleet, best), true
+		server := &fleet.Servers[b.whole.index]
+		return Choice{
+			Server: server, Reason: "lowest cost",
+			Figures: p.figures(b.whole.cost, held[b.whole.index], b.whole.index, server),
+		}, true
+	}
+}
+
+func (p *Picker) figures(cost float64, held, index int, server *decision.Server) []decision.Figure {
+	return []decision.Figure{
+		{Name: "cost_seconds", Value: cost},
+		{Name: "cached_blocks", Value: float64(held)},
+		{Name: "limit", Value: p.limits.aligned[index].slots(server)},
 	}
 }
 
--- a/internal/decision/roles/split.go
+++ b/internal/decision/roles/split.go
@@ -59,13 +59,19 @@
 	return both
 }
 
-// Splits lists all splits of size engines with the smallest share of mixed ones
-// and that can serve both parts at all.
+// steps bounds the splits that are looked at: a fleet of 675 engines has 99,000,
+// which are 6 ms a plan, and one engine more or less of a role matters to none.
+const steps = 32
+
+// Splits lists the splits of size engines with the smallest share of mixed ones
+// and that can serve both parts at all: all of them up to 63 engines, of larger
+// fleets those in steps of a thirty-second.
 func Splits(size int, minMixedShare float64) []Split {
 	minMixed := min(size, int(math.Ceil(minMixedShare*float64(size)-rounding)))
+	step := max(1, size/steps)
 	var out []Split
-	for prefill := 0; prefill <= size-minMixed; prefill++ {
-		for decode := 0; decode+prefill <= size-minMixed; decode++ {
+	for prefill := 0; prefill <= size-minMixed; prefill += step {
+		for decode := 0; decode+prefill <= size-minMixed; decode += step {
 			s := Split{Prefill: prefill, Mixed: size - prefill - decode, Decode: decode}
 			if s.Mixed > 0 || (prefill > 0 && decode > 0) {
 				out = append(out, s)
