admission, placement: urgent work waits for urgent prefill only

Cause, seen in a log of refusals: a tenth of all prefill that waits at engines stood in for the urgent part of it; with seconds of dossiers waiting, questions that would have had their first token in 0.3 s were refused for a wait of 1.9 s. Change: an entry counts the prefill of its own urgent work until the first token (fresh, without a report's lag); admission and placement use that.

--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -31,11 +31,6 @@
 // that; refusing on that would refuse work that mostly is in time.
 const tokenTime = 36 * time.Millisecond
 
-// urgentAhead is the part of the servers' prefill backlog that an urgent
-// request has to wait for: engines prefill by priority, so only other urgent
-// work stands before it.
-const urgentAhead = 0.1
-
 // plainCall is how long a call of a plain service takes, for the wait in a
 // queue before its servers.
 const plainCall = 20 * time.Millisecond
@@ -90,11 +85,14 @@
 	return load{min(rest.prefill, own.prefill), min(rest.decode, own.decode)}
 }
 
-// serverWait is the wait behind the prefill that servers have already.
+// serverWait is the wait behind the prefill that servers have already, for urgent
+// work behind that of other urgent work only: engines prefill by priority. A
+// part of the whole backlog in its place refused questions for dossiers that
+// they pass (docs/design/admission.md).
 func serverWait(w *decision.Work, s *supply) time.Duration {
 	backlog := s.prefillTokens
 	if w.Class != declaration.ClassBulk {
-		backlog *= urgentAhead
+		backlog = s.urgentTokens
 	}
 	return seconds(backlog / max(1, s.prefillRate))
 }
--- a/internal/decision/admission/supply.go
+++ b/internal/decision/admission/supply.go
@@ -16,6 +16,7 @@
 	prefillRate   float64 // tokens/s of all
 	decodeRate    float64 // tokens/s of all
 	prefillTokens float64 // that wait at servers
+	urgentTokens  float64 // those of them that urgent work waits for
 	decodeTokens  float64 // that run or wait at servers
 	// bestPrefill and bestToken are what one request gets at best: tokens/s
 	// and time per token.
@@ -51,6 +52,7 @@
 		s.prefillTokens += left(float64(load.QueuedPrefillTokens), prefillRate, age) +
 			float64(server.Sent.SincePrefillTokens)*entries
 	}
+	s.urgentTokens += float64(server.Sent.UrgentPrefillTokens) * entries
 	if server.Role != engineapi.RolePrefill {
 		s.decodeRate += decodeRate
 		s.decodeTokens += left(float64(load.RunningDecodeTokens), decodeRate, age) +
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -72,6 +72,10 @@
 	Requests      int
 	PrefillTokens int
 	DecodeTokens  int
+	// UrgentPrefillTokens is the prefill of urgent and lookup work whose first
+	// token has not come: all that such work waits for at an engine, since
+	// engines prefill by priority.
+	UrgentPrefillTokens int
 	// Since sums what was sent after the server's last report was true.
 	SinceRequests      int
 	SincePrefillTokens int
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -25,10 +25,6 @@
 	return time * (1 + l.requests/float64(max(1, server.Slots)))
 }
 
-// urgentWait is the part of the prefill backlog that urgent work waits for:
-// engines prefill by priority.
-const urgentWait = 0.1
-
 // prefillCost is the wait behind the server's prefill and the own prefill
 // without the blocks that it holds. Affinity is so bounded by what it saves: a
 // server with the prefix and a longer queue than that is not chosen.
@@ -36,7 +32,7 @@
 	rate := max(1, server.PrefillRate())
 	wait := l.prefill / rate
 	if w.Class != declaration.ClassBulk {
-		wait *= urgentWait
+		wait = l.urgent / rate
 	}
 	own := max(0, w.PromptTokens-held*decision.BlockTokens)
 	return wait + float64(own)/rate
--- a/internal/decision/placement/load.go
+++ b/internal/decision/placement/load.go
@@ -10,6 +10,7 @@
 type load struct {
 	requests float64
 	prefill  float64 // tokens that wait for prefill
+	urgent   float64 // those of them that urgent work waits for
 	decode   float64 // tokens that are still to be decoded
 	kv       float64 // tokens of KV memory in use
 }
@@ -35,6 +36,7 @@
 			scale*float64(sent.SinceDecodeTokens),
 		kv: float64(report.KVUsed) + scale*float64(sent.SinceKVTokens),
 	}
+	l.urgent = scale * float64(sent.UrgentPrefillTokens)
 	l.requests = max(l.requests, float64(sent.Requests))
 	return l
 }
--- a/internal/decision/roles/regret.go
+++ b/internal/decision/roles/regret.go
@@ -13,7 +13,7 @@
 // how long that rate is reckoned to go on.
 const (
 	rateTime = 20 * time.Second
-	horizon  = time.Minute
+	horizon  = 3 * time.Minute
 )
 
 // regrets keep for each other split how many engine-seconds of offered work the
--- a/internal/decision/sent.go
+++ b/internal/decision/sent.go
@@ -38,6 +38,10 @@
 	l.Sent.DecodeTokens -= t.Decode
 }
 
+// Urgent notes prefill tokens of urgent work that begin (or, negative, end) to
+// wait for their first token.
+func (l *SentLog) Urgent(tokens int) { l.Sent.UrgentPrefillTokens += tokens }
+
 // Reported takes in that a report was true at that time: what was sent up to
 // then is in it.
 func (l *SentLog) Reported(at time.Duration) {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -57,6 +57,14 @@
 	return q.work.PromptTokens + q.done
 }
 
+// prefiller is the server that does the request's prefill.
+func (q *request) prefiller() *server {
+	if q.prefill != nil {
+		return q.prefill
+	}
+	return q.server
+}
+
 func (q *request) decodeLeft() int { return max(0, q.work.OutputTokens-q.done-q.got) }
 
 func (q *request) key() quarantineKey { return quarantineKey{q.work.Member, q.fingerprint} }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -252,6 +252,9 @@
 	for _, id := range s.running {
 		q := r.requests[id]
 		sent.PrefillTokens += q.prefillLeft()
+		if q.work.Class != declaration.ClassBulk && s == q.prefiller() {
+			sent.UrgentPrefillTokens += q.prefillLeft()
+		}
 		sent.DecodeTokens += q.decodeLeft()
 	}
 	for _, w := range s.since {
--- a/internal/policy/entry.go
+++ b/internal/policy/entry.go
@@ -107,6 +107,7 @@
 	r.stage = running
 	r.onServer = decision.Tokens{Prefill: ownPrefill(w, c), Decode: w.OutputTokens, KV: w.PromptTokens + w.OutputTokens}
 	e.add(r.server, r.onServer)
+	e.waitsForPrefill(r, w, c)
 	req := e.modelRequest(r)
 	if c.Prefill != nil {
 		r.stage, r.prefill = prefilling, e.index(c.Prefill)
@@ -137,6 +138,27 @@
 	panic("policy: the choice is not of this fleet")
 }
 
+// waitsForPrefill notes urgent work where it is prefilled, until its first token.
+func (e *entry) waitsForPrefill(r *request, w *decision.Work, c placement.Choice) {
+	if w.Class == declaration.ClassBulk || w.KVTokens > 0 {
+		return
+	}
+	r.urgent, r.urgentAt = w.PromptTokens, r.server
+	if c.Prefill != nil {
+		r.urgentAt = e.index(c.Prefill)
+	}
+	e.sent[r.urgentAt].Urgent(r.urgent)
+	e.fleet.Servers[r.urgentAt].Sent = e.sent[r.urgentAt].Sent
+}
+
+func (e *entry) prefillOver(r *request) {
+	if r.urgent > 0 {
+		e.sent[r.urgentAt].Urgent(-r.urgent)
+		e.fleet.Servers[r.urgentAt].Sent = e.sent[r.urgentAt].Sent
+		r.urgent = 0
+	}
+}
+
 // add and done keep Sent of a server up to date.
 func (e *entry) add(i int, t decision.Tokens) {
 	e.sent[i].Add(e.sim.now, t)
@@ -186,6 +208,9 @@
 // progress takes in what engine i produced for r.
 func (e *entry) progress(i int, r *request, p enginemodel.Progress) {
 	r.got += p.Tokens
+	if p.Tokens > 0 {
+		e.prefillOver(r)
+	}
 	if r.firstAt == 0 && p.FirstAt > 0 {
 		r.firstAt = p.FirstAt
 	}
@@ -219,6 +244,7 @@
 
 // release takes r out of the accounts of its servers.
 func (e *entry) release(r *request) {
+	e.prefillOver(r)
 	if r.prefill >= 0 {
 		e.done(r.prefill, r.onPrefill)
 	}
--- a/internal/policy/sim.go
+++ b/internal/policy/sim.go
@@ -49,6 +49,9 @@
 	server  int // node
 	// onPrefill and onServer are what is accounted there.
 	onPrefill, onServer decision.Tokens
+	// urgent is the prefill that it waits for at a server, as noted there.
+	urgent   int
+	urgentAt int
 	// handed is the tokens of the answer so far from earlier attempts, got all
 	// of them.
 	handed, got int
