--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -168,6 +168,12 @@
 	if _, ok := p.Pick(0, dossier("one more"), f); ok {
 		t.Fatal("bulk work is not bounded")
 	}
+	// Short bulk prompts wait for no prefill: only the slots bound them.
+	for i := range 200 {
+		w := dossier(fmt.Sprint("short", i))
+		w.PromptTokens = 100
+		send(t, p, f, logs, w)
+	}
 	for i := range 6 {
 		if id := send(t, p, f, logs, question(fmt.Sprint("q", i))); id == "" {
 			t.Fatalf("question %d found no place", i)
--- a/internal/decision/roles/roles_test.go
+++ b/internal/decision/roles/roles_test.go
@@ -109,7 +109,8 @@
 // The mix swings faster than a change pays. A policy that follows has an engine
 // away in every swing and always the split of the swing before.
 func TestFastSwingsCauseNoFlapping(t *testing.T) {
-	for _, period := range []time.Duration{10 * time.Second, 20 * time.Second, 40 * time.Second} {
+	for _, secs := range []int{10, 20, 40, 60, 80, 90, 100} {
+		period := time.Duration(secs) * time.Second
 		f := newFleet(2, 4, 3)
 		f.run(20*time.Minute, 7.8, square(period, 0.2, 0.8))
 		if len(f.changes) > 3 {
