--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -159,24 +159,26 @@
 	}
 }
 
-// Dossiers fill every server. A clerk's question must still find a slot.
+// Bulk work fills every server, long prompts by their prefill and short ones by
+// the slots. A clerk's question must still find a place.
 func TestBulkLeavesRoomForUrgentWork(t *testing.T) {
-	p, f, logs := New(), mixed(3), map[string]*decision.SentLog{}
-	for i := range 200 {
-		send(t, p, f, logs, dossier(fmt.Sprint(i)))
-	}
-	if _, ok := p.Pick(0, dossier("one more"), f); ok {
-		t.Fatal("bulk work is not bounded")
-	}
-	// Short bulk prompts wait for no prefill: only the slots bound them.
-	for i := range 200 {
-		w := dossier(fmt.Sprint("short", i))
-		w.PromptTokens = 100
-		send(t, p, f, logs, w)
-	}
-	for i := range 6 {
-		if id := send(t, p, f, logs, question(fmt.Sprint("q", i))); id == "" {
-			t.Fatalf("question %d found no place", i)
+	for _, prompt := range []int{30000, 100} {
+		p, f, logs := New(), mixed(3), map[string]*decision.SentLog{}
+		bulk := func(id string) *decision.Work {
+			w := dossier(id)
+			w.PromptTokens = prompt
+			return w
+		}
+		for i := range 200 {
+			send(t, p, f, logs, bulk(fmt.Sprint(i)))
+		}
+		if _, ok := p.Pick(0, bulk("one more"), f); ok {
+			t.Fatal("bulk work is not bounded")
+		}
+		for i := range 6 {
+			if id := send(t, p, f, logs, question(fmt.Sprint("q", i))); id == "" {
+				t.Fatalf("prompts of %d: question %d found no place", prompt, i)
+			}
 		}
 	}
 }
