--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -31,11 +31,6 @@
 // that; refusing on that would refuse work that mostly is in time.
 const tokenTime = 36 * time.Millisecond
 
-// urgentAhead is the part of the servers' prefill backlog that an urgent
-// request has to wait for: engines prefill by priority, so only other urgent
-// work stands before it.
-const urgentAhead = 0.1
-
 // plainCall is how long a call of a plain service takes, for the wait in a
 // queue before its servers.
 const plainCall = 20 * time.Millisecond
@@ -56,7 +51,7 @@
 		return e
 	}
 	own := ownAhead(mine, profile, share)
-	e.wait = serverWait(w, s) + c.queueWait(now, w, s, own, others(w, own, profile, all), queued, entries)
+	e.wait = serverWait(w, s) + c.queueWait(now, w, s, own, others(w, own, profile, all), share, queued, entries)
 	e.prefill = seconds(float64(w.PromptTokens) / max(1, s.bestPrefill))
 	e.decode = time.Duration(w.OutputTokens) * tokenTime
 	return e
@@ -90,21 +85,34 @@
 	return load{min(rest.prefill, own.prefill), min(rest.decode, own.decode)}
 }
 
-// serverWait is the wait behind the prefill that servers have already.
+// serverWait is the wait behind the prefill that servers have already, for urgent
+// work behind that of other urgent work only: engines prefill by priority. A
+// part of the whole backlog in its place refused questions for dossiers that
+// they pass (docs/design/admission.md).
 func serverWait(w *decision.Work, s *supply) time.Duration {
 	backlog := s.prefillTokens
 	if w.Class != declaration.ClassBulk {
-		backlog *= urgentAhead
+		backlog = s.urgentTokens
 	}
 	return seconds(backlog / max(1, s.prefillRate))
 }
 
-// queueWait is the wait in this entry's queue: what is ahead over the rate at
-// which the queue has been drained lately. Until that is known, the servers' own
-// rates stand in for it; every entry has its part of them.
-func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, queued *queue.Summary, entries float64) time.Duration {
-	if rate, ok := queued.DrainRate(now, queue.KeyOf(w)); ok {
-		return seconds(caution * own.cost() / max(1, rate))
+// queueWait is the wait in this entry's queue: the member's own work over the part
+// of the profile's rate that is left to it. Until that rate is known, the servers'
+// own rates stand in for it; every entry has its part of them.
+//
+// Under fair queueing others' work that comes later goes before a heavy member's,
+// so what is ahead of it now over the whole rate is too little: it let in 231
+// dossiers of a trace at twice the capacity that were late. Its bare share is too
+// much in a burst, when the others ask for less than theirs. So the others count
+// with what they were let in lately.
+func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, share float64, queued *queue.Summary, entries float64) time.Duration {
+	key := queue.KeyOf(w)
+	waiting := queued.Get(key).Cost()
+	key.Member = ""
+	if rate, ok := queued.DrainRate(now, key); ok {
+		mine := max(1, share*rate, rate-c.members.othersRate(now, w))
+		return seconds(caution * waiting / mine)
 	}
 	prefill := (own.prefill + rest.prefill) * entries / max(1, s.prefillRate)
 	decode := (own.decode + rest.decode) * entries / max(1, s.decodeRate)
