--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -10,6 +10,20 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
+// Names and sizes of the samples.
+const (
+	sampleCluster = "sample"
+	sampleModel   = "model-0"
+	// leaseMillis is the view lease that control gives.
+	leaseMillis = 1500
+	// fleetToday is one user's engines.
+	fleetToday = 9
+	// receiptBytes is an ordinary once-only answer.
+	receiptBytes = 600
+	// sweepEvery is the leader's sweep interval.
+	sweepEvery = 100 * time.Millisecond
+)
+
 // sampleServer is an engine with names of ordinary length.
 func sampleServer(i int) *pb.BackendServer {
 	return &pb.BackendServer{
@@ -50,6 +64,17 @@
 	}
 }
 
+func sampleIdentity(i int) *pb.EntryIdentity {
+	identity := sampleEntry(i).Identity
+	identity.Incarnation = "4fc2a6b1-58c1-4d0e-9a53-3f0b2e6d8c17"
+	return identity
+}
+
+func sampleLoad() *pb.Load {
+	return &pb.Load{Running: 20, Queued: 3, QueuedPrefillTokens: 12000, RunningDecodeTokens: 9000,
+		PrefillRate: 8000, DecodeRate: 1400, CacheUsed: 0.8, AgeMs: 200}
+}
+
 func sampleEntries(n int) []*pb.EntryInfo {
 	list := make([]*pb.EntryInfo, 0, n)
 	for i := range n {
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -6,5 +6,7 @@
 func slopes() []Slope {
 	return slices.Concat(
 		messageSlopes(),
+		entrySlopes(),
+		controlSlopes(),
 	)
 }
