Count bytes between our own processes; watch idle deployments for slopes

Change: rpc counts bytes on the wire below TLS; goldcrest-load capacity starts real deployments of four sizes and reads processor time, memory and bytes.

--- a/cmd/goldcrest-load/capacity.go
+++ b/cmd/goldcrest-load/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -11,15 +12,16 @@
 
 func newCapacity() *cobra.Command {
 	var docs string
+	var processes capacity.Processes
 	cmd := &cobra.Command{
 		Use:   "capacity",
 		Short: "Measure slopes and renew docs/CAPACITY.md",
 		Long: `capacity measures how costs grow with sizes, fits lines, and renews the tables
-and plots of the capacity page. It takes a minute or two; run nothing beside it.`,
+and plots of the capacity page. It takes some minutes; run nothing beside it.`,
 		Example: "  goldcrest-load capacity --docs docs",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			fits, err := capacity.Measure(func(f capacity.Fit) {
+			fits, err := capacity.Measure(processes, func(f capacity.Fit) {
 				fmt.Fprintf(cmd.OutOrStdout(), "%-32s %10.2f + %10.4f per %s (R² %.3f)\n",
 					f.Name, f.Intercept, f.PerUnit, f.Size, f.RSquared)
 			})
@@ -29,6 +31,10 @@
 			return fits.Write(docs)
 		},
 	}
-	cmd.Flags().StringVar(&docs, "docs", "docs", "folder with CAPACITY.md")
+	f := cmd.Flags()
+	f.StringVar(&docs, "docs", "docs", "folder with CAPACITY.md")
+	f.StringVar(&processes.Bin, "bin", "bin", "folder with the programs")
+	f.StringVar(&processes.Deploy, "deploy", "deploy", "folder with the deployments")
+	f.DurationVar(&processes.Observe, "observe", 10*time.Second, "how long each deployment without callers is watched")
 	return cmd
 }
--- /dev/null
+++ b/internal/capacity/processes.go
@@ -0,0 +1,230 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+// Processes says how to start real processes for the slopes that need them.
+type Processes struct {
+	// Bin holds the programs, Deploy the deployments.
+	Bin    string
+	Deploy string
+	// Observe is how long a deployment that serves nobody is watched.
+	Observe time.Duration
+}
+
+// startTimeout bounds how long a deployment may take to serve.
+const startTimeout = 60 * time.Second
+
+// idleCost is what one process spends while no caller comes.
+type idleCost struct {
+	// cpu is the share of a core, in percent.
+	cpu float64
+	// memory is resident, in MB.
+	memory float64
+	// bytes are sent and received between our own processes, per second.
+	bytes float64
+}
+
+// idleFleet is what the processes of one deployment spend.
+type idleFleet struct {
+	// entry is the mean of all entries, leader the control replica that
+	// spends most, follower the mean of the others.
+	entry    idleCost
+	leader   idleCost
+	follower idleCost
+}
+
+// idle starts a deployment with that many entries and engines in each data
+// centre and watches it.
+func (p Processes) idle(entries, engines int) (idleFleet, error) {
+	dir, err := os.MkdirTemp("", "goldcrest-capacity-")
+	if err != nil {
+		return idleFleet{}, Failed.Wrap(err, "folder")
+	}
+	defer os.RemoveAll(dir)
+	bed, err := testbed.New(testbed.Options{
+		Bin: p.Bin, Dir: dir, Deploy: p.Deploy, Deployment: "qalhat", Entries: entries, Engines: engines,
+	})
+	if err != nil {
+		return idleFleet{}, err
+	}
+	defer bed.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := bed.Start(ctx); err != nil {
+		return idleFleet{}, err
+	}
+	return p.watch(bed)
+}
+
+func (p Processes) watch(bed *testbed.Bed) (idleFleet, error) {
+	entries, err := p.costs(bed.Entries)
+	if err != nil {
+		return idleFleet{}, err
+	}
+	control, err := p.costs(bed.Control)
+	if err != nil {
+		return idleFleet{}, err
+	}
+	fleet := idleFleet{entry: mean(entries)}
+	busiest := 0
+	for i, c := range control {
+		if c.bytes > control[busiest].bytes {
+			busiest = i
+		}
+	}
+	fleet.leader = control[busiest]
+	fleet.follower = mean(append(control[:busiest:busiest], control[busiest+1:]...))
+	return fleet, nil
+}
+
+// costs watches the processes for Observe.
+func (p Processes) costs(list []*testbed.Process) ([]idleCost, error) {
+	before, err := readings(list)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	time.Sleep(p.Observe)
+	after, err := readings(list)
+	if err != nil {
+		return nil, err
+	}
+	seconds := time.Since(began).Seconds()
+	out := make([]idleCost, len(list))
+	for i := range list {
+		out[i] = idleCost{
+			cpu:    100 * (after[i].cpu - before[i].cpu).Seconds() / seconds,
+			memory: after[i].residentKB / 1000,
+			bytes:  (after[i].bytes - before[i].bytes) / seconds,
+		}
+	}
+	return out, nil
+}
+
+// reading is one look at a process.
+type reading struct {
+	cpu        time.Duration
+	residentKB float64
+	bytes      float64
+}
+
+func readings(list []*testbed.Process) ([]reading, error) {
+	out := make([]reading, len(list))
+	for i, proc := range list {
+		cpu, err := testbed.CPUTime(proc.PID())
+		if err != nil {
+			return nil, err
+		}
+		kb, err := testbed.ResidentKB(proc.PID())
+		if err != nil {
+			return nil, err
+		}
+		bytes, err := wireBytes(proc.MetricsAddress)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = reading{cpu: cpu, residentKB: kb, bytes: bytes}
+	}
+	return out, nil
+}
+
+// wireBytes reads the process's counters of bytes sent and received.
+func wireBytes(address string) (float64, error) {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + address + "/metrics")
+	if err != nil {
+		return 0, Failed.Wrap(err, "metrics")
+	}
+	defer resp.Body.Close()
+	total := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || !(strings.HasSuffix(name, rpc.MetricBytesSent) || strings.HasSuffix(name, rpc.MetricBytesReceived)) {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, Failed.Wrap(err, "metric %s", name)
+		}
+		total += v
+	}
+	return total, lines.Err()
+}
+
+func mean(list []idleCost) idleCost {
+	var sum idleCost
+	for _, c := range list {
+		sum.cpu += c.cpu
+		sum.memory += c.memory
+		sum.bytes += c.bytes
+	}
+	n := float64(len(list))
+	return idleCost{cpu: sum.cpu / n, memory: sum.memory / n, bytes: sum.bytes / n}
+}
+
+// processSlopes watch real deployments; each is started once for all of its
+// slopes.
+func (p Processes) slopes() []Slope {
+	byEntries := memoize(func(n int) (idleFleet, error) { return p.idle(n/dataCentres, 1) })
+	byEngines := memoize(func(n int) (idleFleet, error) { return p.idle(1, n/dataCentres) })
+	var list []Slope
+	for _, s := range []struct {
+		name, what string
+		unit       Unit
+		role       string
+		value      func(idleFleet) float64
+	}{
+		{"idle-entry-cpu", "an entry's processor time without callers", Percent, "entry", func(f idleFleet) float64 { return f.entry.cpu }},
+		{"idle-entry-memory", "an entry's resident memory", Megabytes, "entry", func(f idleFleet) float64 { return f.entry.memory }},
+		{"idle-entry-bytes", "an entry's bytes to and from our own processes", BytesPerSecond, "entry", func(f idleFleet) float64 { return f.entry.bytes }},
+		{"idle-leader-cpu", "the leader's processor time without callers", Percent, controlRole, func(f idleFleet) float64 { return f.leader.cpu }},
+		{"idle-leader-memory", "the leader's resident memory", Megabytes, controlRole, func(f idleFleet) float64 { return f.leader.memory }},
+		{"idle-leader-bytes", "the leader's bytes to and from our own processes", BytesPerSecond, controlRole, func(f idleFleet) float64 { return f.leader.bytes }},
+		{"idle-follower-cpu", "a follower's processor time", Percent, controlRole, func(f idleFleet) float64 { return f.follower.cpu }},
+		{"idle-follower-bytes", "a follower's bytes", BytesPerSecond, controlRole, func(f idleFleet) float64 { return f.follower.bytes }},
+	} {
+		list = append(list,
+			Slope{Name: s.name + "-per-entry", Role: s.role, What: s.what + ", 3 engines", Size: "entries", Unit: s.unit,
+				Sizes: []int{3, 9, 18, 36}, Measure: of(byEntries, s.value)},
+			Slope{Name: s.name + "-per-engine", Role: s.role, What: s.what + ", 3 entries", Size: "engines", Unit: s.unit,
+				Sizes: []int{3, 9, 18, 36}, Measure: of(byEngines, s.value)})
+	}
+	return list
+}
+
+// dataCentres is how many a bed has.
+const dataCentres = 3
+
+func of(fleet func(int) (idleFleet, error), value func(idleFleet) float64) func(int) (float64, error) {
+	return func(n int) (float64, error) {
+		f, err := fleet(n)
+		return value(f), err
+	}
+}
+
+// memoize remembers what f gave for each size.
+func memoize(f func(int) (idleFleet, error)) func(int) (idleFleet, error) {
+	known := make(map[int]idleFleet)
+	return func(n int) (idleFleet, error) {
+		if fleet, ok := known[n]; ok {
+			return fleet, nil
+		}
+		fleet, err := f(n)
+		if err == nil {
+			known[n] = fleet
+		}
+		return fleet, err
+	}
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -27,9 +27,9 @@
 type Progress func(Fit)
 
 // Measure runs all slopes.
-func Measure(progress Progress) (Fits, error) {
+func Measure(p Processes, progress Progress) (Fits, error) {
 	var fits Fits
-	for _, s := range slopes() {
+	for _, s := range slopes(p) {
 		fit, err := s.Run()
 		if err != nil {
 			return nil, err
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -11,6 +11,10 @@
 const (
 	Bytes        Unit = "bytes"
 	Microseconds Unit = "µs"
+	// Percent is of one core.
+	Percent        Unit = "% of a core"
+	Megabytes      Unit = "MB"
+	BytesPerSecond Unit = "bytes/s"
 )
 
 // Slope is one cost that is measured at several sizes.
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -3,10 +3,11 @@
 import "slices"
 
 // slopes are all slopes that the page is worked out from.
-func slopes() []Slope {
+func slopes(p Processes) []Slope {
 	return slices.Concat(
 		messageSlopes(),
 		entrySlopes(),
 		controlSlopes(),
+		p.slopes(),
 	)
 }
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -76,6 +76,7 @@
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(began).Milliseconds())
 	node := consensus.NewNode(nodeConfig(cfg), recovered.Initial)
 	r := &Runner{cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st}
+	auth.Count(r.metrics.Scope)
 	reducer := control.NewReducer(control.Config{
 		Cluster: cfg.Cluster, ID: cfg.ReplicaID,
 		Sender:     cfg.Name + "/" + uuid.NewString(),
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
 
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
@@ -42,11 +43,15 @@
 	keyHash string
 	cert    *tls.Certificate
 	roots   *x509.CertPool
+	// sent and received count bytes on the wire.
+	sent     tally.Counter
+	received tally.Counter
 }
 
 // LoadAuth reads the files that the settings name. Errors: BadAuth.
 func LoadAuth(s settings.Auth) (*Auth, error) {
 	a := &Auth{}
+	a.Count(tally.NoopScope)
 	if s.SharedKeyFile != "" {
 		key, err := os.ReadFile(s.SharedKeyFile)
 		if err != nil {
@@ -89,7 +94,7 @@
 // only when no byte of it was written on a connection that had idled.
 func (a *Auth) Client() *http.Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         a.dial,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 	}
@@ -104,9 +109,13 @@
 // Listen opens the listener for Handler.
 func (a *Auth) Listen(ctx context.Context, address string) (net.Listener, error) {
 	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", address)
-	if err != nil || a.cert == nil {
-		return ln, err
+	plain, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ln := countedListener{Listener: plain, auth: a}
+	if a.cert == nil {
+		return ln, nil
 	}
 	return tls.NewListener(ln, &tls.Config{
 		Certificates: []tls.Certificate{*a.cert}, ClientCAs: a.roots,
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/uber-go/tally/v4"
+
 	"goldcrestseam.dev/goldcrestseam/internal/devcert"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
@@ -62,7 +64,7 @@
 	}
 	for name, client := range map[string]*Auth{
 		"other key": load(t, keyAuth(t, "fedcba9876543210")),
-		"no key":    {},
+		"no key":    load(t, settings.Auth{}),
 	} {
 		if got := status(client, address); got != http.StatusUnauthorized {
 			t.Errorf("%s: status %d, want 401", name, got)
@@ -87,7 +89,7 @@
 	if got := status(load(t, other), address); got != 0 {
 		t.Errorf("another CA: status %d, want no connection", got)
 	}
-	if got := status(&Auth{}, address); got == http.StatusOK {
+	if got := status(load(t, settings.Auth{}), address); got == http.StatusOK {
 		t.Error("plain HTTP was let in")
 	}
 }
@@ -100,3 +102,15 @@
 		}
 	}
 }
+
+func TestBytesOnTheWireAreCounted(t *testing.T) {
+	server := load(t, keyAuth(t, "0123456789abcdef"))
+	scope := tally.NewTestScope("", nil)
+	server.Count(scope)
+	status(server, serve(t, server))
+	counters := scope.Snapshot().Counters()
+	sent, received := counters[MetricBytesSent+"+"].Value(), counters[MetricBytesReceived+"+"].Value()
+	if sent == 0 || sent != received {
+		t.Fatalf("sent %d, received %d; client and server are the same process", sent, received)
+	}
+}
--- a/internal/testbed/measure/streams.go
+++ b/internal/testbed/measure/streams.go
@@ -13,6 +13,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/standin/caller"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/workload"
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
 
 // Relay is what one entry spends on relaying tokens.
@@ -55,7 +56,7 @@
 func (t *target) relay(ctx context.Context, streams int) (*Relay, error) {
 	r := &Relay{Streams: streams}
 	pid := t.bed.Entries[0].PID()
-	before, err := cpuTime(pid)
+	before, err := testbed.CPUTime(pid)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +71,7 @@
 		})
 	}
 	wg.Wait()
-	after, err := cpuTime(pid)
+	after, err := testbed.CPUTime(pid)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +99,7 @@
 			})
 		}
 		time.Sleep(settleTime)
-		kb, err := residentKB(t.bed.Entries[0].PID())
+		kb, err := testbed.ResidentKB(t.bed.Entries[0].PID())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/testbed/measure/proc.go
+++ b/internal/testbed/proc.go
@@ -1,22 +1,12 @@
-// Package measure measures what entries cost on a bed: time added to tokens,
-// processor time per relayed token, memory per open stream.
-package measure
+package testbed
 
 import (
 	"os"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
-// Namespace holds the error types of this package.
-var Namespace = errorx.NewNamespace("measure")
-
-// Failed is the type of errors of a measurement that can't be made.
-var Failed = Namespace.NewType("failed")
-
 const (
 	// clockTicks is the unit of processor times in /proc: USER_HZ, 100 a
 	// second on all Linux platforms that Go runs on.
@@ -26,8 +16,8 @@
 	fieldsBeforeTimes = 11
 )
 
-// cpuTime gives the processor time that a process has used. Errors: Failed.
-func cpuTime(pid int) (time.Duration, error) {
+// CPUTime gives the processor time that a process has used. Errors: Failed.
+func CPUTime(pid int) (time.Duration, error) {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
 	if err != nil {
 		return 0, Failed.Wrap(err, "processor time")
@@ -48,8 +38,8 @@
 	return time.Duration(ticks) * time.Second / clockTicks, nil
 }
 
-// residentKB gives the memory that a process holds, in kB. Errors: Failed.
-func residentKB(pid int) (float64, error) {
+// ResidentKB gives the memory that a process holds, in kB. Errors: Failed.
+func ResidentKB(pid int) (float64, error) {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
 	if err != nil {
 		return 0, Failed.Wrap(err, "memory")
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -16,6 +16,8 @@
 	Name string
 	// Address is where callers of it connect.
 	Address string
+	// MetricsAddress is where it serves /metrics; empty for backend servers.
+	MetricsAddress string
 	// DataCentre says where its VM is said to stand.
 	DataCentre string
 	// LogFile holds its standard output and error of all its lives.
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		p.DataDir = dir
+		p.DataDir, p.MetricsAddress = dir, r.Address
 		b.Control = append(b.Control, p)
 	}
 	return nil
@@ -115,16 +115,17 @@
 func (b *Bed) planEntries() error {
 	for dc := range dataCentres {
 		for n := range b.options.Entries {
-			name, address := nodeName("entry", dc, n), b.ports.address()
+			name, address, peer := nodeName("entry", dc, n), b.ports.address(), b.ports.address()
 			where := b.options.dataCentre(dc)
 			p, err := b.newProcess(binEntry, name, where, address, settings.Entry{
-				Common: b.common(name, where), CallerAddress: address, PeerAddress: b.ports.address(),
+				Common: b.common(name, where), CallerAddress: address, PeerAddress: peer,
 				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxStreams: settings.DefaultMaxStreams,
 				AnswerKeep: b.options.AnswerKeep, StopTimeout: stopTimeout,
 			})
 			if err != nil {
 				return err
 			}
+			p.MetricsAddress = peer
 			b.Entries = append(b.Entries, p)
 		}
 	}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -70,6 +70,7 @@
 		return nil, Failed.Wrap(err, "auth")
 	}
 	s := &Server{settings: set, log: log, auth: auth, metrics: obs.NewMetrics("goldcrest_entry")}
+	auth.Count(s.metrics.Scope)
 	s.background, s.letGo = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		return nil, err
