Leave the metrics page out of the measured bytes

Cause: the 9.7 KB/s of an idle entry were mostly the metrics page that the measurement itself fetched, 30 KB in 4-5 s; a count of the calls showed 2.7 calls/s of ~830 bytes. The page's size is now taken off.

--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -1,8 +1,8 @@
 package capacity
 
 import (
-	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -116,7 +116,9 @@
 type reading struct {
 	cpu        time.Duration
 	residentKB float64
-	bytes      float64
+	// bytes are those counted, plus the page that told them: the difference
+	// of two readings is then free of the first page.
+	bytes float64
 }
 
 func readings(list []*testbed.Process) ([]reading, error) {
@@ -139,7 +141,8 @@
 	return out, nil
 }
 
-// wireBytes reads the process's counters of bytes sent and received.
+// wireBytes reads the process's counters of bytes sent and received, and adds
+// the page that tells them, which the next reading's counters hold.
 func wireBytes(address string) (float64, error) {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + address + "/metrics")
@@ -147,10 +150,13 @@
 		return 0, Failed.Wrap(err, "metrics")
 	}
 	defer resp.Body.Close()
-	total := 0.0
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		name, value, ok := strings.Cut(lines.Text(), " ")
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, Failed.Wrap(err, "metrics")
+	}
+	total := float64(len(body))
+	for line := range strings.Lines(string(body)) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
 		if !ok || !(strings.HasSuffix(name, rpc.MetricBytesSent) || strings.HasSuffix(name, rpc.MetricBytesReceived)) {
 			continue
 		}
@@ -160,7 +166,7 @@
 		}
 		total += v
 	}
-	return total, lines.Err()
+	return total, nil
 }
 
 func mean(list []idleCost) idleCost {
