--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -45,9 +45,8 @@
 }
 
 type sentWork struct {
-	at      time.Duration
-	prefill int
-	decode  int
+	at     time.Duration
+	tokens decision.Tokens
 }
 
 type serverTable struct {
@@ -257,12 +256,16 @@
 	for _, id := range s.running {
 		q := r.requests[id]
 		sent.PrefillTokens += q.prefillLeft()
+		if q.work.Class != declaration.ClassBulk && s == q.prefiller() {
+			sent.UrgentPrefillTokens += q.prefillLeft()
+		}
 		sent.DecodeTokens += q.decodeLeft()
 	}
 	for _, w := range s.since {
 		sent.SinceRequests++
-		sent.SincePrefillTokens += w.prefill
-		sent.SinceDecodeTokens += w.decode
+		sent.SincePrefillTokens += w.tokens.Prefill
+		sent.SinceDecodeTokens += w.tokens.Decode
+		sent.SinceKVTokens += w.tokens.KV
 	}
 	return sent
 }
