Wait for the counters in the test of counted bytes

Cause: the client can have the answer before the server's write has returned and is counted (seen once: sent 179, received 254). The test now waits until both are equal; it still fails when they never are.

--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -108,9 +109,16 @@
 	scope := tally.NewTestScope("", nil)
 	server.Count(scope)
 	status(server, serve(t, server))
-	counters := scope.Snapshot().Counters()
-	sent, received := counters[MetricBytesSent+"+"].Value(), counters[MetricBytesReceived+"+"].Value()
-	if sent == 0 || sent != received {
-		t.Fatalf("sent %d, received %d; client and server are the same process", sent, received)
+	// Client and server are the same process. The client may have the answer
+	// before the server has counted it.
+	var sent, received int64
+	for range 500 {
+		counters := scope.Snapshot().Counters()
+		sent, received = counters[MetricBytesSent+"+"].Value(), counters[MetricBytesReceived+"+"].Value()
+		if sent > 0 && sent == received {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
+	t.Fatalf("sent %d, received %d; they never became equal", sent, received)
 }
