--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -42,9 +42,8 @@
 	here int
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
-	// reached is set once the server has begun this attempt, or was known to be
-	// alive just before. Without it the request may have been sent to a server
-	// that was dead already, and did not kill it.
+	// reached is set once the server has shown that it has this attempt. Without
+	// it the request may have been sent to a server that was dead already.
 	reached bool
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
@@ -54,6 +53,7 @@
 	// condemnedUntil is when a request that crashed servers gets its final
 	// answer at the latest.
 	condemnedUntil time.Duration
+	condemnedKnown bool
 }
 
 func (q *request) prefillLeft() int {
@@ -116,7 +116,7 @@
 	case r.closed():
 		return refuseLeaving()
 	case r.quarantined(q):
-		return refuseQuarantined(q)
+		return refuseQuarantined()
 	case len(r.requests) >= r.cfg.MaxStreams:
 		return refuseFull()
 	}
@@ -157,13 +157,14 @@
 }
 
 func (r *Reducer) dispatch(q *request, s *server, choice placement.Choice, reconnect bool) {
+	r.sharedFleet = nil
 	q.attempt++
 	q.attempts++
 	q.got = 0
 	if !reconnect {
 		q.engineAttempt = q.attempt
 		q.here = 0
-		q.reached = s.aliveAt > 0 && r.now-s.aliveAt <= aliveFor
+		q.reached = false
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -193,6 +194,7 @@
 
 // detach takes the request off its server.
 func (r *Reducer) detach(q *request) {
+	r.sharedFleet = nil
 	for _, s := range []*server{q.server, q.prefill} {
 		if s != nil {
 			s.running = slices.DeleteFunc(s.running, func(id string) bool { return id == q.work.RequestID })
@@ -207,7 +209,6 @@
 		return
 	}
 	q.mayHaveRun, q.reached = true, true
-	q.server.aliveAt = r.now
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
@@ -234,7 +235,11 @@
 	r.emit(Finish{RequestID: q.work.RequestID})
 }
 
+// refuse gives the final answer. A refusal that is true of this entry's part may
+// be wrong of the whole: a resumed request has run elsewhere before, and "not
+// run" would let its caller send once more what was done already.
 func (r *Reducer) refuse(q *request, refusal *outcome.Refusal) {
+	refusal.Outcome = outcomeOf(q)
 	r.forget(q)
 	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal})
 	r.log(LogRefuse, q, "", string(refusal.Code), []Figure{
@@ -255,7 +260,7 @@
 func (r *Reducer) expireWaiting() {
 	for _, w := range r.decide.queue.Expire(r.now) {
 		if q := r.requests[w.RequestID]; q != nil {
-			r.refuse(q, refuseLate(q))
+			r.refuse(q, refuseLate())
 		}
 	}
 	if r.now-r.lastExpiry >= second {
@@ -276,7 +281,7 @@
 			end = max(end, q.waitsSince) + max(end-q.work.Arrived, minResumedWait)
 		}
 		if q.server == nil && r.now >= end {
-			r.refuse(q, refuseLate(q))
+			r.refuse(q, refuseLate())
 		}
 	}
 }
