Take the metrics page off the measured bytes once

Cause: both readings added the page, so that the difference still held it; and the page came compressed. What the first page cost is now taken off the second reading, uncompressed.

--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -25,6 +25,9 @@
 // startTimeout bounds how long a deployment may take to serve.
 const startTimeout = 60 * time.Second
 
+// metricsTimeout bounds one look at a process's metrics.
+const metricsTimeout = 5 * time.Second
+
 // idleCost is what one process spends while no caller comes.
 type idleCost struct {
 	// cpu is the share of a core, in percent.
@@ -106,7 +109,7 @@
 		out[i] = idleCost{
 			cpu:    100 * (after[i].cpu - before[i].cpu).Seconds() / seconds,
 			memory: after[i].residentKB / 1000,
-			bytes:  (after[i].bytes - before[i].bytes) / seconds,
+			bytes:  (after[i].bytes - before[i].bytes - before[i].page) / seconds,
 		}
 	}
 	return out, nil
@@ -116,9 +119,10 @@
 type reading struct {
 	cpu        time.Duration
 	residentKB float64
-	// bytes are those counted, plus the page that told them: the difference
-	// of two readings is then free of the first page.
-	bytes float64
+	bytes      float64
+	// page is the size of the metrics page that told bytes. The process sent
+	// it after it counted them, so that the next reading's bytes hold it.
+	page float64
 }
 
 func readings(list []*testbed.Process) ([]reading, error) {
@@ -132,30 +136,40 @@
 		if err != nil {
 			return nil, err
 		}
-		bytes, err := wireBytes(proc.MetricsAddress)
+		page, err := metricsPage(proc.MetricsAddress)
 		if err != nil {
 			return nil, err
 		}
-		out[i] = reading{cpu: cpu, residentKB: kb, bytes: bytes}
+		bytes, err := wireBytes(page)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = reading{cpu: cpu, residentKB: kb, bytes: bytes, page: float64(len(page))}
 	}
 	return out, nil
 }
 
-// wireBytes reads the process's counters of bytes sent and received, and adds
-// the page that tells them, which the next reading's counters hold.
-func wireBytes(address string) (float64, error) {
-	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+// metricsPage fetches a process's metrics.
+func metricsPage(address string) (string, error) {
+	// Without compression, so that its length is what went over the wire.
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	client := http.Client{Timeout: metricsTimeout, Transport: transport}
 	resp, err := client.Get("http://" + address + "/metrics")
 	if err != nil {
-		return 0, Failed.Wrap(err, "metrics")
+		return "", Failed.Wrap(err, "metrics")
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, Failed.Wrap(err, "metrics")
+		return "", Failed.Wrap(err, "metrics")
 	}
-	total := float64(len(body))
-	for line := range strings.Lines(string(body)) {
+	return string(body), nil
+}
+
+// wireBytes adds up the counters of bytes sent and received.
+func wireBytes(page string) (float64, error) {
+	total := 0.0
+	for line := range strings.Lines(page) {
 		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
 		if !ok || !(strings.HasSuffix(name, rpc.MetricBytesSent) || strings.HasSuffix(name, rpc.MetricBytesReceived)) {
 			continue
