--- a/internal/entry/reducer_test.go
+++ b/internal/entry/reducer_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -249,6 +250,54 @@
 	}
 }
 
+// A plain service has become slow and every lookup fails. With a retry for each
+// its load would double just then. The profile's budget bounds the retries, and
+// a lookup beyond it is answered at once; model work is not cut off for it but
+// waits a little.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	w := newWorld(t)
+	w.view(serving(4)...)
+	firsts, retries, refused := 0, 0, 0
+	var fail func([]Effect)
+	fail = func(effects []Effect) {
+		refused += len(pick[Refuse](effects))
+		for _, d := range pick[Dispatch](effects) {
+			if d.Attempt == 1 {
+				firsts++
+			} else {
+				retries++
+			}
+			fail(w.ended(d, func(*AttemptEnded) {}))
+		}
+	}
+	const lookups = 40
+	for i := range lookups {
+		call := w.arrival(fmt.Sprintf("lookup-%d", i), "hotels")
+		call.Repeat = RepeatAllowed
+		fail(w.step(call))
+		w.after(second)
+		fail(w.renew())
+		for server := range 4 {
+			fail(w.said(server, engineapi.StateServing))
+		}
+	}
+	w.after(10 * second)
+	fail(w.renew())
+	fail(w.step(Tick{}))
+	// The budget starts at 10 and nothing was served.
+	if refused != lookups || retries == 0 || retries > 10 || firsts > lookups {
+		t.Fatalf("%d firsts, %d retries, %d refused of %d", firsts, retries, refused, lookups)
+	}
+	w.arrive("question")
+	w.ended(w.dispatched(), func(ev *AttemptEnded) { ev.StreamUnknown = true })
+	if len(pick[Dispatch](w.effects)) != 0 || len(pick[Refuse](w.effects)) != 0 {
+		t.Fatalf("beyond the budget: %v", w.effects)
+	}
+	w.after(retryPause)
+	w.renew()
+	w.dispatched()
+}
+
 // A caller goes on with a stream at another entry while the first entry, which
 // has not noticed, still sends attempts. The second entry's attempts must have
 // higher numbers, or a late cancel of the first would stop them.
