--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -41,6 +41,7 @@
 	entries map[string]*entryWatch
 	// watches are the held Watch calls, the oldest first.
 	watches []*heldWatch
+	views   viewCache
 	// registrations wait for the end of the step, to go in one command.
 	registrations []*pb.BackendServer
 	deliveries    map[string]*delivery
@@ -59,7 +60,9 @@
 type serverWatch struct {
 	until       time.Duration
 	incarnation string
-	load        *pb.Load
+	// heard is set once this leader has a whole announcement of it.
+	heard bool
+	load  *pb.Load
 	// loadAt is when the load was true: heard, less its age.
 	loadAt time.Duration
 	// leftAt is when it last said that it leaves.
