--- a/internal/traffic/control_test.go
+++ b/internal/traffic/control_test.go
@@ -10,6 +10,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
 
 // follower is a control replica that names another one as the leader.
@@ -36,6 +37,15 @@
 	return nil, ctx.Err()
 }
 
+func testAuth(t *testing.T) *rpc.Auth {
+	t.Helper()
+	auth, err := rpc.LoadAuth(settings.Auth{SharedKeyFile: keyFile(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return auth
+}
+
 // Control's leader is frozen, and the others name it until they have elected
 // another. An entry that goes back to it each time spends its whole lease on
 // timeouts, and refuses its callers.
@@ -43,7 +53,7 @@
 	ice := &frozen{}
 	iceAt := serve(t, pb.NewControlServer(ice))
 	first, second := &follower{leader: iceAt}, &follower{leader: iceAt}
-	c := newControlClient(&rpc.Auth{}, []string{
+	c := newControlClient(testAuth(t), []string{
 		iceAt, serve(t, pb.NewControlServer(first)), serve(t, pb.NewControlServer(second)),
 	})
 	c.current = iceAt
@@ -68,7 +78,7 @@
 	leader := &fakeControl{}
 	leaderAt := serve(t, pb.NewControlServer(leader))
 	behind := &follower{leader: leaderAt}
-	c := newControlClient(&rpc.Auth{}, []string{serve(t, pb.NewControlServer(behind))})
+	c := newControlClient(testAuth(t), []string{serve(t, pb.NewControlServer(behind))})
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for range 2 {
--- a/internal/traffic/harness_test.go
+++ b/internal/traffic/harness_test.go
@@ -196,12 +196,19 @@
 	return s.Listener.Addr().String()
 }
 
-func (b *bench) start() {
-	b.t.Helper()
-	key := filepath.Join(b.t.TempDir(), "key")
+// keyFile gives a file with the shared key of the bench.
+func keyFile(t *testing.T) string {
+	t.Helper()
+	key := filepath.Join(t.TempDir(), "key")
 	if err := os.WriteFile(key, []byte("a key of at least sixteen bytes"), 0o600); err != nil {
-		b.t.Fatal(err)
+		t.Fatal(err)
 	}
+	return key
+}
+
+func (b *bench) start() {
+	b.t.Helper()
+	key := keyFile(b.t)
 	set := &settings.Entry{
 		Common: settings.Common{
 			Cluster: testCluster, Name: "entry-a1", Region: "r", DataCentre: "dc-a",
--- a/internal/traffic/http_test.go
+++ b/internal/traffic/http_test.go
@@ -1,11 +1,15 @@
 package traffic
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -90,6 +94,17 @@
 	return len(ids)
 }
 
+// A caller is frozen in the middle of its stream: its connection takes no bytes
+// and does not fail. Its stream would hold an engine's slot for ever.
+func TestFrozenCallerIsGivenUp(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &callerConn{Conn: near, stall: 20 * time.Millisecond}
+	if _, err := conn.Write([]byte("data")); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("write to a frozen caller: %v", err)
+	}
+}
+
 // The metrics library panics when one name is used with two sets of labels. A
 // refusal once ended the control goroutine so, and all callers hung.
 func TestCountingNeverPanics(t *testing.T) {
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -138,7 +138,7 @@
 	loops.Go(func() { s.orDie(func() { s.peers.renew(work, s.records) }) })
 	loops.Go(func() { s.orDie(func() { s.claims.runClaims(work, s.spawn) }) })
 	loops.Go(func() { s.orDie(func() { s.claims.runSettlements(work) }) })
-	loops.Go(func() { failed <- s.app.Listener(s.callers) })
+	loops.Go(func() { failed <- s.app.Listener(callerListener{s.callers}) })
 	loops.Go(func() { failed <- others.Serve(s.others) })
 	s.log.Info("entry serves", "callers", s.CallerAddress(), "peers", s.PeerAddress(),
 		"incarnation", s.identity.Incarnation)
