Renew stream records with new text only

Cause: each renewal carried all text so far, so that a long answer's start was sent a hundred times; and a holder that had restarted dropped renewals without a word. Change: StreamRecord.text_start; a holder that lacks what lies before refuses, and the owner hands over the whole record, there or elsewhere. Measured: go test -race ./internal/traffic passes.

--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -89,12 +89,11 @@
 func (p *peers) replicate(r *streamRecord) {
 	for _, holder := range p.holders(r.pb.WireId, rememberHolders) {
 		ctx, cancel := context.WithTimeout(context.Background(), rememberTry)
-		err := p.remember(ctx, holder.PeerAddress, []*pb.StreamRecord{r.copy(true)})
+		record := r.whole()
+		err := p.remember(ctx, holder.PeerAddress, []*pb.StreamRecord{record})
 		cancel()
 		if err == nil {
-			r.mu.Lock()
-			r.holder, r.renewed, r.urgent = holder.PeerAddress, time.Now(), true
-			r.mu.Unlock()
+			r.taken(holder.PeerAddress, record)
 			return
 		}
 	}
@@ -130,10 +129,13 @@
 	defer cancel()
 	list := make([]*pb.StreamRecord, 0, len(records))
 	for _, r := range records {
-		list = append(list, r.copy(false))
+		list = append(list, r.renewal())
 	}
 	err := p.remember(ctx, address, list)
 	if err == nil {
+		for i, r := range records {
+			r.taken(address, list[i])
+		}
 		return
 	}
 	p.log.Warn("renewal of stream records failed", "peer", address, "records", len(records), "error", err)
@@ -246,11 +248,15 @@
 	if p.s.core.snapshot.Load().Leaving {
 		return nil, twirp.Unavailable.Error("this entry stops")
 	}
+	kept := true
 	for _, r := range req.Records {
 		if r.Member == "" || r.RequestId == "" {
 			return nil, twirp.RequiredArgumentError("member and request_id")
 		}
-		p.s.records.remember(r, time.Now())
+		kept = p.s.records.remember(r, time.Now()) && kept
+	}
+	if !kept {
+		return nil, twirp.NotFoundError("a record that is renewed is not held here")
 	}
 	return &pb.RememberResponse{}, nil
 }
--- a/internal/traffic/records.go
+++ b/internal/traffic/records.go
@@ -40,6 +40,8 @@
 	renewed       time.Time
 	renewedTokens uint64
 	urgent        bool
+	// heldText is how many bytes of the text the holder has.
+	heldText int
 }
 
 func newStreamRecord(p *pb.StreamRecord) *streamRecord {
@@ -87,21 +89,46 @@
 	return r.holder
 }
 
-// copy gives the record as it is now; without the body for a renewal.
-func (r *streamRecord) copy(withBody bool) *pb.StreamRecord {
+// whole gives all of the record as it is now.
+func (r *streamRecord) whole() *pb.StreamRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	p := r.bare()
+	p.Body, p.Text = r.pb.Body, string(r.text)
+	return p
+}
+
+// renewal gives what the holder lacks: no body, and of the text what is new. A
+// renewal with all text would send a long answer's start a hundred times.
+func (r *streamRecord) renewal() *pb.StreamRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.bare()
+	start := min(r.heldText, len(r.text))
+	p.TextStart, p.Text = uint32(start), string(r.text[start:])
+	return p
+}
+
+// bare must be called with mu held.
+func (r *streamRecord) bare() *pb.StreamRecord {
 	body := r.pb.Body
 	r.pb.Body = nil
 	p := proto.Clone(r.pb).(*pb.StreamRecord)
 	r.pb.Body = body
-	p.Text = string(r.text)
-	if withBody {
-		p.Body = body
-	}
 	return p
 }
 
+// taken notes that the holder has this word of the record.
+func (r *streamRecord) taken(holder string, p *pb.StreamRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if holder != r.holder {
+		r.holder, r.urgent, r.heldText = holder, true, 0
+	}
+	r.renewed = time.Now()
+	r.heldText = max(r.heldText, int(p.TextStart)+len(p.Text))
+}
+
 // due tells whether the holder is to be told, and takes it as told.
 func (r *streamRecord) due(now time.Time) bool {
 	r.mu.Lock()
@@ -146,26 +173,27 @@
 	s.byKey[k] = &heldRecord{own: r}
 }
 
-// remember keeps or renews another entry's record. An older word than what is
-// held is left out: renewals can overtake each other.
-func (s *recordStore) remember(p *pb.StreamRecord, now time.Time) {
+// remember keeps or renews another entry's record; false when it can't, since
+// it is a renewal of what is not held, or there is no room. An older word than
+// what is held is left out: renewals can overtake each other.
+func (s *recordStore) remember(p *pb.StreamRecord, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := recordKey{p.Member, p.RequestId}
 	held := s.byKey[k]
 	if held != nil && held.own != nil && held.until.IsZero() {
-		return
+		return true
 	}
 	if held != nil && held.peer != nil && held.peer.WireId == p.WireId {
 		if p.Attempt < held.peer.Attempt || p.Tokens < held.peer.Tokens {
-			return
+			return true
 		}
-		if len(p.Body) == 0 {
-			p.Body = held.peer.Body
+		if !renewFrom(p, held.peer) {
+			return false
 		}
 	}
 	if len(p.Body) == 0 || len(s.byKey) >= maxRecords || s.bytes+size(p) > maxRecordBytes {
-		return
+		return false
 	}
 	s.drop(k)
 	keep := recordKeep
@@ -174,6 +202,20 @@
 	}
 	s.byKey[k] = &heldRecord{peer: p, until: now.Add(keep)}
 	s.bytes += size(p)
+	return true
+}
+
+// renewFrom fills a renewal up with what is held; false when a part is missing.
+func renewFrom(p, held *pb.StreamRecord) bool {
+	if len(p.Body) > 0 {
+		return true
+	}
+	start := int(p.TextStart)
+	if start > len(held.Text) {
+		return false
+	}
+	p.Body, p.Text, p.TextStart = held.Body, held.Text[:start]+p.Text, 0
+	return true
 }
 
 func size(p *pb.StreamRecord) int { return len(p.Body) + len(p.Text) }
@@ -197,7 +239,7 @@
 		return nil
 	}
 	if held.own != nil {
-		return held.own.copy(true)
+		return held.own.whole()
 	}
 	return proto.Clone(held.peer).(*pb.StreamRecord)
 }
