--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -34,8 +34,8 @@
 		s = q.prefill
 	}
 	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
-	if ev.Outcome != outcome.NotRun && q.reconnects == 0 && ev.Took >= longAnswerless {
-		q.reached = true
+	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
+		q.reached = q.reached || ev.Took >= longAnswerless || s.aliveAt > q.sentAt
 	}
 	if ev.ServerDied {
 		r.serverDied(s, q, ev)
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -43,8 +43,10 @@
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
 	// reached is set once the server has shown that it has this attempt. Without
-	// it the request may have been sent to a server that was dead already.
+	// it the request may have been sent to a server that was dead already. sentAt
+	// is when the attempt was dispatched.
 	reached bool
+	sentAt  time.Duration
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
 	// notBefore holds a retry back; waitsSince is when it began to wait.
@@ -167,7 +169,7 @@
 	if !reconnect {
 		q.engineAttempt = q.attempt
 		q.here = 0
-		q.reached = false
+		q.reached, q.sentAt = false, r.now
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -212,6 +214,7 @@
 		return
 	}
 	q.mayHaveRun, q.reached = true, true
+	q.server.aliveAt = r.now
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -25,6 +25,8 @@
 // and its own word from announcements, answers and probes.
 type server struct {
 	pb *pb.BackendServer
+	// aliveAt is when it last gave a token or a word.
+	aliveAt time.Duration
 	// ownState is its own last word in this incarnation, ownAt when it came.
 	ownState engineapi.State
 	ownAt    time.Duration
@@ -114,7 +116,7 @@
 // began to leave may come after the word of leaving: leaving is never taken
 // back within an incarnation.
 func (s *server) hear(state engineapi.State, now time.Duration) {
-	s.ownState, s.ownAt = state, now
+	s.ownState, s.ownAt, s.aliveAt = state, now, now
 	if state == engineapi.StateLeaving {
 		s.leaving = true
 	}
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -17,7 +17,7 @@
 	// probationTokens is how many tokens a request must get from a server to
 	// look innocent of its death: a request that crashes servers does so as it
 	// starts, or again and again at the same place of its answer.
-	probationTokens = 8
+	probationTokens = 4
 	// freshGuilt, lateGuilt and doubtGuilt are what a death adds for a request
 	// that began there without progress, for one with progress, and for one of
 	// which it is not known that the server was still alive. They count in
@@ -32,7 +32,7 @@
 	// longAnswerless: a server that is dead already closes a connection, or has
 	// something in between close it, in a few milliseconds. One that kept the
 	// request for longer had begun with it.
-	longAnswerless = 5 * time.Millisecond
+	longAnswerless = 2 * time.Millisecond
 	// apartFor is how long a suspect waits for a server of its own, and others
 	// wait for servers without a suspect, before they share one.
 	apartFor = 2 * time.Second
