--- a/internal/rpc/count.go
+++ b/internal/rpc/count.go
@@ -29,16 +29,23 @@
 
 func (c countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.auth.received.Inc(int64(n))
+	count(c.auth.received, n)
 	return n, err
 }
 
 func (c countedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.auth.sent.Inc(int64(n))
+	count(c.auth.sent, n)
 	return n, err
 }
 
+// count adds to a counter; an Auth that was not loaded from settings has none.
+func count(counter tally.Counter, n int) {
+	if counter != nil {
+		counter.Inc(int64(n))
+	}
+}
+
 // countedListener counts the connections that it accepts.
 type countedListener struct {
 	net.Listener
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -43,7 +43,7 @@
 	keyHash string
 	cert    *tls.Certificate
 	roots   *x509.CertPool
-	// sent and received count bytes on the wire.
+	// sent and received count bytes on the wire; nil until Count.
 	sent     tally.Counter
 	received tally.Counter
 }
@@ -51,7 +51,6 @@
 // LoadAuth reads the files that the settings name. Errors: BadAuth.
 func LoadAuth(s settings.Auth) (*Auth, error) {
 	a := &Auth{}
-	a.Count(tally.NoopScope)
 	if s.SharedKeyFile != "" {
 		key, err := os.ReadFile(s.SharedKeyFile)
 		if err != nil {
