Refuse a leader's messages of a life that the group has removed

Cause: since leaders' messages are taken whoever sends them, a heartbeat of a removed incarnation with a high term was followed (TestBadInputIsRefused: term 1 became 2^40+1). Change: consensus.CheckLeader in Store.Admit; a life that is not known yet is still taken, as consensus needs for a replica that missed a replacement. Measured: TestBadInputIsRefused, TestReplaceRightAfterTheLoss and TestHistoriesUnderLostDisks pass, as do the tests of store and consensus.

--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -25,7 +25,7 @@
 // and boot of that id that the host has synced (nil if none) and the committed
 // member list. If the answer is nil and from is news, the host syncs it before
 // it steps on the messages. Errors: WrongIdentity, RolledBack, Unintroduced,
-// RemovedIdentity. Messages of a leader need no such check; see FromLeader.
+// RemovedIdentity. Messages of a leader need CheckLeader only; see FromLeader.
 //
 // It guards against a replica that has forgotten what it promised: a wiped or
 // foreign folder speaks under another incarnation, and a folder put back from an
@@ -65,6 +65,16 @@
 	return m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_LEARNER && m.Identity.Incarnation == ""
 }
 
+// CheckLeader decides whether a leader's messages may be taken: a life that the
+// group has removed can't lead any more. It is told so and stops. Errors:
+// RemovedIdentity.
+func CheckLeader(from *pb.ReplicaIdentity, committed *pb.Membership) error {
+	if wasRemoved(committed, from) {
+		return RemovedIdentity.New("replica %d (%s) was removed", from.GetId(), from.GetIncarnation())
+	}
+	return nil
+}
+
 // FromLeader tells whether all the messages are such as only the leader of a term
 // sends. They are taken whoever the sender is: a life that the group does not
 // count never wins an election. And they must be taken: a replica that has missed
--- a/internal/store/peers.go
+++ b/internal/store/peers.go
@@ -8,7 +8,7 @@
 )
 
 // Admit decides whether a request's messages may be taken, given the committed
-// member list: those of a leader always, others by consensus.CheckPeer. It
+// member list: those of a leader by consensus.CheckLeader, others by CheckPeer. It
 // remembers a peer's latest life and boot, synced, before it returns. Errors:
 // those of CheckPeer, Failed.
 func (s *Store) Admit(req *pb.StepRequest, committed *pb.Membership) error {
@@ -16,6 +16,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if consensus.FromLeader(req.Messages) {
+		if err := consensus.CheckLeader(from, committed); err != nil {
+			return err
+		}
 		s.leads[from.GetId()] = from.GetIncarnation()
 		return nil
 	}
