--- a/internal/proof/crash_test.go
+++ b/internal/proof/crash_test.go
@@ -68,7 +68,7 @@
 // them: the entry opens fresh ones and goes on there.
 func TestOpenConnectionsGoSilent(t *testing.T) {
 	each(t, func(t *testing.T, ctx context.Context, _ *Trial, seed uint64) {
-		tr := NewTrial(forwardedBed(t, ctx), seed, defaultPatience)
+		tr := NewTrial(forwardedBed(t, ctx), seed)
 		runUnnoticed(t, ctx, tr, Mixed(seed), inject(t, tr, "open connections silent"))
 	})
 }
--- a/internal/proof/fixture_test.go
+++ b/internal/proof/fixture_test.go
@@ -119,7 +119,7 @@
 			b := bed(t)
 			ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
 			defer cancel()
-			trial(t, ctx, NewTrial(b, seed, defaultPatience), seed)
+			trial(t, ctx, NewTrial(b, seed), seed)
 		})
 	}
 }
--- a/internal/proof/measure.go
+++ b/internal/proof/measure.go
@@ -47,9 +47,9 @@
 		return nil, err
 	}
 	var failed error
-	out, err := NewTrial(bed, seed, defaultPatience).Run(ctx, Mixed(seed), func(ctx context.Context) {
+	out, err := NewTrial(bed, seed).Run(ctx, Mixed(seed), func(ctx context.Context) {
 		pause(ctx, FaultAt)
-		failed = f.Inject(ctx, NewTrial(bed, seed, defaultPatience))
+		failed = f.Inject(ctx, NewTrial(bed, seed))
 	})
 	if failed != nil {
 		return nil, failed
--- a/internal/proof/trial.go
+++ b/internal/proof/trial.go
@@ -41,25 +41,21 @@
 	Bulk    float64
 	Once    float64
 	Lookups float64
-	// Patience bounds one request with its retries. Default 40s.
-	Patience time.Duration
 }
 
 // longTokens makes streams last long enough for a fault to meet them.
 const longTokens = 400
 
 const (
-	defaultPatience = 40 * time.Second
+	// patience bounds one request with its retries.
+	patience = 40 * time.Second
 	// callerStall is far above what any fault may cost, so that a busy machine
 	// does not make callers resume streams that live.
 	callerStall = 12 * time.Second
 )
 
 func (l Load) workload() *workload.Workload {
-	w := &workload.Workload{Seed: l.Seed, Duration: l.Duration, MaxRequests: 2000, Patience: l.Patience}
-	if w.Patience == 0 {
-		w.Patience = defaultPatience
-	}
+	w := &workload.Workload{Seed: l.Seed, Duration: l.Duration, MaxRequests: 2000, Patience: patience}
 	for _, m := range Members {
 		w.Members = append(w.Members, workload.Member{Name: m, Weight: 1})
 	}
@@ -89,13 +85,16 @@
 }
 
 // NewTrial gives each member a caller, spread over the data centres.
-func NewTrial(bed *testbed.Bed, seed uint64, patience time.Duration) *Trial {
+func NewTrial(bed *testbed.Bed, seed uint64) *Trial { return NewBusyTrial(bed, seed, patience) }
+
+// NewBusyTrial is NewTrial with callers that give up on refusals after a while.
+func NewBusyTrial(bed *testbed.Bed, seed uint64, retryFor time.Duration) *Trial {
 	t := &Trial{Bed: bed, Callers: make(map[string]*caller.Client)}
 	for i, member := range Members {
 		t.Callers[member] = caller.New(caller.Config{
 			Seeds: bed.EntryAddresses(), DataCentre: bed.Entries[i*len(bed.Entries)/len(Members)].DataCentre,
 			Member: member, Token: testbed.Token(Deployment, member), Patience: patience, Seed: seed + uint64(i),
-			Stall: callerStall,
+			Stall: callerStall, RetryFor: retryFor,
 		})
 	}
 	return t
--- a/internal/standin/caller/call.go
+++ b/internal/standin/caller/call.go
@@ -42,7 +42,7 @@
 		if address == "" {
 			address = c.pick(ctx)
 		}
-		if c.tryCall(ctx, call, address, res) {
+		if c.tryCall(ctx, call, address, began, res) {
 			break
 		}
 		address = ""
@@ -51,7 +51,7 @@
 	return res
 }
 
-func (c *Client) tryCall(ctx context.Context, call Call, address string, res *Result) bool {
+func (c *Client) tryCall(ctx context.Context, call Call, address string, began time.Time, res *Result) bool {
 	ctx2, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	url := "http://" + address + "/svc/" + call.Service + call.Path
@@ -69,14 +69,14 @@
 	resp, err := c.http.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
-		return c.callAnswered(ctx, resp, address, res)
+		return c.callAnswered(ctx, resp, address, began, res)
 	}
 	res.Err = err
 	c.failed(address)
 	return !pause(ctx, retryPause)
 }
 
-func (c *Client) callAnswered(ctx context.Context, resp *http.Response, address string, res *Result) bool {
+func (c *Client) callAnswered(ctx context.Context, resp *http.Response, address string, began time.Time, res *Result) bool {
 	res.Entries = append(res.Entries, address)
 	res.Status = resp.StatusCode
 	res.Replayed = resp.Header.Get(outcome.HeaderReplayed) == "true"
@@ -95,5 +95,5 @@
 	if !again || ref.retryAfter == 0 {
 		return true
 	}
-	return !pause(ctx, ref.retryAfter)
+	return !c.again(ctx, began, ref.retryAfter)
 }
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -41,6 +41,9 @@
 	Stall time.Duration
 	// Patience bounds a request with all its retries. Default 60s.
 	Patience time.Duration
+	// RetryFor is how long after its beginning a request that was refused as
+	// not run is sent again. Default: Patience.
+	RetryFor time.Duration
 	// Seed seeds the choice among entries.
 	Seed uint64
 }
@@ -87,6 +90,9 @@
 	if c.Patience == 0 {
 		c.Patience = defaultPatience
 	}
+	if c.RetryFor == 0 {
+		c.RetryFor = c.Patience
+	}
 	return &Client{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), avoid: make(map[string]time.Time),
 		http: &http.Client{Transport: &http.Transport{
@@ -224,6 +230,12 @@
 	return r
 }
 
+// again waits before another try after a refusal as not run; false when the
+// caller gives up.
+func (c *Client) again(ctx context.Context, began time.Time, wait time.Duration) bool {
+	return time.Since(began)+wait < c.config.RetryFor && pause(ctx, wait)
+}
+
 // pause waits; it gives false when ctx is over before.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/standin/caller/complete.go
+++ b/internal/standin/caller/complete.go
@@ -193,6 +193,9 @@
 	if ref.retryAfter == 0 {
 		return true
 	}
+	if ref.outcome == outcome.NotRun && !r.res.Accepted {
+		return !r.c.again(ctx, r.began, ref.retryAfter)
+	}
 	// A model request that may run is not sent anew but resumed under its id.
 	r.sent = r.sent || ref.outcome == outcome.Unknown
 	return !pause(ctx, ref.retryAfter)
