--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -12,6 +12,9 @@
 	// maxReconnects bounds fresh connections to a server that gives no token: a
 	// frozen process still lets its kernel accept connections.
 	maxReconnects = 1
+	// maxCallAttempts bounds the sends of one idempotent call, so that one call
+	// does not use up its profile's budget.
+	maxCallAttempts = 3
 	// retryPause holds a retry back when the profile's budget is used up.
 	// Accepted model work is never cut off for the budget: it waits.
 	retryPause = time.Second
@@ -56,11 +59,11 @@
 		r.suspects.cleared(q)
 		r.finish(q)
 	case ev.Invalid:
-		r.refuse(q, refuseInvalid(q))
+		r.refuse(q, refuseInvalid())
 	case r.quarantined(q):
 		r.condemn(q)
 	case q.attempts >= maxAttempts:
-		r.refuse(q, refuseFailed(q))
+		r.refuse(q, refuseFailed())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
 	case q.repeat == RepeatOnce:
@@ -85,8 +88,8 @@
 // when it is slow.
 func (r *Reducer) retryCall(q *request, s *server) {
 	s.fail(r.now)
-	if !r.decide.admission.Retry(q.work.Profile) {
-		r.refuse(q, refuseFailed(q))
+	if q.attempts >= maxCallAttempts || !r.decide.admission.Retry(q.work.Profile) {
+		r.refuse(q, refuseFailed())
 		return
 	}
 	r.waitAgain(q)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -25,8 +25,6 @@
 // and its own word from announcements, answers and probes.
 type server struct {
 	pb *pb.BackendServer
-	// aliveAt is when it last showed any sign of life.
-	aliveAt time.Duration
 	// ownState is its own last word in this incarnation, ownAt when it came.
 	ownState engineapi.State
 	ownAt    time.Duration
@@ -45,9 +43,8 @@
 }
 
 type sentWork struct {
-	at      time.Duration
-	prefill int
-	decode  int
+	at     time.Duration
+	tokens decision.Tokens
 }
 
 type serverTable struct {
@@ -117,7 +114,7 @@
 // began to leave may come after the word of leaving: leaving is never taken
 // back within an incarnation.
 func (s *server) hear(state engineapi.State, now time.Duration) {
-	s.ownState, s.ownAt, s.aliveAt = state, now, now
+	s.ownState, s.ownAt = state, now
 	if state == engineapi.StateLeaving {
 		s.leaving = true
 	}
@@ -171,12 +168,13 @@
 
 func (r *Reducer) announced(ev Announced) {
 	a := ev.Announcement
-	r.report.announce(a, r.now)
-	s := r.servers.byID[a.ID]
-	if s == nil || s.pb.Incarnation != a.Incarnation {
+	s := r.servers.life(a.ID, a.Incarnation)
+	if s == nil {
+		r.report.announce(a, nil)
 		r.servers.keepEarly(a)
 		return
 	}
+	r.report.announce(a, s.pb)
 	r.heard(s, a.State, a.Load, true)
 }
 
@@ -229,15 +227,31 @@
 	}
 }
 
-// fleet gives the servers as the decisions see them, for one request.
+// fleet gives the servers as the decisions see them, for one request. While
+// there are no suspects it is the same for all and made once per step and
+// dispatch: with thousands of servers and a full queue it is the largest cost
+// of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
+	if len(r.suspects.byKey) > 0 {
+		f := r.newFleet(func(s *server) bool { return r.suspects.apart(r, q, s) })
+		r.suspects.spread(r, q, &f)
+		return f
+	}
+	if r.sharedFleet == nil {
+		f := r.newFleet(func(*server) bool { return true })
+		r.sharedFleet = &f
+	}
+	return *r.sharedFleet
+}
+
+func (r *Reducer) newFleet(allowed func(*server) bool) decision.Fleet {
 	f := decision.Fleet{DataCentre: r.cfg.Identity.DataCentre, Entries: max(1, len(r.view.entries))}
 	f.Servers = make([]decision.Server, 0, len(r.servers.sorted))
+	stale := r.stale()
 	for _, s := range r.servers.sorted {
-		usable := s.mayTakeWork(r.now, r.stale()) && r.suspects.apart(r, q, s)
+		usable := s.mayTakeWork(r.now, stale) && allowed(s)
 		f.Servers = append(f.Servers, r.decisionServer(s, usable))
 	}
-	r.suspects.spread(r, q, &f)
 	return f
 }
 
@@ -256,12 +270,16 @@
 	for _, id := range s.running {
 		q := r.requests[id]
 		sent.PrefillTokens += q.prefillLeft()
+		if q.work.Class != declaration.ClassBulk && s == q.prefiller() {
+			sent.UrgentPrefillTokens += q.prefillLeft()
+		}
 		sent.DecodeTokens += q.decodeLeft()
 	}
 	for _, w := range s.since {
 		sent.SinceRequests++
-		sent.SincePrefillTokens += w.prefill
-		sent.SinceDecodeTokens += w.decode
+		sent.SincePrefillTokens += w.tokens.Prefill
+		sent.SinceDecodeTokens += w.tokens.Decode
+		sent.SinceKVTokens += w.tokens.KV
 	}
 	return sent
 }
