--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,9 +1,13 @@
 package store
 
 import (
+	"bytes"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
@@ -76,3 +80,209 @@
 		t.Errorf("boots %v and %v", first.Initial.Identity, got.Identity)
 	}
 }
+
+// saved gives a closed folder with some entries and a snapshot in it.
+func saved(t *testing.T) Options {
+	t.Helper()
+	o := options(t.TempDir())
+	s, _ := mustOpen(t, o)
+	mustSave(t, s, consensus.Persist{Entries: entries(1, 40, 2), HardState: &pb.HardState{Term: 2, Vote: 1, Commit: 40}})
+	meta := &pb.SnapshotMeta{Index: 20, Term: 2}
+	consensus.SealSnapshot(meta, []byte("state"))
+	if err := s.SaveSnapshot(meta, []byte("state")); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+func mustFail(t *testing.T, o Options, want *errorx.Type) {
+	t.Helper()
+	s, _, err := Open(o)
+	if err == nil {
+		_ = s.Close()
+	}
+	if !errorx.IsOfType(err, want) {
+		t.Fatalf("Open gives %v, want %v", err, want)
+	}
+}
+
+// An operator sees a replica that votes twice or has lost what it acknowledged.
+// Its disk altered a byte while it was down; it came up and answered from the
+// altered file. Each byte that is in use must be noticed, or not matter.
+func TestFlippedByteIsNoticed(t *testing.T) {
+	o := saved(t)
+	path := filepath.Join(o.Dir, fileName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshots, err := filepath.Glob(filepath.Join(o.Dir, snapshotPattern))
+	if err != nil || len(snapshots) != 1 {
+		t.Fatal(snapshots, err)
+	}
+	want := contents(t, o)
+	noticed := 0
+	for at := 0; at < len(whole); at += 211 {
+		altered := bytes.Clone(whole)
+		altered[at] ^= 0x10
+		// A folder of its own each time: a file on which bbolt has panicked
+		// stays locked until the process ends.
+		o.Dir = t.TempDir()
+		if err := os.WriteFile(filepath.Join(o.Dir, fileName), altered, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Link(snapshots[0], filepath.Join(o.Dir, filepath.Base(snapshots[0]))); err != nil {
+			t.Fatal(err)
+		}
+		s, r, err := Open(o)
+		switch {
+		case err == nil:
+			if d := cmp.Diff(want, r.Initial, protocmp.Transform(), protocmp.IgnoreFields(&pb.ReplicaIdentity{}, "boot", "boot_nonce", "past_nonces")); d != "" {
+				t.Errorf("byte %d: %s", at, d)
+			}
+			_ = s.Close()
+		case errorx.IsOfType(err, Corrupt):
+			noticed++
+		default:
+			t.Errorf("byte %d: %v", at, err)
+		}
+	}
+	if noticed == 0 {
+		t.Error("no flipped byte was noticed")
+	}
+}
+
+func contents(t *testing.T, o Options) consensus.Initial {
+	t.Helper()
+	s, r := mustOpen(t, o)
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return r.Initial
+}
+
+// An operator sees a replica crash in a loop, or come up without its last
+// entries, after its file was cut short by a full or failing disk.
+func TestTruncatedFileIsNoticed(t *testing.T) {
+	o := saved(t)
+	path := filepath.Join(o.Dir, fileName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, size := range []int{0, 1, 100, pageSize, 2*pageSize + 5, len(whole) / 2} {
+		if err := os.WriteFile(path, whole[:size], fileMode); err != nil {
+			t.Fatal(err)
+		}
+		mustFail(t, o, Corrupt)
+	}
+}
+
+// The same with the snapshot's file: cut, altered or gone.
+func TestDamagedSnapshotIsNoticed(t *testing.T) {
+	for name, damage := range map[string]func(string) error{
+		"cut":     func(p string) error { return os.Truncate(p, 2) },
+		"altered": func(p string) error { return os.WriteFile(p, []byte("stale"), fileMode) },
+		"gone":    os.Remove,
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := saved(t)
+			paths, err := filepath.Glob(filepath.Join(o.Dir, snapshotPattern))
+			if err != nil || len(paths) != 1 {
+				t.Fatal(paths, err)
+			}
+			if err := damage(paths[0]); err != nil {
+				t.Fatal(err)
+			}
+			mustFail(t, o, Corrupt)
+		})
+	}
+}
+
+// A folder that is moved to another VM, or settings that name another replica,
+// must not let one replica speak as another.
+func TestForeignFolderIsRefused(t *testing.T) {
+	o := saved(t)
+	other := o
+	other.ReplicaID = 2
+	mustFail(t, other, Foreign)
+	other = o
+	other.Cluster = "d"
+	mustFail(t, other, Foreign)
+	mustOpen(t, o)
+	mustFail(t, o, Locked)
+}
+
+// A crash between the folder's creation and the identity leaves a folder that
+// counts as empty: a second start must work, under one identity from then on.
+func TestCrashBeforeIdentityIsWritten(t *testing.T) {
+	o := options(filepath.Join(t.TempDir(), "data"))
+	if err := os.Mkdir(o.Dir, folderMode); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(o.Dir, newFileName), []byte("half a page"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	first := contents(t, o)
+	if again := contents(t, o); again.Identity.Incarnation != first.Identity.Incarnation {
+		t.Errorf("incarnation %s became %s", first.Identity.Incarnation, again.Identity.Incarnation)
+	}
+}
+
+// A file that is gone while snapshots are left is damage, not a new folder; set
+// aside, the replica comes back as another life that waits to be added.
+func TestSetAsideStartsAnotherLife(t *testing.T) {
+	o := saved(t)
+	before := contents(t, o)
+	if err := os.Remove(filepath.Join(o.Dir, fileName)); err != nil {
+		t.Fatal(err)
+	}
+	mustFail(t, o, Corrupt)
+	if _, err := SetAside(o.Dir); err != nil {
+		t.Fatal(err)
+	}
+	o.Join, o.ReplicaID = true, 7
+	contents(t, o)
+	o.ReplicaID = 1
+	s, r := mustOpen(t, o)
+	if !r.Joined || r.Initial.Membership != nil || s.Identity().Incarnation == before.Identity.Incarnation {
+		t.Errorf("recovered %+v as %v", r, s.Identity())
+	}
+}
+
+// A user sees an accepted change gone: a VM's disk was put back from an older
+// copy, the replica voted as if it had never acknowledged the change. Peers know
+// the boot that followed the copy, also after their own restart, and however
+// often the old folder is started.
+func TestPutBackFolderIsRefusedByPeers(t *testing.T) {
+	o, peer := options(t.TempDir()), options(t.TempDir())
+	peer.ReplicaID = 2
+	contents(t, o)
+	copied, err := os.ReadFile(filepath.Join(o.Dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	admit := func() error {
+		s, _ := mustOpen(t, o)
+		defer func() { _ = s.Close() }()
+		p, _ := mustOpen(t, peer)
+		defer func() { _ = p.Close() }()
+		return p.Admit(&pb.StepRequest{From: s.Introduction(), Messages: []*pb.Message{{Kind: pb.MessageKind_MESSAGE_KIND_HELLO}}}, nil)
+	}
+	for range 2 {
+		if err := admit(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(o.Dir, fileName), copied, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	for boot := range 3 {
+		if err := admit(); !errorx.IsOfType(err, consensus.RolledBack) {
+			t.Errorf("start %d after the copy was put back: %v", boot+1, err)
+		}
+	}
+}
