Let a replica whose removal is not committed stand for election

Change: such a replica votes and stands; its own vote does not count, and it steps down once its removal is committed (Ongaro's thesis, 4.2.2). Measured: TestReplicaWithUncommittedOwnRemovalStandsForElection fails without the change (no leader after 3 s) and passes with it.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -11,9 +11,13 @@
 	n.electionDeadline = n.now + wait + time.Duration(n.random.Int64N(int64(wait)))
 }
 
-// mayCampaign tells whether this replica is a voter that can stand for election.
+// mayCampaign tells whether this replica can stand for election: it is a voter, or
+// its removal is not committed yet. Such a replica may be the only one with a log
+// complete enough to lead; it needs the votes of those that stay, and its own does
+// not count. Once it has committed its removal it steps down.
 func (n *Node) mayCampaign() bool {
-	return isVoter(n.members.current(), n.cfg.ID) && n.mayVote()
+	voter := isVoter(n.members.current(), n.cfg.ID) || isVoter(n.CommittedMembership(), n.cfg.ID)
+	return voter && n.mayVote()
 }
 
 // sticky tells whether this replica must help no other to lead yet.
@@ -127,6 +131,9 @@
 // folder never votes: it knows no member list, or its group has not formed.
 func (n *Node) mayVote() bool {
 	own := findMember(n.members.current(), n.cfg.ID)
+	if own == nil {
+		own = findMember(n.CommittedMembership(), n.cfg.ID)
+	}
 	bound := own.GetIdentity().GetIncarnation()
 	listed := own != nil && (bound == "" || bound == n.identity.GetIncarnation())
 	return listed && n.formation.formed && !n.incoming.restoring()
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -31,3 +31,30 @@
 		t.Errorf("%d reads done, lease until %v at %v", c.done, l.leaseUntil, c.now)
 	}
 }
+
+// An operator sees a group of two without a leader for good, with both replicas
+// up. The leader was told to remove itself, appended that, and was killed before
+// the other had it. The other needs its vote, which it refuses: its own log is
+// longer; but it did not stand either, since its own list leaves it out.
+func TestReplicaWithUncommittedOwnRemovalStandsForElection(t *testing.T) {
+	c := newCluster(3, 3)
+	c.size = 2
+	c.run(2 * time.Second)
+	l := c.leader()
+	other, third := c.ids[l.id%3], c.ids[(l.id+1)%3]
+	c.step(l, ProposeMembership{Change: MembershipChange{RemoveID: third}})
+	c.run(300 * time.Millisecond)
+	c.blocked[link{l.id, other}] = true
+	c.step(l, ProposeMembership{Change: MembershipChange{RemoveID: l.id}})
+	c.run(100 * time.Millisecond)
+	if findMember(l.disk.lastList(), l.id) != nil {
+		t.Fatal("the removal is not in the leader's log")
+	}
+	c.crash(l)
+	clear(c.blocked)
+	c.start(l)
+	c.run(3 * time.Second)
+	if now := c.leader(); len(c.faults) > 0 || now == nil || now.id != other {
+		t.Fatalf("leader %v, faults %v", now, c.faults)
+	}
+}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -32,6 +32,12 @@
 	return &c
 }
 
+// lastList gives the latest member list that is synced.
+func (d *disk) lastList() *pb.Membership {
+	h := newMemberHistory(Initial{Snapshot: d.meta, Entries: d.entries, Membership: d.bootstrap})
+	return h.current()
+}
+
 func (d *disk) save(p Persist) {
 	if p.TruncateFrom != 0 {
 		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.LogEntry) bool { return e.Index >= p.TruncateFrom })
