admission: start the drain rate from the servers' rates; placement: keep the band free

Causes: a queue that had just begun to wait and had had no turn yet counted as never drained (waits of 29 hours in the log of refusals); streams went to idle mixed engines while decode engines had slots, so that the band prefilled at less than half of its rate. Change: the servers' own rates count as twenty seconds of measurement; the rate is taken over two minutes; a stream at a mixed engine counts double.

--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -98,8 +98,7 @@
 }
 
 // queueWait is the wait in this entry's queue: the member's own work over the part
-// of the profile's rate that is left to it. Until that rate is known, the servers'
-// own rates stand in for it; every entry has its part of them.
+// of the profile's rate that is left to it.
 //
 // Under fair queueing others' work that comes later goes before a heavy member's,
 // so what is ahead of it now over the whole rate is too little: it let in 231
@@ -109,18 +108,34 @@
 func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, share float64, queued *queue.Summary, entries float64) time.Duration {
 	key := queue.KeyOf(w)
 	waiting := queued.Get(key).Cost()
-	key.Member = ""
-	if rate, ok := queued.DrainRate(now, key); ok {
-		mine := max(1, share*rate, rate-c.members.othersRate(now, w))
-		return seconds(caution * waiting / mine)
+	if waiting == 0 {
+		return seconds(caution * s.workTime(own, rest, entries))
 	}
+	rate := own.cost() / max(tiny, s.workTime(own, rest, entries))
+	cost, secs := queued.Drained(now, key)
+	rate = (cost + priorTime*rate) / (secs + priorTime)
+	mine := max(1, share*rate, rate-c.members.othersRate(now, w))
+	return seconds(caution * waiting / mine)
+}
+
+// priorTime is how many seconds of measurement the servers' own rates count as in
+// the rate at which the queue is drained. Without them, an entry whose queue has
+// only just begun to wait and has had no turn yet refuses everything.
+const priorTime = 20
+
+// tiny keeps quotients finite.
+const tiny = 1e-3
+
+// workTime is the seconds that the servers take for it by their own rates; every
+// entry has its part of them.
+func (s *supply) workTime(own, rest load, entries float64) float64 {
 	prefill := (own.prefill + rest.prefill) * entries / max(1, s.prefillRate)
 	decode := (own.decode + rest.decode) * entries / max(1, s.decodeRate)
-	return seconds(caution * max(prefill, decode))
+	return max(prefill, decode)
 }
 
 // caution lengthens the estimate: dossiers differ by half in size, and one that
 // is let in and then late costs more than one refused at once.
-const caution = 1.4
+const caution = 1.35
 
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/internal/decision/admission/member.go
+++ b/internal/decision/admission/member.go
@@ -11,7 +11,7 @@
 // useTime is the time constant of what counts as a member's recent use. A burst
 // of dossiers takes a minute or more; a shorter time would call a member that
 // sends one dossier a burst.
-const useTime = time.Minute
+const useTime = 2 * time.Minute
 
 // forgetBelow is the use, in tokens, below which a member is forgotten, so that
 // 1,300 members that once called do not stay in memory.
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -3,6 +3,7 @@
 import (
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // near is the part of the cost within which servers count as alike.
@@ -45,9 +46,18 @@
 	fill := min(1, (l.requests+1)/slots)
 	perToken := slots / max(1, server.DecodeRate()) * (stepBase + (1-stepBase)*fill)
 	slow := 1 / max(minFactor, p.limits.aligned[i].factor)
+	if server.Role == engineapi.RoleMixed {
+		slow *= interference
+	}
 	return float64(w.OutputTokens) * perToken * slow
 }
 
+// interference is how much more a stream counts at a mixed engine than its own
+// time there: as long as one decodes, that engine prefills at less than half of
+// its rate. Without it streams go to idle mixed engines while decode engines have
+// slots, and the band is not there when prefill needs it.
+const interference = 2
+
 // stepBase is the part of a full batch's step that one stream alone takes.
 const stepBase = 0.56
 
--- a/internal/decision/queue/drain.go
+++ b/internal/decision/queue/drain.go
@@ -5,12 +5,9 @@
 	"time"
 )
 
-// Time constant of the drain rate, and how long a profile must have waited
-// before the rate counts: less is a handful of dossiers.
-const (
-	drainTime    = 30 * time.Second
-	drainTrusted = 10 * time.Second
-)
+// drainTime is the time constant of the drain rate: an entry's part of the bulk
+// work is a dossier in two seconds, so this is some sixty of them.
+const drainTime = 2 * time.Minute
 
 // drain measures at what rate a profile's work leaves the queue while there is
 // always some waiting. Servers' rates alone say too much: other profiles, other
@@ -44,12 +41,12 @@
 	return d.cost * math.Exp(-(now-d.at).Seconds()/drainTime.Seconds())
 }
 
-// rate is tokens/s as Work.Cost weighs them; false when nothing waits or not for
-// long enough.
-func (d *drain) rate(now time.Duration) (float64, bool) {
-	if !d.waiting || now-d.since < drainTrusted {
-		return 0, false
+// drained is the cost that left lately and the seconds in which it did, both with
+// the same decay; zero seconds when nothing waits.
+func (d *drain) drained(now time.Duration) (cost, secs float64) {
+	if !d.waiting {
+		return 0, 0
 	}
-	full := drainTime.Seconds() * (1 - math.Exp(-(now-d.since).Seconds()/drainTime.Seconds()))
-	return d.decayed(now) / full, true
+	secs = drainTime.Seconds() * (1 - math.Exp(-(now-d.since).Seconds()/drainTime.Seconds()))
+	return d.decayed(now), secs
 }
--- a/internal/decision/queue/queue_test.go
+++ b/internal/decision/queue/queue_test.go
@@ -137,9 +137,9 @@
 	for i := range 40 {
 		q.Pop(time.Duration(i)*500*time.Millisecond, any1)
 	}
-	rate, ok := q.Summary().DrainRate(20*time.Second, KeyOf(&w))
-	if want := 2 * w.Cost(); !ok || rate < 0.8*want || rate > 1.2*want {
-		t.Fatalf("rate %v (%v), want about %v", rate, ok, want)
+	cost, secs := q.Summary().Drained(20*time.Second, KeyOf(&w))
+	if want := 2 * w.Cost(); secs == 0 || cost/secs < 0.8*want || cost/secs > 1.2*want {
+		t.Fatalf("%v in %v s, want about %v a second", cost, secs, want)
 	}
 }
 
--- a/internal/decision/queue/summary.go
+++ b/internal/decision/queue/summary.go
@@ -55,16 +55,16 @@
 	return k
 }
 
-// DrainRate is at what rate the profile's work has left this queue lately, in
-// tokens/s as Work.Cost weighs them; false when it has not waited long enough.
-// The key's member counts as empty.
-func (s *Summary) DrainRate(now time.Duration, k Key) (float64, bool) {
+// Drained is how much of the profile's work, as Work.Cost weighs it, has left this
+// queue lately and in how many seconds, while some always waited; zero seconds
+// when nothing waits. The key's member counts as empty.
+func (s *Summary) Drained(now time.Duration, k Key) (cost, secs float64) {
 	k.Member = ""
 	d := s.drains[k]
 	if d == nil {
-		return 0, false
+		return 0, 0
 	}
-	return d.rate(now)
+	return d.drained(now)
 }
 
 // Get gives the totals of one part; the zero Totals when nothing waits there.
