--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -248,9 +248,9 @@
 // settleMembers makes a learner a voter once it has synced everything that is
 // committed now, and names the incarnations of voters where the list lacks them.
 //
-// Promoted earlier, a learner would count towards quorums while it lacks
-// committed entries: with a second replica lost right after, the rest could
-// elect a leader without them.
+// Promoted earlier, a learner would enlarge the quorum while it holds nothing:
+// with a second replica lost right after, what is committed would lie on one disk,
+// and nothing could be committed until the learner had caught up.
 func (n *Node) settleMembers() {
 	if n.role != leader || n.refuseChange() != 0 {
 		return
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -99,3 +99,42 @@
 		}
 	})
 }
+
+// A user sees accepted changes gone. A control VM lost its disk and was replaced;
+// at the very moment when the new replica got its vote, a second VM lost its disk,
+// and the rest elected a leader. Had the new replica voted before it held all that
+// was committed, the leader could lack some of it.
+func TestSecondReplicaLostRightAfterRepair(t *testing.T) {
+	for name, loseLeader := range map[string]bool{"a follower": false, "the leader": true} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 20; seed++ {
+				secondLoss(t, seed, loseLeader)
+			}
+		})
+	}
+}
+
+func secondLoss(t *testing.T, seed uint64, loseLeader bool) {
+	c := newCluster(seed, 3)
+	c.run(2 * time.Second)
+	l := c.leader()
+	first, second := c.hosts[c.ids[l.id%3]], c.hosts[c.ids[(l.id+1)%3]]
+	if loseLeader {
+		second = l
+	}
+	c.lose(first)
+	for repaired := false; !repaired; c.run(simStep) {
+		members := l.node.members.current()
+		repaired = len(members.Removed) == 1 && len(voterIDs(members)) == 3
+		if c.now > 20*time.Second {
+			t.Fatalf("seed %d: the group is not repaired: %v", seed, members)
+		}
+	}
+	before := c.applied
+	c.lose(second)
+	c.run(5 * time.Second)
+	now := c.leader()
+	if len(c.faults) > 0 || now == nil || now.applied <= before {
+		t.Fatalf("seed %d: leader %v, applied before %d, faults %v", seed, now, before, c.faults)
+	}
+}
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -93,13 +93,10 @@
 	if !s.spare(h) {
 		return
 	}
-	s.c.lost[h.id] = true
-	boot := h.disk.bootstrap
 	if rapid.Bool().Draw(t, "join") {
-		boot = nil
+		h.disk.bootstrap = nil
 	}
-	s.c.wipe(h, boot)
-	s.c.start(h)
+	s.c.lose(h)
 }
 
 // spare tells whether the group can do without one more replica. A new group
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -166,6 +166,13 @@
 	}
 }
 
+// lose empties a replica's disk for good; it comes back with its old settings.
+func (c *cluster) lose(h *host) {
+	c.lost[h.id] = true
+	c.wipe(h, h.disk.bootstrap)
+	c.start(h)
+}
+
 func (c *cluster) crash(h *host) {
 	h.node, h.writes, h.inbox, h.paused, h.leaseUntil = nil, nil, nil, false, 0
 }
