--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -36,27 +36,42 @@
 const plainCall = 20 * time.Millisecond
 
 func (c *Controller) estimate(now time.Duration, w *decision.Work, fleet *decision.Fleet, s *supply, queued *queue.Summary) estimate {
-	entries := float64(max(1, fleet.Entries))
-	key := queue.KeyOf(w)
-	mine := queued.Get(key)
-	key.Member = ""
-	profile := queued.Get(key)
-	key.Profile = ""
-	all := queued.Get(key)
 	share, over := c.members.share(now, w)
 	e := estimate{share: share, overShare: over}
+	x := query{
+		now: now, work: w, supply: s, queued: queued, share: share,
+		entries: float64(max(1, fleet.Entries)), othersRate: c.members.othersRate(now, w),
+	}
 	if w.Kind == declaration.KindPlain {
-		perServer := entries * float64(all.Requests) / float64(s.slots)
-		e.wait = time.Duration(perServer * float64(plainCall))
+		e.wait = x.plainWait()
 		return e
 	}
-	own := ownAhead(mine, profile, share)
-	e.wait = serverWait(w, s) + c.queueWait(now, w, s, own, others(w, own, profile, all), share, queued, entries)
+	e.wait = serverWait(w, s) + x.queueWait()
 	e.prefill = seconds(float64(w.PromptTokens) / max(1, s.bestPrefill))
 	e.decode = time.Duration(w.OutputTokens) * tokenTime
 	return e
 }
 
+// query is all that the wait of one work is estimated from.
+type query struct {
+	now     time.Duration
+	work    *decision.Work
+	supply  *supply
+	queued  *queue.Summary
+	entries float64
+	// share is the member's fair part of its profile, othersRate the cost per
+	// second that the other members were let in with lately.
+	share, othersRate float64
+}
+
+// plainWait is the wait for a server of a plain service.
+func (x *query) plainWait() time.Duration {
+	key := queue.KeyOf(x.work)
+	key.Member, key.Profile = "", ""
+	ahead := x.entries * float64(x.queued.Get(key).Requests) / float64(x.supply.slots)
+	return time.Duration(ahead * float64(plainCall))
+}
+
 // load is tokens that wait.
 type load struct{ prefill, decode float64 }
 
@@ -105,17 +120,24 @@
 // dossiers of a trace at twice the capacity that were late. Its bare share is too
 // much in a burst, when the others ask for less than theirs. So the others count
 // with what they were let in lately.
-func (c *Controller) queueWait(now time.Duration, w *decision.Work, s *supply, own, rest load, share float64, queued *queue.Summary, entries float64) time.Duration {
-	key := queue.KeyOf(w)
-	waiting := queued.Get(key).Cost()
-	if waiting == 0 {
-		return seconds(caution * s.workTime(own, rest, entries))
+func (x *query) queueWait() time.Duration {
+	key := queue.KeyOf(x.work)
+	mine := x.queued.Get(key)
+	key.Member = ""
+	profile := x.queued.Get(key)
+	cost, secs := x.queued.Drained(x.now, key)
+	key.Profile = ""
+	all := x.queued.Get(key)
+
+	own := ownAhead(mine, profile, x.share)
+	work := x.supply.workTime(own, others(x.work, own, profile, all), x.entries)
+	if mine.Requests == 0 {
+		return seconds(caution * work)
 	}
-	rate := own.cost() / max(tiny, s.workTime(own, rest, entries))
-	cost, secs := queued.Drained(now, key)
+	rate := own.cost() / max(tiny, work)
 	rate = (cost + priorTime*rate) / (secs + priorTime)
-	mine := max(1, share*rate, rate-c.members.othersRate(now, w))
-	return seconds(caution * waiting / mine)
+	left := max(1, x.share*rate, rate-x.othersRate)
+	return seconds(caution * mine.Cost() / left)
 }
 
 // priorTime is how many seconds of measurement the servers' own rates count as in
