Let a deployment settle before it is watched

Cause: metrics are written down once a second, so that the views and probes of the start counted as idle: 4.6 KB/s where the calls on the wire, counted one by one, are 2.3 KB/s (60 reads and writes, 17,182 bytes, 7.5 s).

--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -25,6 +25,10 @@
 // startTimeout bounds how long a deployment may take to serve.
 const startTimeout = 60 * time.Second
 
+// settleTime lets the burst of the start pass: metrics are written down once a
+// second, so that what was sent just before would count as idle.
+const settleTime = 3 * time.Second
+
 // metricsTimeout bounds one look at a process's metrics.
 const metricsTimeout = 5 * time.Second
 
@@ -67,6 +71,7 @@
 	if err := bed.Start(ctx); err != nil {
 		return idleFleet{}, err
 	}
+	time.Sleep(settleTime)
 	return p.watch(bed)
 }
 
