--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -138,3 +138,54 @@
 		t.Fatalf("seed %d: leader %v, applied before %d, faults %v", seed, now, before, c.faults)
 	}
 }
+
+// A user sees two replicas act as leader, or something accepted gone: a replica
+// voted while a leader's lease may run, or for a log that lacks what it holds. Each
+// case is one way in which it may be asked to.
+func TestVotesThatMustBeRefused(t *testing.T) {
+	const later = 10
+	cases := map[string]struct {
+		// prepare gives the replica that is asked.
+		prepare func(c *cluster, l, other *host) *host
+		behind  bool
+	}{
+		"leader": {prepare: func(_ *cluster, l, _ *host) *host { return l }},
+		"leader that stepped down under its last lease": {prepare: func(c *cluster, l, other *host) *host {
+			c.step(l, Receive{Message: &pb.Message{
+				Kind: pb.MessageKind_MESSAGE_KIND_APPEND_RESPONSE, From: other.id, To: l.id, Term: l.node.term + 1, Reject: true,
+			}})
+			return l
+		}},
+		"follower that hears the leader": {prepare: func(_ *cluster, _, other *host) *host { return other }},
+		"follower that heard the leader before a restart": {prepare: func(c *cluster, _, other *host) *host {
+			c.crash(other)
+			c.start(other)
+			return other
+		}},
+		"follower whose log holds more": {behind: true, prepare: func(c *cluster, l, other *host) *host {
+			c.crash(l)
+			c.cut(other.id, true)
+			c.run(600 * time.Millisecond)
+			return other
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(5, 3)
+			c.run(2 * time.Second)
+			l := c.leader()
+			asked := tc.prepare(c, l, c.hosts[c.ids[l.id%3]])
+			vote := &pb.Message{
+				Kind: pb.MessageKind_MESSAGE_KIND_VOTE, From: c.ids[(l.id+1)%3], To: asked.id,
+				Term: asked.node.term + later, Index: asked.node.log.lastIndex(), LogTerm: asked.node.log.lastTerm(),
+			}
+			if tc.behind {
+				vote.Index--
+			}
+			c.step(asked, Receive{Message: vote})
+			if asked.node.vote == vote.From && asked.node.term == vote.Term {
+				t.Error("it voted")
+			}
+		})
+	}
+}
