--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -189,3 +189,30 @@
 		})
 	}
 }
+
+// An operator sees two halves of a group each go on alone. A leader was cut off with
+// a removal that only it had; the next leader, told to remove another replica before
+// it had committed anything, appended that. Each list had a quorum without the other.
+func TestNewLeaderChangesNothingBeforeItsOwnCommit(t *testing.T) {
+	c := newCluster(7, 4)
+	c.run(2 * time.Second)
+	old := c.leader()
+	c.cut(old.id, true)
+	c.step(old, ProposeMembership{Change: MembershipChange{RemoveID: c.ids[old.id%4]}})
+	for c.now < 10*time.Second {
+		c.run(simStep)
+		for _, id := range c.ids {
+			h := c.hosts[id]
+			if h == old || h.node.role != leader || h.node.log.matches(h.node.log.commit, h.node.term) {
+				continue
+			}
+			for _, e := range h.node.Step(c.local(h), ProposeMembership{ID: 1, Change: MembershipChange{RemoveID: old.id}}) {
+				if r, ok := e.(ProposalRefused); ok && r.Reason == NotReady {
+					return
+				}
+			}
+			t.Fatal("the change was not refused")
+		}
+	}
+	t.Fatal("no new leader was met before its own commit")
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -286,3 +286,33 @@
 		}
 	}
 }
+
+// A user sees an accepted change gone: a VM lost its disk, its replica came back
+// empty under its old settings and voted again. A peer that has heard the first life
+// must refuse the second, until the member list names it or the first is removed.
+func TestEmptiedFolderIsRefusedByPeers(t *testing.T) {
+	peer := options(t.TempDir())
+	peer.ReplicaID = 2
+	p, _ := mustOpen(t, peer)
+	admit := func(members *pb.Membership) (*pb.ReplicaIdentity, error) {
+		s, _ := mustOpen(t, options(t.TempDir()))
+		id := s.Introduction()
+		return id, p.Admit(&pb.StepRequest{From: id, Messages: []*pb.Message{{Kind: pb.MessageKind_MESSAGE_KIND_HELLO}}}, members)
+	}
+	members := options("").Bootstrap
+	first, err := admit(members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := admit(members); !errorx.IsOfType(err, consensus.WrongIdentity) {
+		t.Errorf("the emptied folder is admitted: %v", err)
+	}
+	without := &pb.Membership{Removed: []*pb.ReplicaIdentity{first}}
+	if _, err := admit(without); err != nil {
+		t.Errorf("its next life is refused after the removal: %v", err)
+	}
+	err = p.Admit(&pb.StepRequest{From: first, Messages: []*pb.Message{{Kind: pb.MessageKind_MESSAGE_KIND_HELLO}}}, without)
+	if !errorx.IsOfType(err, consensus.RemovedIdentity) {
+		t.Errorf("the removed life gives %v", err)
+	}
+}
