--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,43 +13,6 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-// disk is what a replica has synced.
-type disk struct {
-	folder    *pb.ReplicaIdentity
-	bootstrap *pb.Membership
-	hard      *pb.HardState
-	entries   []*pb.LogEntry
-	meta      *pb.SnapshotMeta
-	data      []byte
-	peers     map[uint64]*pb.ReplicaIdentity
-}
-
-func (d *disk) clone() *disk {
-	c := *d
-	c.folder = proto.Clone(d.folder).(*pb.ReplicaIdentity)
-	c.peers = maps.Clone(d.peers)
-	return &c
-}
-
-// lastList gives the latest member list that is synced.
-func (d *disk) lastList() *pb.Membership {
-	h := newMemberHistory(Initial{Snapshot: d.meta, Entries: d.entries, Membership: d.bootstrap})
-	return h.current()
-}
-
-func (d *disk) save(p Persist) {
-	if p.TruncateFrom != 0 {
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.LogEntry) bool { return e.Index >= p.TruncateFrom })
-	}
-	d.entries = append(slices.Clip(d.entries), p.Entries...)
-	if p.CompactTo != 0 {
-		d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.LogEntry) bool { return e.Index < p.CompactTo })
-	}
-	if p.HardState != nil {
-		d.hard = p.HardState
-	}
-}
-
 // host runs one Node on a virtual clock of its own rate.
 type host struct {
 	id     uint64
@@ -263,74 +225,6 @@
 	}
 }
 
-func (c *cluster) checkState(h *host) {
-	known, ok := c.states[h.applied]
-	if ok && known != h.state {
-		c.fault("replica %d: another state at %d", h.id, h.applied)
-	}
-	c.states[h.applied] = h.state
-	c.applied = max(c.applied, h.applied)
-}
-
-// check tests what must hold after each step of a replica.
-func (c *cluster) check(h *host) {
-	n := h.node
-	if n.role == leader {
-		c.checkLeader(h)
-	}
-	if lease := n.LeaseUntil(); lease > 0 {
-		h.leaseUntil = max(h.leaseUntil, time.Duration(float64(lease)/h.rate))
-	}
-	for _, id := range c.ids {
-		if o := c.hosts[id]; o != h && min(o.leaseUntil, h.leaseUntil) > c.now {
-			c.fault("replicas %d and %d both hold a lease", h.id, o.id)
-		}
-	}
-}
-
-// checkLeader tests election safety and, when a term later than any before has
-// its leader, that the leader's log holds whatever was applied anywhere.
-func (c *cluster) checkLeader(h *host) {
-	n := h.node
-	other, ok := c.leaders[n.term]
-	if ok && other != h.id {
-		c.fault("term %d has leaders %d and %d", n.term, other, h.id)
-	}
-	c.leaders[n.term] = h.id
-	if n.term <= c.term {
-		return
-	}
-	c.term = n.term
-	if n.log.lastIndex() < c.applied {
-		c.fault("leader %d of term %d ends at %d, applied is %d", h.id, n.term, n.log.lastIndex(), c.applied)
-	}
-}
-
-// checkLogs tests log matching: an entry of one index and term is the same
-// everywhere, and so is the one before it.
-func (c *cluster) checkLogs() {
-	for _, id := range c.ids {
-		n := c.hosts[id].node
-		if n == nil {
-			continue
-		}
-		prev := n.log.baseTerm
-		for _, e := range n.log.entries {
-			at := position{e.Index, e.Term}
-			content := fmt.Sprintf("%d %d %x", prev, e.Kind, e.Data)
-			if known, ok := c.entries[at]; ok && known != content {
-				c.fault("replica %d: entry %v is %q, elsewhere %q", id, at, content, known)
-			}
-			c.entries[at] = content
-			prev = e.Term
-		}
-	}
-}
-
-func (c *cluster) fault(format string, args ...any) {
-	c.faults = append(c.faults, fmt.Sprintf("%v: ", c.now)+fmt.Sprintf(format, args...))
-}
-
 func (c *cluster) transmit(h *host, m *pb.Message) {
 	copies := 1
 	if c.random.Float64() < c.loss {
@@ -449,83 +343,6 @@
 	}
 }
 
-type faultKind int
-
-const (
-	crashed faultKind = iota
-	frozen
-	cutOff
-	cutOneWay
-	transferred
-	faultKinds
-)
-
-// disturbAnyone begins a short fault, most often at the leader, where it does harm.
-func (c *cluster) disturbAnyone() {
-	h := c.hosts[c.ids[c.random.IntN(len(c.ids))]]
-	if l := c.leader(); l != nil && c.random.IntN(2) == 0 {
-		h = l
-	}
-	c.disturb(faultKind(c.random.IntN(int(faultKinds))), h)
-}
-
-// disturb begins a fault that ends after a while.
-func (c *cluster) disturb(kind faultKind, h *host) {
-	var end func()
-	switch kind {
-	case crashed:
-		c.crash(h)
-		end = func() { c.start(h) }
-	case frozen:
-		h.paused = h.node != nil
-		end = func() { c.resume(h) }
-	case cutOff:
-		c.cut(h.id, true)
-		end = func() { c.cut(h.id, false) }
-	case cutOneWay:
-		one := link{h.id, c.ids[c.random.IntN(len(c.ids))]}
-		c.blocked[one] = true
-		end = func() { delete(c.blocked, one) }
-	case transferred:
-		c.step(h, TransferLeadership{})
-		return
-	}
-	c.endLater(end)
-}
-
-// endLater ends a fault, mostly within some heartbeats, at most after a second.
-func (c *cluster) endLater(end func()) {
-	longest := 1 + c.random.IntN(int(time.Second))
-	c.timers = append(c.timers, timer{c.now + time.Duration(c.random.IntN(longest)), end})
-}
-
-// work is what callers do all the time.
-func (c *cluster) work() {
-	l := c.leader()
-	if l == nil {
-		return
-	}
-	if c.random.IntN(20) == 0 {
-		c.propose(l)
-	}
-	if c.random.IntN(40) == 0 {
-		c.read(c.hosts[c.ids[c.random.IntN(len(c.ids))]])
-	}
-}
-
-// cut cuts a replica off from all others, both ways, or ends that.
-func (c *cluster) cut(id uint64, on bool) {
-	for _, other := range c.ids {
-		for _, l := range []link{{id, other}, {other, id}} {
-			if on {
-				c.blocked[l] = true
-			} else {
-				delete(c.blocked, l)
-			}
-		}
-	}
-}
-
 func (c *cluster) deliverDue() {
 	due := c.packets[:0:0]
 	kept := c.packets[:0]
@@ -543,60 +360,6 @@
 	}
 }
 
-// operate is an operator who removes lost replicas and adds new ones.
-func (c *cluster) operate() {
-	l := c.leader()
-	if l == nil {
-		return
-	}
-	members := l.node.Status().Membership
-	for _, m := range members.Members {
-		if c.lost[m.Identity.Id] {
-			c.step(l, ProposeMembership{Change: MembershipChange{RemoveID: m.Identity.Id}})
-			return
-		}
-	}
-	if len(members.Members) >= c.size {
-		return
-	}
-	c.emptyRemoved(l)
-	id := c.joiner(members)
-	c.step(l, ProposeMembership{Change: MembershipChange{Add: &pb.ReplicaMember{
-		Identity: &pb.ReplicaIdentity{Id: id}, Address: fmt.Sprint(id),
-	}}})
-}
-
-// emptyRemoved empties the disk of a removed replica now and then, so that it may
-// join again under its old id. One whose incarnation was not known when it was
-// removed can't.
-func (c *cluster) emptyRemoved(l *host) {
-	for _, gone := range l.node.CommittedMembership().Removed {
-		h := c.hosts[gone.Id]
-		left := findMember(l.node.members.current(), gone.Id) == nil && gone.Incarnation != ""
-		if left && (h.removed || c.lost[h.id]) && c.random.IntN(2) == 0 {
-			h.removed = false
-			delete(c.lost, h.id)
-			c.wipe(h, nil)
-			c.start(h)
-			return
-		}
-	}
-}
-
-// joiner gives a replica that waits to be added, a new one if need be.
-func (c *cluster) joiner(members *pb.Membership) uint64 {
-	for _, id := range c.ids {
-		h := c.hosts[id]
-		gone := h.removed || wasRemoved(members, h.disk.folder)
-		if findMember(members, id) == nil && !c.lost[id] && !gone && h.disk.bootstrap == nil {
-			return id
-		}
-	}
-	id := uint64(len(c.ids) + 1)
-	c.addHost(id, nil)
-	return id
-}
-
 // resume lets a paused replica go on: what came meanwhile arrives now.
 func (c *cluster) resume(h *host) {
 	h.paused = false
