--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -138,3 +138,81 @@
 		t.Fatalf("seed %d: leader %v, applied before %d, faults %v", seed, now, before, c.faults)
 	}
 }
+
+// A user sees two replicas act as leader, or something accepted gone: a replica
+// voted while a leader's lease may run, or for a log that lacks what it holds. Each
+// case is one way in which it may be asked to.
+func TestVotesThatMustBeRefused(t *testing.T) {
+	const later = 10
+	cases := map[string]struct {
+		// prepare gives the replica that is asked.
+		prepare func(c *cluster, l, other *host) *host
+		behind  bool
+	}{
+		"leader": {prepare: func(_ *cluster, l, _ *host) *host { return l }},
+		"leader that stepped down under its last lease": {prepare: func(c *cluster, l, other *host) *host {
+			c.step(l, Receive{Message: &pb.Message{
+				Kind: pb.MessageKind_MESSAGE_KIND_APPEND_RESPONSE, From: other.id, To: l.id, Term: l.node.term + 1, Reject: true,
+			}})
+			return l
+		}},
+		"follower that hears the leader": {prepare: func(_ *cluster, _, other *host) *host { return other }},
+		"follower that heard the leader before a restart": {prepare: func(c *cluster, _, other *host) *host {
+			c.crash(other)
+			c.start(other)
+			return other
+		}},
+		"follower whose log holds more": {behind: true, prepare: func(c *cluster, l, other *host) *host {
+			c.crash(l)
+			c.cut(other.id, true)
+			c.run(600 * time.Millisecond)
+			return other
+		}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(5, 3)
+			c.run(2 * time.Second)
+			l := c.leader()
+			asked := tc.prepare(c, l, c.hosts[c.ids[l.id%3]])
+			vote := &pb.Message{
+				Kind: pb.MessageKind_MESSAGE_KIND_VOTE, From: c.ids[(l.id+1)%3], To: asked.id,
+				Term: asked.node.term + later, Index: asked.node.log.lastIndex(), LogTerm: asked.node.log.lastTerm(),
+			}
+			if tc.behind {
+				vote.Index--
+			}
+			c.step(asked, Receive{Message: vote})
+			if asked.node.vote == vote.From && asked.node.term == vote.Term {
+				t.Error("it voted")
+			}
+		})
+	}
+}
+
+// An operator sees two halves of a group each go on alone. A leader was cut off with
+// a removal that only it had; the next leader, told to remove another replica before
+// it had committed anything, appended that. Each list had a quorum without the other.
+func TestNewLeaderChangesNothingBeforeItsOwnCommit(t *testing.T) {
+	c := newCluster(7, 4)
+	c.run(2 * time.Second)
+	old := c.leader()
+	c.cut(old.id, true)
+	c.step(old, ProposeMembership{Change: MembershipChange{RemoveID: c.ids[old.id%4]}})
+	for c.now < 10*time.Second {
+		c.run(simStep)
+		for _, id := range c.ids {
+			h := c.hosts[id]
+			if h == old || h.node.role != leader || h.node.log.matches(h.node.log.commit, h.node.term) {
+				continue
+			}
+			for _, e := range h.node.Step(c.local(h), ProposeMembership{ID: 1, Change: MembershipChange{RemoveID: old.id}}) {
+				if r, ok := e.(ProposalRefused); ok && r.Reason == NotReady {
+					return
+				}
+			}
+			t.Fatal("the change was not refused")
+		}
+	}
+	t.Fatal("no new leader was met before its own commit")
+}
