--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -8,7 +8,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-// maxRemoved bounds the list of removed ids. One that has dropped off it is still
+// maxRemoved bounds the list of removed identities. One that has dropped off it is still
 // no member, so no quorum counts it; it is just not told to stop.
 const maxRemoved = 64
 
@@ -45,7 +45,17 @@
 	if err := proto.Unmarshal(e.Data, m); err != nil {
 		return nil, err
 	}
-	return m, nil
+	return m, checkMembers(m)
+}
+
+// checkMembers tells whether a list that comes from elsewhere can be used.
+func checkMembers(m *pb.Membership) error {
+	for _, member := range m.GetMembers() {
+		if member.GetIdentity().GetId() == 0 {
+			return WrongIdentity.New("a member has no id")
+		}
+	}
+	return nil
 }
 
 func (h *memberHistory) last() memberList { return h.lists[len(h.lists)-1] }
@@ -129,7 +139,7 @@
 
 func addLearner(m *pb.Membership, add *pb.ReplicaMember) RefusalReason {
 	id := add.GetIdentity().GetId()
-	if id == 0 || add.Address == "" || findMember(m, id) != nil || wasRemoved(m, id) {
+	if id == 0 || add.Address == "" || findMember(m, id) != nil || wasRemoved(m, add.Identity) {
 		return InvalidChange
 	}
 	learner := proto.Clone(add).(*pb.ReplicaMember)
@@ -170,12 +180,11 @@
 	return ""
 }
 
-// wasRemoved tells whether the group has removed that id. An id never comes back:
-// a replica that has not heard of its removal would refuse its next life's
-// messages for good, even as its leader.
-func wasRemoved(m *pb.Membership, id uint64) bool {
+// wasRemoved tells whether the group has removed that identity. One that was
+// removed before its incarnation was known stands for all of its id.
+func wasRemoved(m *pb.Membership, id *pb.ReplicaIdentity) bool {
 	for _, gone := range m.GetRemoved() {
-		if gone.Id == id {
+		if gone.Id == id.GetId() && (gone.Incarnation == "" || gone.Incarnation == id.GetIncarnation()) {
 			return true
 		}
 	}
@@ -188,7 +197,7 @@
 // IsRemoved tells whether the committed member list has removed that identity;
 // the host then answers it with StepResponse.removed.
 func (n *Node) IsRemoved(id *pb.ReplicaIdentity) bool {
-	return wasRemoved(n.CommittedMembership(), id.GetId())
+	return wasRemoved(n.CommittedMembership(), id)
 }
 
 func (n *Node) appendMembership(m *pb.Membership) *pb.LogEntry {
@@ -239,9 +248,9 @@
 // settleMembers makes a learner a voter once it has synced everything that is
 // committed now, and names the incarnations of voters where the list lacks them.
 //
-// Promoted earlier, a learner would count towards quorums while it lacks
-// committed entries: with a second replica lost right after, the rest could
-// elect a leader without them.
+// Promoted earlier, a learner would enlarge the quorum while it holds nothing:
+// with a second replica lost right after, what is committed would lie on one disk,
+// and nothing could be committed until the learner had caught up.
 func (n *Node) settleMembers() {
 	if n.role != leader || n.refuseChange() != 0 {
 		return
@@ -291,7 +300,7 @@
 			continue
 		}
 		n.noteBound(m)
-		if wasRemoved(m, n.cfg.ID) {
+		if wasRemoved(m, n.identity) {
 			n.onRemoved()
 			return
 		}
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
@@ -11,6 +12,9 @@
 	// maxReconnects bounds fresh connections to a server that gives no token: a
 	// frozen process still lets its kernel accept connections.
 	maxReconnects = 1
+	// maxCallAttempts bounds the sends of one idempotent call, so that one call
+	// does not use up its profile's budget.
+	maxCallAttempts = 3
 	// retryPause holds a retry back when the profile's budget is used up.
 	// Accepted model work is never cut off for the budget: it waits.
 	retryPause = time.Second
@@ -30,10 +34,14 @@
 		s = q.prefill
 	}
 	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
+	if ev.Outcome != outcome.NotRun && q.reconnects == 0 && ev.Took >= longAnswerless {
+		q.reached = true
+	}
 	if ev.ServerDied {
 		r.serverDied(s, q, ev)
 	}
 	q.done += ev.Tokens
+	q.here += ev.Tokens
 	q.got = 0
 	r.detach(q)
 	r.decide.observe(r.now, s, ev)
@@ -51,11 +59,11 @@
 		r.suspects.cleared(q)
 		r.finish(q)
 	case ev.Invalid:
-		r.refuse(q, refuseInvalid(q))
+		r.refuse(q, refuseInvalid())
 	case r.quarantined(q):
 		r.condemn(q)
 	case q.attempts >= maxAttempts:
-		r.refuse(q, refuseFailed(q))
+		r.refuse(q, refuseFailed())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
 	case q.repeat == RepeatOnce:
@@ -80,8 +88,8 @@
 // when it is slow.
 func (r *Reducer) retryCall(q *request, s *server) {
 	s.fail(r.now)
-	if !r.decide.admission.Retry(q.work.Profile) {
-		r.refuse(q, refuseFailed(q))
+	if q.attempts >= maxCallAttempts || !r.decide.admission.Retry(q.work.Profile) {
+		r.refuse(q, refuseFailed())
 		return
 	}
 	r.waitAgain(q)
@@ -108,12 +116,40 @@
 	r.waitAgain(q)
 }
 
-// waitAgain puts accepted work back into the queue. Work that has begun is held
-// until a server takes it, since its caller holds a part of the answer; other
-// work until it can't be finished in time any more.
+// waitAgain lets accepted work wait for another place. Work that has begun is
+// held until a server takes it, since its caller holds a part of the answer;
+// other work until it can't be finished in time any more.
 func (r *Reducer) waitAgain(q *request) {
 	q.work.Resumed = q.mayHaveRun && q.repeat == RepeatResumable
 	q.work.FirstTokenBy = q.work.FinishBy
-	q.waitsSince = r.now
+	q.notBefore = max(q.notBefore, r.now+r.suspects.stagger(q))
+	q.waitsSince = max(r.now, q.notBefore)
+	if q.notBefore > r.now || r.suspects.onProbation(q) {
+		r.held = append(r.held, q)
+		return
+	}
 	r.decide.queue.Push(q.work)
 }
+
+// startHeld dispatches held work whose time has come. It stays out of the
+// queue, where it would stand in the way of its member's other work.
+func (r *Reducer) startHeld() {
+	r.held = slices.DeleteFunc(r.held, func(q *request) bool {
+		if r.requests[q.work.RequestID] != q {
+			return true
+		}
+		if r.now < q.notBefore {
+			return false
+		}
+		if !r.suspects.onProbation(q) {
+			r.decide.queue.Push(q.work)
+			return true
+		}
+		choice, fits := r.place(&q.work)
+		if fits {
+			r.decide.picker.Sent(r.now, &q.work, choice)
+			r.dispatch(q, r.servers.byID[choice.Server.ID], choice, false)
+		}
+		return fits
+	})
+}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -48,10 +50,14 @@
 	suspects suspectTable
 	// condemned waits for control before its final answer.
 	condemned []*request
-	report    reportBuffer
-	leaving   bool
+	// held is accepted work that does not wait in the queue.
+	held    []*request
+	report  reportBuffer
+	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
+	// sharedFleet is the fleet of this step, nil when it must be made anew.
+	sharedFleet *decision.Fleet
 	// dirty asks for a new snapshot at the end of the step.
 	dirty       bool
 	lastProbe   time.Duration
@@ -77,6 +83,7 @@
 func (r *Reducer) Step(now time.Duration, ev Event) []Effect {
 	r.now = now
 	r.effects = nil
+	r.sharedFleet = nil
 	switch ev := ev.(type) {
 	case Tick:
 		r.tick()
@@ -89,7 +96,9 @@
 	case ProbeFailed:
 		r.probeFailed(ev)
 	case ReportFailed:
-		r.report.again(ev.Request)
+		r.report.failed(ev.Request)
+	case ReportTaken:
+		r.report.told.taken(ev.Request, ev.TellInFull)
 	case Arrived:
 		r.arrived(ev)
 	case AttemptProgress:
@@ -120,6 +129,16 @@
 	r.refreshWeights()
 }
 
+// Quiet tells whether nothing waits for time to pass but what is paced by
+// seconds: there is no request, the view is in force, and no server is probed
+// or carries out an order.
+func (r *Reducer) Quiet() bool {
+	if len(r.requests) > 0 || r.leaving || r.stale() || r.report.changing {
+		return false
+	}
+	return !slices.ContainsFunc(r.servers.sorted, func(s *server) bool { return s.failures > 0 })
+}
+
 // stale tells whether the view has run out.
 func (r *Reducer) stale() bool { return r.now >= r.view.leaseUntil }
 
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -36,10 +36,15 @@
 	server  *server
 	prefill *server
 	// done is how many tokens earlier attempts gave, got those of this one.
+	// here is how many this server gave before a fresh connection to it.
 	done int
 	got  int
+	here int
 	// reconnects counts fresh connections to the same server without a token.
 	reconnects int
+	// reached is set once the server has shown that it has this attempt. Without
+	// it the request may have been sent to a server that was dead already.
+	reached bool
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
 	// notBefore holds a retry back; waitsSince is when it began to wait.
@@ -48,6 +53,7 @@
 	// condemnedUntil is when a request that crashed servers gets its final
 	// answer at the latest.
 	condemnedUntil time.Duration
+	condemnedKnown bool
 }
 
 func (q *request) prefillLeft() int {
@@ -100,6 +106,9 @@
 	}
 	r.decide.queue.Push(q.work)
 	r.startWaiting()
+	if q.server == nil {
+		r.log(LogWait, q, "", "no server has room", []Figure{{Name: "waiting", Value: float64(r.decide.queue.Len())}})
+	}
 }
 
 // turnAway gives the refusal for a request that is not taken on, or nil.
@@ -110,7 +119,7 @@
 	case r.closed():
 		return refuseLeaving()
 	case r.quarantined(q):
-		return refuseQuarantined(q)
+		return refuseQuarantined()
 	case len(r.requests) >= r.cfg.MaxStreams:
 		return refuseFull()
 	}
@@ -127,6 +136,7 @@
 
 // startWaiting dispatches what waits and finds a place.
 func (r *Reducer) startWaiting() {
+	r.startHeld()
 	for {
 		var choice placement.Choice
 		w, ok := r.decide.queue.Pop(r.now, func(w *decision.Work) bool {
@@ -145,19 +155,19 @@
 
 func (r *Reducer) place(w *decision.Work) (placement.Choice, bool) {
 	q := r.requests[w.RequestID]
-	if r.now < q.notBefore {
-		return placement.Choice{}, false
-	}
 	fleet := r.fleet(q)
 	return r.decide.picker.Pick(r.now, w, &fleet)
 }
 
 func (r *Reducer) dispatch(q *request, s *server, choice placement.Choice, reconnect bool) {
+	r.sharedFleet = nil
 	q.attempt++
 	q.attempts++
 	q.got = 0
 	if !reconnect {
 		q.engineAttempt = q.attempt
+		q.here = 0
+		q.reached = false
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
@@ -187,6 +197,7 @@
 
 // detach takes the request off its server.
 func (r *Reducer) detach(q *request) {
+	r.sharedFleet = nil
 	for _, s := range []*server{q.server, q.prefill} {
 		if s != nil {
 			s.running = slices.DeleteFunc(s.running, func(id string) bool { return id == q.work.RequestID })
@@ -200,7 +211,7 @@
 	if q == nil || q.attempt != ev.Attempt || q.server == nil {
 		return
 	}
-	q.mayHaveRun = true
+	q.mayHaveRun, q.reached = true, true
 	if ev.Tokens > q.got {
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
@@ -227,7 +238,11 @@
 	r.emit(Finish{RequestID: q.work.RequestID})
 }
 
+// refuse gives the final answer. A refusal that is true of this entry's part may
+// be wrong of the whole: a resumed request has run elsewhere before, and "not
+// run" would let its caller send once more what was done already.
 func (r *Reducer) refuse(q *request, refusal *outcome.Refusal) {
+	refusal.Outcome = outcomeOf(q)
 	r.forget(q)
 	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal})
 	r.log(LogRefuse, q, "", string(refusal.Code), []Figure{
@@ -248,25 +263,28 @@
 func (r *Reducer) expireWaiting() {
 	for _, w := range r.decide.queue.Expire(r.now) {
 		if q := r.requests[w.RequestID]; q != nil {
-			r.refuse(q, refuseLate(q))
+			r.refuse(q, refuseLate())
 		}
 	}
 	if r.now-r.lastExpiry >= second {
 		r.lastExpiry = r.now
-		r.expireResumed()
+		r.expireHeld()
 	}
 }
 
-// expireResumed ends accepted work that found no server for as long again as
-// its profile allows. The queue keeps such work without end, since its caller
-// holds a part of the answer; but a caller whose connection is gone unnoticed
-// would leave it here for ever.
-func (r *Reducer) expireResumed() {
+// expireHeld ends accepted work that waits outside of the queue or that the
+// queue keeps without end. Work whose caller holds a part of the answer may wait
+// for as long again as its profile allows, and no longer: a caller whose
+// connection is gone unnoticed would leave it here for ever.
+func (r *Reducer) expireHeld() {
 	for _, id := range sortedKeys(r.requests) {
 		q := r.requests[id]
-		allowed := max(q.work.FinishBy-q.work.Arrived, minResumedWait)
-		if q.server == nil && q.work.Resumed && r.now >= max(q.work.FinishBy, q.waitsSince)+allowed {
-			r.refuse(q, refuseLate(q))
+		end := q.work.FinishBy
+		if q.work.Resumed {
+			end = max(end, q.waitsSince) + max(end-q.work.Arrived, minResumedWait)
+		}
+		if q.server == nil && r.now >= end {
+			r.refuse(q, refuseLate())
 		}
 	}
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -2,8 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -14,29 +18,43 @@
 	// look innocent of its death: a request that crashes servers does so as it
 	// starts, or again and again at the same place of its answer.
 	probationTokens = 8
-	// freshGuilt and lateGuilt are what a death adds for a request without and
-	// with that progress; they count in halves of a death. The late half keeps
-	// a request that crashes servers only after many tokens from going on for
-	// ever, while a dossier whose servers die of something else twice is not
-	// taken for guilty.
-	freshGuilt = 2
-	lateGuilt  = 1
+	// freshGuilt, lateGuilt and doubtGuilt are what a death adds for a request
+	// that began there without progress, for one with progress, and for one of
+	// which it is not known that the server was still alive. They count in
+	// quarters of a death. The lesser ones keep a request that crashes servers
+	// late, or at once, from going on for ever, while a dossier whose servers
+	// die of something else several times is not taken for guilty.
+	freshGuilt = 4
+	lateGuilt  = 2
+	doubtGuilt = 1
 	// guiltPerDeath is how much guilt makes one death towards control.
-	guiltPerDeath = 2
+	guiltPerDeath = 4
+	// longAnswerless: a server that is dead already closes a connection, or has
+	// something in between close it, in a few milliseconds. One that kept the
+	// request for longer had begun with it.
+	longAnswerless = 5 * time.Millisecond
 	// apartFor is how long a suspect waits for a server of its own, and others
 	// wait for servers without a suspect, before they share one.
 	apartFor = 2 * time.Second
+	// staggerFor spreads the next runs of suspects over time. All entries choose
+	// for themselves: without it the suspects of one death, at several entries,
+	// start again together, and the guilty one meets the same innocent ones on
+	// the next server within milliseconds.
+	staggerFor = 500 * time.Millisecond
 	// condemnedFor bounds how long the final answer waits until control has
 	// told all entries: the caller may send the request again to another one
 	// in the same millisecond.
 	condemnedFor = 300 * time.Millisecond
+	// viewSpread is how much later other entries may learn what this one has
+	// just learned from control.
+	viewSpread = 100 * time.Millisecond
 	// maxSuspects bounds the table; the oldest goes first.
 	maxSuspects = 4096
 )
 
 // suspect is a request that ran on a server when it died.
 type suspect struct {
-	// guilt counts deaths in halves.
+	// guilt counts deaths in quarters.
 	guilt int
 	at    time.Duration
 	// cleared is set once it made progress again.
@@ -80,20 +98,28 @@
 		t.byKey[q.key()] = s
 		t.order = append(t.order, q.key())
 	}
-	guilt := freshGuilt
-	if q.got >= probationTokens {
-		guilt = lateGuilt
-	}
+	guilt := q.guilt()
 	before := s.guilt / guiltPerDeath
 	s.guilt += guilt
-	s.at, s.cleared = now, false
+	s.at, s.cleared = now, guilt != freshGuilt
 	return s.guilt/guiltPerDeath > before
 }
 
+func (q *request) guilt() int {
+	switch {
+	case !q.reached:
+		return doubtGuilt
+	case q.here+q.got >= probationTokens:
+		return lateGuilt
+	default:
+		return freshGuilt
+	}
+}
+
 // progressed gives true when a suspect has just made enough progress.
 func (t *suspectTable) progressed(q *request) bool {
 	s := t.byKey[q.key()]
-	if s == nil || s.cleared || q.got < probationTokens {
+	if s == nil || s.cleared || q.here+q.got < probationTokens {
 		return false
 	}
 	s.cleared = true
@@ -134,6 +160,37 @@
 	return true
 }
 
+// stagger gives how long a suspect waits before its next run.
+func (t *suspectTable) stagger(q *request) time.Duration {
+	if !t.onProbation(q) {
+		return 0
+	}
+	return time.Duration(suspectHash(q, "") % uint64(staggerFor))
+}
+
+// spread leaves a suspect one server that its hash chooses, while it waits
+// patiently: the cheapest server would be the same for the suspects of all
+// entries.
+func (t *suspectTable) spread(r *Reducer, q *request, f *decision.Fleet) {
+	if !t.onProbation(q) || r.now-q.waitsSince >= apartFor {
+		return
+	}
+	best, highest := -1, uint64(0)
+	for i := range f.Servers {
+		s := &f.Servers[i]
+		if h := suspectHash(q, s.ID); s.Serves(&q.work) && (best < 0 || h > highest) {
+			best, highest = i, h
+		}
+	}
+	for i := range f.Servers {
+		f.Servers[i].Usable = f.Servers[i].Usable && i == best
+	}
+}
+
+func suspectHash(q *request, server string) uint64 {
+	return xxhash.Sum64String(server + "/" + q.work.Member + "/" + strconv.FormatUint(q.fingerprint+uint64(q.attempts), 16))
+}
+
 // quarantined tells whether the request gets no more runs.
 func (r *Reducer) quarantined(q *request) bool {
 	if r.view.quarantine[q.key()] {
@@ -176,24 +233,25 @@
 
 // condemn holds a request's final answer until control has told all entries.
 func (r *Reducer) condemn(q *request) {
-	if r.view.quarantine[q.key()] {
-		r.refuse(q, refuseQuarantined(q))
-		return
-	}
 	q.condemnedUntil = r.now + condemnedFor
 	r.condemned = append(r.condemned, q)
 }
 
-// refuseCondemned gives the final answers that need not wait any longer.
+// refuseCondemned gives the final answers that need not wait any longer: control
+// has the quarantine and other entries have had the time to learn it.
 func (r *Reducer) refuseCondemned() {
 	r.condemned = slices.DeleteFunc(r.condemned, func(q *request) bool {
 		if r.requests[q.work.RequestID] != q {
 			return true
 		}
-		if !r.view.quarantine[q.key()] && r.now < q.condemnedUntil {
+		if r.view.quarantine[q.key()] && !q.condemnedKnown {
+			q.condemnedKnown = true
+			q.condemnedUntil = min(q.condemnedUntil, r.now+viewSpread)
+		}
+		if r.now < q.condemnedUntil {
 			return false
 		}
-		r.refuse(q, refuseQuarantined(q))
+		r.refuse(q, refuseQuarantined())
 		return true
 	})
 }
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -41,21 +41,22 @@
 
 // Server is one entry.
 type Server struct {
-	settings *settings.Entry
-	identity *pb.EntryIdentity
-	log      *slog.Logger
-	metrics  *obs.Metrics
-	auth     *rpc.Auth
-	core     *core
-	control  *controlClient
-	engines  *engineClient
-	records  *recordStore
-	peers    *peers
-	claims   *claims
-	cancels  *cancels
-	jobs     *jobs
-	app      *fiber.App
-	tasks    conc.WaitGroup
+	settings  *settings.Entry
+	identity  *pb.EntryIdentity
+	log       *slog.Logger
+	metrics   *obs.Metrics
+	auth      *rpc.Auth
+	core      *core
+	control   *controlClient
+	engines   *engineClient
+	records   *recordStore
+	peers     *peers
+	claims    *claims
+	cancels   *cancels
+	jobs      *jobs
+	decisions *decisionLog
+	app       *fiber.App
+	tasks     conc.WaitGroup
 	// background ends when the entry must let go of what still runs.
 	background context.Context
 	letGo      context.CancelFunc
@@ -70,6 +71,7 @@
 		return nil, Failed.Wrap(err, "auth")
 	}
 	s := &Server{settings: set, log: log, auth: auth, metrics: obs.NewMetrics("goldcrest_entry")}
+	auth.Count(s.metrics.Scope)
 	s.background, s.letGo = context.WithCancel(context.Background())
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -103,6 +105,7 @@
 	s.engines = newEngineClient()
 	s.records = newRecordStore()
 	s.jobs = newJobs()
+	s.decisions = newDecisionLog(s.metrics.Scope)
 	s.cancels = newCancels(func(address string, req engineapi.CancelRequest) {
 		s.engines.cancel(address, req)
 	})
@@ -130,11 +133,12 @@
 	failed := make(chan error, 2)
 	var loops conc.WaitGroup
 	loops.Go(func() { s.orDie(func() { s.core.run(work) }) })
+	loops.Go(func() { s.orDie(func() { s.writeDecisions(work) }) })
 	loops.Go(func() { s.orDie(func() { s.watch(work) }) })
 	loops.Go(func() { s.orDie(func() { s.peers.renew(work, s.records) }) })
 	loops.Go(func() { s.orDie(func() { s.claims.runClaims(work, s.spawn) }) })
 	loops.Go(func() { s.orDie(func() { s.claims.runSettlements(work) }) })
-	loops.Go(func() { failed <- s.app.Listener(s.callers) })
+	loops.Go(func() { failed <- s.app.Listener(callerListener{s.callers}) })
 	loops.Go(func() { failed <- others.Serve(s.others) })
 	s.log.Info("entry serves", "callers", s.CallerAddress(), "peers", s.PeerAddress(),
 		"incarnation", s.identity.Incarnation)
