Vouch only for voters when a replica forms

Two of three replicas had lost their disks and were replaced; started again with their first settings, they were vouched for by the replica that was left, since the old lives under their ids were removed, and by each other, and elected a leader of their own. Change: an answer to HELLO counts for the forming only if the one who asks is a voter by the committed list, under that life as far as it is named.

--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -88,11 +88,12 @@
 }
 
 // onHello handles both kinds; true if m is one. They carry no news of a term.
-func (n *Node) onHello(m *pb.Message) bool {
+func (n *Node) onHello(m *pb.Message, incarnation string) bool {
 	switch m.Kind {
 	case pb.MessageKind_MESSAGE_KIND_HELLO:
 		answer := n.message(pb.MessageKind_MESSAGE_KIND_HELLO_RESPONSE, m.From)
 		answer.Context = m.Context
+		answer.Reject = !n.vouchesFor(m.From, incarnation)
 		n.send(answer)
 	case pb.MessageKind_MESSAGE_KIND_HELLO_RESPONSE:
 		n.onHelloResponse(m)
@@ -102,11 +103,28 @@
 	return true
 }
 
+// vouchesFor tells whether an unformed replica may count this answer: only if it is
+// a voter by the committed list, under that life as far as it is named.
+//
+// An id that was removed may speak again under a new life. If that counted, two
+// replicas that were emptied and replaced, but start with their first settings,
+// would vouch for each other, be vouched for by the rest, and elect a leader of
+// their own.
+func (n *Node) vouchesFor(id uint64, incarnation string) bool {
+	member := findMember(n.CommittedMembership(), id)
+	bound := member.GetIdentity().GetIncarnation()
+	voter := member.GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER
+	return voter && (bound == "" || bound == incarnation)
+}
+
 func (n *Node) onHelloResponse(m *pb.Message) {
 	if m.Context != n.formation.token {
 		// It answers an earlier boot's.
 		return
 	}
+	if m.Reject && !n.formation.formed {
+		return
+	}
 	n.formation.met[m.From] = true
 	if len(n.unmet()) == 0 {
 		n.setFormed()
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -169,7 +169,7 @@
 	if m == nil || m.From == 0 || m.To != n.cfg.ID {
 		return
 	}
-	if n.onHello(m) {
+	if n.onHello(m, e.Incarnation) {
 		return
 	}
 	if m.Term > n.term && !n.onHigherTerm(m) {
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -216,3 +216,35 @@
 	}
 	t.Fatal("no new leader was met before its own commit")
 }
+
+// A user sees two leaders. Two VMs of three lost their disks one after the other and
+// were replaced, but both start again with their first settings, and the one that is
+// left answers their HELLO, since their old lives are removed. Found by TestSchedules
+// with seed 11.
+func TestEmptiedReplicasFormNoGroupOfTheirOwn(t *testing.T) {
+	c := newCluster(9, 3)
+	c.run(2 * time.Second)
+	l := c.leader()
+	boot := l.disk.bootstrap
+	for _, id := range []uint64{c.ids[l.id%3], c.ids[(l.id+1)%3]} {
+		c.addHost(uint64(len(c.ids)+1), nil)
+		c.crash(c.hosts[id])
+		c.lost[id] = true
+		c.run(5 * time.Second)
+	}
+	for _, id := range []uint64{c.ids[l.id%3], c.ids[(l.id+1)%3]} {
+		h := c.hosts[id]
+		h.removed = false
+		c.wipe(h, boot)
+		c.start(h)
+	}
+	c.run(5 * time.Second)
+	for _, id := range []uint64{c.ids[l.id%3], c.ids[(l.id+1)%3]} {
+		if n := c.hosts[id].node; n != nil && (n.formation.formed || n.term > 0 && findMember(n.members.current(), id) != nil) {
+			t.Errorf("replica %d counts itself as formed", id)
+		}
+	}
+	if len(c.faults) > 0 {
+		t.Fatal(c.faults)
+	}
+}
