--- a/internal/decision/admission/member.go
+++ b/internal/decision/admission/member.go
@@ -8,9 +8,9 @@
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 )
 
-// useTime is the time constant of what counts as a member's recent use. A burst
-// of dossiers takes a minute or more; a shorter time would call a member that
-// sends one dossier a burst.
+// useTime is the time constant of what counts as a member's recent use. A member
+// with a sixth of the work sends an entry a dossier in six seconds, so this is some
+// twenty of them; over a minute the chance of a few decided on refusals.
 const useTime = 2 * time.Minute
 
 // forgetBelow is the use, in tokens, below which a member is forgotten, so that
--- a/internal/policy/load_test.go
+++ b/internal/policy/load_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -51,6 +52,7 @@
 // Ninety seconds of dossiers at more than the fleet can do. Clerks must not
 // notice, and the dossiers are done by their deadline from what waits.
 func TestBurstOfDossiers(t *testing.T) {
+	t.Parallel()
 	r := play(scenario(t, "qalhat"), shape{name: "burst", load: bursts, prefillShare: burstShare}, nil)
 	atLeast(t, "questions in time", part(r.urgentGood, r.urgentOffered), 0.97)
 	atLeast(t, "dossiers in time", part(r.bulkGood, r.bulkOffered), 0.97)
@@ -62,22 +64,32 @@
 // stay as much as at full load, clerks keep being answered, and the rest is
 // refused instead of being late.
 func TestSaturation(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "qalhat")
 	full := play(s, shape{name: "x1", load: constant(normalLoad), prefillShare: constant(0.5)}, nil)
 	for _, times := range []float64{2, 5} {
-		r := play(s, shape{name: "x", load: constant(times * normalLoad), prefillShare: constant(0.5)}, nil)
-		atLeast(t, "questions in time", part(r.urgentGood, r.urgentOffered), 0.97)
-		atLeast(t, "goodput against full load", r.goodput/full.goodput, 0.95)
-		atMost(t, "late of answered dossiers", part(r.bulkLate, r.bulkGood+r.bulkLate), 0.1)
-		if r.unfinished != 0 || r.refusals == 0 {
-			t.Errorf("%d unfinished, %d refused", r.unfinished, r.refusals)
-		}
+		t.Run(fmt.Sprintf("%vx", times), func(t *testing.T) {
+			t.Parallel()
+			saturated(t, s, times, full.goodput)
+		})
+	}
+}
+
+func saturated(t *testing.T, s *Scenario, times, full float64) {
+	t.Helper()
+	r := play(s, shape{name: "x", load: constant(times * normalLoad), prefillShare: constant(0.5)}, nil)
+	atLeast(t, "questions in time", part(r.urgentGood, r.urgentOffered), 0.97)
+	atLeast(t, "goodput against full load", r.goodput/full, 0.95)
+	atMost(t, "late of answered dossiers", part(r.bulkLate, r.bulkGood+r.bulkLate), 0.1)
+	if r.unfinished != 0 || r.refusals == 0 {
+		t.Errorf("%d unfinished, %d refused", r.unfinished, r.refusals)
 	}
 }
 
 // One member sends nine in ten of all requests, twice of what the fleet can do.
 // The others ask for less than their share and must get nearly all of it.
 func TestOneHeavyMember(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "qazaq")
 	r := play(s, shape{name: "heavy", load: constant(2 * normalLoad), prefillShare: constant(0.5), heavy: 0.9}, nil)
 	for _, m := range s.Members[1:] {
@@ -91,6 +103,7 @@
 // One engine of each role runs four times slower and reports nothing wrong. The
 // clerks' questions must not be late for it.
 func TestSlowBackendServer(t *testing.T) {
+	t.Parallel()
 	slow := func(m *sim) {
 		m.nodes[0].model.SetSlow(4)
 		m.nodes[4].model.SetSlow(4)
@@ -104,6 +117,7 @@
 // Long dossiers run on every engine at nine tenths of what the fleet can do.
 // Questions among them are answered as on an idle fleet, and no dossier is late.
 func TestLongWorkAmongShort(t *testing.T) {
+	t.Parallel()
 	r := play(scenario(t, "qazaq"), shape{name: "long", load: constant(7.2), prefillShare: constant(0.65)}, nil)
 	atLeast(t, "questions in time", part(r.urgentGood, r.urgentOffered), 0.98)
 	atMost(t, "urgent p95 seconds", r.urgentP95(), 0.8)
@@ -114,6 +128,7 @@
 // The experiment must give the same figures each time, or no change of a
 // threshold can be judged.
 func TestRunsAreReproducible(t *testing.T) {
+	t.Parallel()
 	s := scenario(t, "qalhat")
 	sh := shape{name: "x", load: constant(9), prefillShare: constant(0.4), losses: []Loss{{3 * time.Minute, 2}}}
 	a, b := play(s, sh, nil), play(s, sh, nil)
@@ -125,22 +140,30 @@
 // Our policy against the others on one seed of two traces; the whole table is
 // `goldcrest-load policy`.
 func TestPolicyAgainstTheBound(t *testing.T) {
+	t.Parallel()
 	for _, deployment := range []string{"qalhat", "qazaq"} {
-		s := scenario(t, deployment)
 		for _, name := range []string{"swing", "burst"} {
-			trace, err := NewTrace(s, name, seed, time.Minute)
-			if err != nil {
-				t.Fatal(err)
-			}
-			results := compare(s, &trace, seed)
-			for _, r := range results {
-				if r.UpperBoundRatio > 1 {
-					t.Errorf("%s %s: %s exceeds the upper bound", deployment, name, r.Policy)
-				}
-				if r.Policy == Ours {
-					atLeast(t, deployment+" "+name, r.GoodputRatio, 0.92)
-				}
-			}
+			t.Run(deployment+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				againstTheBound(t, deployment, name)
+			})
+		}
+	}
+}
+
+func againstTheBound(t *testing.T, deployment, name string) {
+	t.Helper()
+	s := scenario(t, deployment)
+	trace, err := NewTrace(s, name, seed, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range compare(s, &trace, seed) {
+		if r.UpperBoundRatio > 1 {
+			t.Errorf("%s exceeds the upper bound", r.Policy)
+		}
+		if r.Policy == Ours {
+			atLeast(t, "goodput", r.GoodputRatio, 0.92)
 		}
 	}
 }
