Follow engines' cache events at the entries that use them

Cause: the picker could take cache events in, but nothing asked engines for them, so that an entry knew only the prefixes that it had sent itself: a caller that moves to another entry had its prompt prefilled again at another engine, and dropped prefixes were believed for five minutes. Entry and stand-in had the chain of prefix hashes twice; it is engineapi.PrefixChain now. Not measured on real processes.

--- a/internal/decision/figure.go
+++ b/internal/decision/figure.go
@@ -8,11 +8,6 @@
 	Value float64
 }
 
-// BlockTokens is how many prompt tokens one hash of Work.Prefix covers. 256
-// keeps a 60,000 token dossier at 235 hashes, while a counter question of 1,000
-// tokens still has four blocks to match on.
-const BlockTokens = 256
-
 // OutputCost is how many prompt tokens one output token weighs as in Cost. An
 // engine prefills 10,000 tokens a second and decodes 890 in a full batch.
 const OutputCost = 11
--- a/internal/enginemodel/cache.go
+++ b/internal/enginemodel/cache.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 
-	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
@@ -29,7 +28,7 @@
 
 func newCache(tokens int, record bool) *cache {
 	return &cache{
-		capacity: max(1, tokens/decision.BlockTokens), order: list.New(),
+		capacity: max(1, tokens/engineapi.BlockTokens), order: list.New(),
 		blocks: make(map[blockKey]*list.Element), record: record,
 	}
 }
--- a/internal/enginemodel/stream.go
+++ b/internal/enginemodel/stream.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // Request is what an engine is asked to run.
@@ -67,7 +67,7 @@
 		return s
 	}
 	// At least one token is prefilled: it gives the first output token.
-	s.prefill = max(1, float64(context-held*decision.BlockTokens))
+	s.prefill = max(1, float64(context-held*engineapi.BlockTokens))
 	return s
 }
 
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -63,6 +63,10 @@
 	lastProbe   time.Duration
 	lastWeights time.Duration
 	lastExpiry  time.Duration
+	// lastCachePoll is when engines were last asked for cache events,
+	// nextCachePoll where the next round begins.
+	lastCachePoll time.Duration
+	nextCachePoll int
 }
 
 // New gives a reducer that knows nothing yet.
@@ -93,6 +97,8 @@
 		r.announced(ev)
 	case ServerSaid:
 		r.serverSaid(ev)
+	case CacheReported:
+		r.cacheReported(ev)
 	case ProbeFailed:
 		r.probeFailed(ev)
 	case ReportFailed:
@@ -122,6 +128,7 @@
 		s.forgetSent(r.now - sentFor)
 	}
 	r.probe()
+	r.pollCaches()
 	r.refuseCondemned()
 	r.expireWaiting()
 	r.startWaiting()
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -173,6 +173,7 @@
 	}
 	q.server = s
 	s.running = append(s.running, q.work.RequestID)
+	s.cache.usedAt = r.now
 	context := q.work.PromptTokens + q.done
 	tokens := decision.Tokens{Prefill: context, Decode: q.decodeLeft(), KV: context + q.decodeLeft()}
 	if choice.Prefill != nil {
@@ -187,6 +188,7 @@
 		p := r.servers.byID[choice.Prefill.ID]
 		q.prefill = p
 		p.running = append(p.running, q.work.RequestID)
+		p.cache.usedAt = r.now
 		p.since = append(p.since, sentWork{r.now, decision.Tokens{Prefill: context, KV: context}})
 		d.PrefillServer, d.PrefillIncarnation, d.PrefillAddress = p.pb.Id, p.pb.Incarnation, p.pb.Address
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -40,6 +40,7 @@
 	died bool
 	// running holds the ids of the requests that this entry has there.
 	running []string
+	cache   cacheFollower
 	// since sums what was sent after the load was measured.
 	since []sentWork
 }
--- a/internal/policy/trace.go
+++ b/internal/policy/trace.go
@@ -8,6 +8,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/enginemodel"
 )
 
@@ -257,7 +258,7 @@
 // instructions for the service and whose rest is its own. Of the rest only two
 // blocks are kept: what nobody shares can't be found in a cache again.
 func (g *generator) prefix(w *decision.Work, shared int) []uint64 {
-	blocks := min(w.PromptTokens/decision.BlockTokens, shared+2)
+	blocks := min(w.PromptTokens/engineapi.BlockTokens, shared+2)
 	chain := make([]uint64, blocks)
 	hash := uint64(len(w.Member))
 	for _, c := range []byte(w.Member + w.Service) {
--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // MarkEvery is how many tokens apart the member's mark stands in an answer:
@@ -87,7 +89,4 @@
 }
 
 // PromptTokens estimates how many tokens a prompt has.
-func PromptTokens(prompt string) int { return len(prompt)/BytesPerToken + 1 }
-
-// BytesPerToken is the usual rule of thumb for text in European languages.
-const BytesPerToken = 4
+func PromptTokens(prompt string) int { return len(prompt)/engineapi.BytesPerToken + 1 }
--- a/internal/standin/server/cache.go
+++ b/internal/standin/server/cache.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/answer"
 )
@@ -68,19 +67,6 @@
 	writeJSON(w, http.StatusOK, told)
 }
 
-// prefixChain gives the chained hashes of a text's whole blocks.
-func prefixChain(salt, text string) []uint64 {
-	const blockBytes = decision.BlockTokens * answer.BytesPerToken
-	var chain []uint64
-	digest := xxhash.New()
-	_, _ = digest.WriteString(salt)
-	for ; len(text) >= blockBytes; text = text[blockBytes:] {
-		_, _ = digest.WriteString(text[:blockBytes])
-		chain = append(chain, digest.Sum64())
-	}
-	return chain
-}
-
 // kvCopy is KV cache as it is exported and imported: what text it stands for.
 type kvCopy struct {
 	Digest uint64 `json:"digest"`
--- a/internal/standin/server/model.go
+++ b/internal/standin/server/model.go
@@ -19,7 +19,7 @@
 		ID: newStreamKey(req).String(), Priority: req.Priority,
 		PromptTokens: answer.PromptTokens(req.Prompt), OutputTokens: req.MaxTokens,
 		GeneratedTokens: req.GeneratedTokens, Salt: req.CacheSalt,
-		Prefix:      prefixChain(req.CacheSalt, req.Prompt),
+		Prefix:      engineapi.PrefixChain(req.CacheSalt, req.Prompt),
 		PrefillOnly: req.PrefillOnly, KVImported: ok && kv.covers(req),
 	}
 }
--- a/internal/standin/workload/schedule.go
+++ b/internal/standin/workload/schedule.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/standin/answer"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // Arrival is one request at its time.
@@ -103,7 +105,7 @@
 func Prompt(member, topic, mark string, shared, own int, rng *rand.Rand) string {
 	var b strings.Builder
 	b.WriteString(answer.Mark(member) + " " + topic + " ")
-	b.WriteString(strings.Repeat(member+" file ", shared*answer.BytesPerToken/len(member+" file ")))
+	b.WriteString(strings.Repeat(member+" file ", shared*engineapi.BytesPerToken/len(member+" file ")))
 	for range own {
 		b.WriteString(strconv.FormatUint(rng.Uint64()&0xfff|0x1000, 16)[1:] + " ")
 	}
--- a/internal/traffic/carryout.go
+++ b/internal/traffic/carryout.go
@@ -22,6 +22,8 @@
 		s.decisions.put(e)
 	case entry.Probe:
 		s.spawn(func() { s.probe(e) })
+	case entry.PollCache:
+		s.spawn(func() { s.pollCache(e) })
 	case entry.Cancel:
 		s.cancels.plan(e)
 	case entry.Report:
@@ -45,6 +47,13 @@
 	s.core.post(entry.ReportTaken{Request: req, TellInFull: resp.GetTellInFull()})
 }
 
+func (s *Server) pollCache(p entry.PollCache) {
+	events, ok := s.engines.cacheEvents(p.Address, p.After)
+	if ok {
+		s.core.post(entry.CacheReported{Server: p.Server, Incarnation: p.Incarnation, Events: events})
+	}
+}
+
 func (s *Server) probe(p entry.Probe) {
 	health, ok := s.engines.health(p.Address, probeTimeout)
 	if !ok {
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
 
@@ -35,8 +34,6 @@
 	pieceBuffer = 32
 	// defaultMaxTokens is used when a caller names none.
 	defaultMaxTokens = 256
-	// bytesPerToken is the usual mean of English text, for estimates.
-	bytesPerToken = 4
 )
 
 func (s *Server) postCompletions(c *fiber.Ctx) error {
@@ -81,7 +78,7 @@
 	return req, service, nil
 }
 
-func promptTokens(prompt string) int { return len(prompt)/bytesPerToken + 1 }
+func promptTokens(prompt string) int { return len(prompt)/engineapi.BytesPerToken + 1 }
 
 // newModelJob puts together what the reducer and the engine need.
 func (s *Server) newModelJob(k *call, req *completionRequest, service *declaration.Service, wireID string) *modelJob {
@@ -100,7 +97,7 @@
 				Service: service.Name, Profile: profile.Name, ProfileShare: profile.Share,
 				Class: profile.Class, Kind: declaration.KindModel, Model: service.Model,
 				Adapter: service.Adapter, PromptTokens: promptTokens(req.Prompt),
-				OutputTokens: req.MaxTokens, Prefix: prefixChain(salt, req.Prompt),
+				OutputTokens: req.MaxTokens, Prefix: engineapi.PrefixChain(salt, req.Prompt),
 				Arrived: now, FirstTokenBy: now + profile.FirstToken, FinishBy: now + profile.Deadline,
 			},
 			Repeat:      entry.RepeatResumable,
@@ -148,19 +145,6 @@
 	return 0
 }
 
-// prefixChain hashes the prompt's blocks, each with all before it.
-func prefixChain(salt, prompt string) []uint64 {
-	const block = decision.BlockTokens * bytesPerToken
-	chain := make([]uint64, 0, len(prompt)/block)
-	h := xxhash.New()
-	_, _ = h.WriteString(salt)
-	for at := 0; at+block <= len(prompt); at += block {
-		_, _ = h.WriteString(prompt[at : at+block])
-		chain = append(chain, h.Sum64())
-	}
-	return chain
-}
-
 // answerModel drives the job and answers its caller.
 func (s *Server) answerModel(c *fiber.Ctx, j *modelJob) error {
 	ctx, cancel := context.WithCancel(s.background)
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -167,6 +167,14 @@
 	return health, err == nil && status == fasthttp.StatusOK
 }
 
+// cacheEvents asks an engine for its cache events after a sequence number.
+func (c *engineClient) cacheEvents(address string, after uint64) (engineapi.CacheEvents, bool) {
+	var events engineapi.CacheEvents
+	url := "http://" + address + engineapi.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
+	status, err := c.json(fasthttp.MethodGet, url, nil, &events, probeTimeout)
+	return events, err == nil && status == fasthttp.StatusOK
+}
+
 // looksGone asks a server for its health to learn whether it died of a call.
 func (c *engineClient) looksGone(address string) bool {
 	_, _, err := c.bytes(fasthttp.MethodGet, "http://"+address+engineapi.PathHealth, nil, probeTimeout)
