--- a/internal/control/delivery.go
+++ b/internal/control/delivery.go
@@ -8,6 +8,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/wire"
 )
 
 const (
@@ -207,8 +208,8 @@
 func (r *Reducer) wireOrder(o *pb.Order) engineapi.Order {
 	return engineapi.Order{
 		ID: o.GetId(), Incarnation: o.GetIncarnation(), Sender: r.cfg.Sender,
-		Token: engineapi.FencingToken{Term: o.GetToken().GetTerm(), Sequence: o.GetToken().GetSequence()},
-		Kind:  wireKind(o.GetKind()), Role: wireRole(o.GetRole()),
+		Token: wire.Token(o.GetToken()),
+		Kind:  wireKind(o.GetKind()), Role: wire.Role(o.GetRole()),
 		Model: o.GetModel(), Version: o.GetModelVersion(), Adapter: o.GetAdapter(),
 	}
 }
@@ -225,18 +226,6 @@
 	return ""
 }
 
-func wireRole(role pb.EngineRole) engineapi.Role {
-	switch role {
-	case pb.EngineRole_ENGINE_ROLE_PREFILL:
-		return engineapi.RolePrefill
-	case pb.EngineRole_ENGINE_ROLE_DECODE:
-		return engineapi.RoleDecode
-	case pb.EngineRole_ENGINE_ROLE_MIXED:
-		return engineapi.RoleMixed
-	}
-	return ""
-}
-
 // current gives the server's unresolved order if it has that id, with what is
 // kept of it.
 func (r *Reducer) current(server, orderID string) (*order, *delivery) {
--- a/internal/control/orders_rapid_test.go
+++ b/internal/control/orders_rapid_test.go
@@ -9,6 +9,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/wire"
 )
 
 // orderModel watches what goes out to one engine.
@@ -72,7 +73,7 @@
 				if m.last.ID != "" && m.last.Incarnation == a.GetServer().GetIncarnation() {
 					m.ended = true
 					w.answer(a, m.last.ID)
-					a.Server.Role = protoRole(m.last.Role)
+					a.Server.Role = wire.RoleProto(m.last.Role)
 				}
 			case 3:
 				if m.last.ID != "" {
--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -9,8 +9,8 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/roles"
-	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/wire"
 )
 
 // planInterval is how often roles are planned; the planner's averages are laid
@@ -78,13 +78,13 @@
 		}
 		plan.note(sv.told.GetRole(), load)
 		e := roles.Engine{
-			ID: id, Role: wireRole(sv.told.GetRole()), Target: wireRole(sv.told.GetRole()),
+			ID: id, Role: wire.Role(sv.told.GetRole()), Target: wire.Role(sv.told.GetRole()),
 			Busy: float64(load.GetQueuedPrefillTokens()) + decision.OutputCost*float64(load.GetRunningDecodeTokens()),
 		}
 		if o := r.state.unresolved(id); o != nil && sv.goneMS == 0 {
 			e.Changing = true
 			if o.GetKind() == pb.OrderKind_ORDER_KIND_SET_ROLE {
-				e.Target = wireRole(o.GetRole())
+				e.Target = wire.Role(o.GetRole())
 			}
 		}
 		e.Usable = !e.Changing && !r.state.drained[id] && sv.told.GetState() == pb.ServerState_SERVER_STATE_SERVING
@@ -142,16 +142,6 @@
 	id := "auto/" + c.Engine + "/" + strconv.FormatUint(r.term, 10) + "/" + strconv.FormatUint(r.state.Index(), 10)
 	r.giveOrder(&pb.Order{
 		Id: id, Server: c.Engine, Kind: pb.OrderKind_ORDER_KIND_SET_ROLE,
-		Role: protoRole(c.To), Reason: "automatic: " + c.Reason,
+		Role: wire.RoleProto(c.To), Reason: "automatic: " + c.Reason,
 	})
 }
-
-func protoRole(role engineapi.Role) pb.EngineRole {
-	switch role {
-	case engineapi.RolePrefill:
-		return pb.EngineRole_ENGINE_ROLE_PREFILL
-	case engineapi.RoleDecode:
-		return pb.EngineRole_ENGINE_ROLE_DECODE
-	}
-	return pb.EngineRole_ENGINE_ROLE_MIXED
-}
--- a/internal/decision/queue/flow.go
+++ b/internal/decision/queue/flow.go
@@ -65,13 +65,7 @@
 	it.flowIndex = len(*h)
 	*h = append(*h, it)
 }
-func (h *flowHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
-}
+func (h *flowHeap) Pop() any { return popLast((*[]*item)(h)) }
 
 type expiryHeap []*item
 
@@ -86,10 +80,13 @@
 	it.expiryIndex = len(*h)
 	*h = append(*h, it)
 }
-func (h *expiryHeap) Pop() any {
-	old := *h
+func (h *expiryHeap) Pop() any { return popLast((*[]*item)(h)) }
+
+// popLast takes the last item and leaves no pointer to it behind.
+func popLast(list *[]*item) *item {
+	old := *list
 	it := old[len(old)-1]
 	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
+	*list = old[:len(old)-1]
 	return it
 }
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -11,6 +11,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/wire"
 )
 
 const (
@@ -173,9 +174,9 @@
 	return &pb.Announcement{
 		Server: &pb.BackendServer{
 			Id: a.ID, Incarnation: a.Incarnation, Address: a.Address, Region: a.Region,
-			DataCentre: a.DataCentre, Kind: protoKind(a.Kind), Services: a.Services,
+			DataCentre: a.DataCentre, Kind: wire.KindProto(a.Kind), Services: a.Services,
 			Model: a.Model, ModelVersion: a.Version, Adapters: a.Adapters,
-			Role: protoRole(a.Role), State: protoState(a.State), Slots: a.Slots,
+			Role: wire.RoleProto(a.Role), State: wire.StateProto(a.State), Slots: a.Slots,
 		},
 		Load: &pb.Load{
 			Running: a.Load.Running, Queued: a.Load.Queued,
@@ -185,38 +186,7 @@
 			CacheUsed: a.Load.CacheUsed, AgeMs: a.Load.AgeMS,
 		},
 		OrderId:        a.LastOrder,
-		OrderToken:     &pb.FencingToken{Term: a.LastToken.Term, Sequence: a.LastToken.Sequence},
+		OrderToken:     wire.TokenProto(a.LastToken),
 		RunningOrderId: a.RunningOrder,
 	}
 }
-
-func protoKind(kind string) pb.ServerKind {
-	if kind == engineapi.KindPlain {
-		return pb.ServerKind_SERVER_KIND_PLAIN
-	}
-	return pb.ServerKind_SERVER_KIND_MODEL
-}
-
-func protoRole(role engineapi.Role) pb.EngineRole {
-	switch role {
-	case engineapi.RolePrefill:
-		return pb.EngineRole_ENGINE_ROLE_PREFILL
-	case engineapi.RoleDecode:
-		return pb.EngineRole_ENGINE_ROLE_DECODE
-	case engineapi.RoleMixed:
-		return pb.EngineRole_ENGINE_ROLE_MIXED
-	default:
-		return pb.EngineRole_ENGINE_ROLE_UNSPECIFIED
-	}
-}
-
-func protoState(state engineapi.State) pb.ServerState {
-	switch state {
-	case engineapi.StateLeaving:
-		return pb.ServerState_SERVER_STATE_LEAVING
-	case engineapi.StateChanging:
-		return pb.ServerState_SERVER_STATE_CHANGING
-	default:
-		return pb.ServerState_SERVER_STATE_SERVING
-	}
-}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -9,6 +9,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/wire"
 )
 
 const (
@@ -261,8 +262,10 @@
 func (r *Reducer) decisionServer(s *server, usable bool) decision.Server {
 	return decision.Server{
 		ID: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
-		DataCentre: s.pb.DataCentre, Kind: kindName(s.pb.Kind), Services: s.pb.Services,
-		Model: s.pb.Model, Adapters: s.pb.Adapters, Role: roleName(s.pb.Role),
+		DataCentre: s.pb.DataCentre, Kind: wire.Kind(s.pb.Kind), Services: s.pb.Services,
+		Model: s.pb.Model, Adapters: s.pb.Adapters,
+		// A plain service does all of its work, as a mixed engine does.
+		Role:   cmp.Or(wire.Role(s.pb.Role), engineapi.RoleMixed),
 		Usable: usable, Slots: int(s.pb.Slots), Load: s.load, ReportedAt: s.reportedAt,
 		Sent: r.sent(s),
 	}
@@ -287,24 +290,6 @@
 	return sent
 }
 
-func kindName(k pb.ServerKind) string {
-	if k == pb.ServerKind_SERVER_KIND_PLAIN {
-		return declaration.KindPlain
-	}
-	return declaration.KindModel
-}
-
-func roleName(role pb.EngineRole) engineapi.Role {
-	switch role {
-	case pb.EngineRole_ENGINE_ROLE_PREFILL:
-		return engineapi.RolePrefill
-	case pb.EngineRole_ENGINE_ROLE_DECODE:
-		return engineapi.RoleDecode
-	default:
-		return engineapi.RoleMixed
-	}
-}
-
 func (r *Reducer) logServer(s *server, reason string) {
 	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: reason, Figures: []Figure{
 		{Name: "running_here", Value: float64(len(s.running))},
--- a/internal/traffic/claims.go
+++ b/internal/traffic/claims.go
@@ -115,18 +115,19 @@
 		case <-c.wake:
 		}
 		pause(ctx, claimGather)
-		for batch := c.takeClaims(); len(batch) > 0; batch = c.takeClaims() {
+		for batch := takeBatch(c, &c.claims); len(batch) > 0; batch = takeBatch(c, &c.claims) {
 			spawn(func() { c.sendClaims(ctx, batch) })
 		}
 	}
 }
 
-func (c *claims) takeClaims() []*waitingClaim {
+// takeBatch takes the first claimBatch of what waits in the list.
+func takeBatch[T any](c *claims, list *[]T) []T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := min(claimBatch, len(c.claims))
-	batch := c.claims[:n:n]
-	c.claims = c.claims[n:]
+	n := min(claimBatch, len(*list))
+	batch := (*list)[:n:n]
+	*list = (*list)[n:]
 	return batch
 }
 
@@ -175,21 +176,12 @@
 		case <-c.wakeSet:
 		}
 		pause(ctx, claimGather)
-		for batch := c.takeSettlements(); len(batch) > 0; batch = c.takeSettlements() {
+		for batch := takeBatch(c, &c.settling); len(batch) > 0; batch = takeBatch(c, &c.settling) {
 			c.sendSettlements(ctx, batch)
 		}
 	}
 }
 
-func (c *claims) takeSettlements() []*waitingSettlement {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := min(claimBatch, len(c.settling))
-	batch := c.settling[:n:n]
-	c.settling = c.settling[n:]
-	return batch
-}
-
 func (c *claims) sendSettlements(ctx context.Context, batch []*waitingSettlement) {
 	ctx, cancel := context.WithTimeout(ctx, settleGiveUp)
 	defer cancel()
