--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -245,18 +245,19 @@
 	n.emit(MembershipChanged{Membership: n.members.current(), Committed: n.CommittedMembership()})
 }
 
-// settleMembers makes a learner a voter once it has synced everything that is
-// committed now, and names the incarnations of voters where the list lacks them.
+// settleMembers names the lives of members where the list lacks them, and makes a
+// learner a voter once it has synced everything that is committed now.
 //
 // Promoted earlier, a learner would enlarge the quorum while it holds nothing:
 // with a second replica lost right after, what is committed would lie on one disk,
-// and nothing could be committed until the learner had caught up.
+// and nothing could be committed until the learner had caught up. Its life is named
+// in a change before, so that no other life can be taken for the new voter.
 func (n *Node) settleMembers() {
 	if n.role != leader || n.refuseChange() != 0 {
 		return
 	}
 	next := cloneMembership(n.members.current())
-	if n.promoteLearner(next) || n.bindIncarnations(next) {
+	if n.bindIncarnations(next) || n.promoteLearner(next) {
 		n.appendMembership(next)
 		n.replicateAll()
 	}
@@ -264,20 +265,24 @@
 
 func (n *Node) promoteLearner(m *pb.Membership) bool {
 	for _, member := range m.Members {
-		pr := n.lead.progress[member.Identity.Id]
-		if member.Role != pb.ReplicaRole_REPLICA_ROLE_LEARNER || pr == nil || !n.caughtUp(pr) {
-			continue
+		if member.Role == pb.ReplicaRole_REPLICA_ROLE_LEARNER && n.caughtUp(member) {
+			member.Role = pb.ReplicaRole_REPLICA_ROLE_VOTER
+			return true
 		}
-		member.Identity.Incarnation = n.incarnationOf(member)
-		member.Role = pb.ReplicaRole_REPLICA_ROLE_VOTER
-		return true
 	}
 	return false
 }
 
+// bindIncarnations names the lives of voters, and of learners that have caught up.
+// What answers earlier under a learner's id may be a late message of an earlier
+// life: were that one named, the life that runs would be refused, and the learner
+// would stay behind until the operator removed it.
 func (n *Node) bindIncarnations(m *pb.Membership) bool {
 	changed := false
 	for _, member := range m.Members {
+		if member.Role == pb.ReplicaRole_REPLICA_ROLE_LEARNER && !n.caughtUp(member) {
+			continue
+		}
 		if known := n.incarnationOf(member); member.Identity.Incarnation != known {
 			member.Identity.Incarnation = known
 			changed = true
@@ -288,8 +293,9 @@
 
 // caughtUp tells whether a learner may vote: it has everything committed, and
 // answers now, so that the larger quorum can be met.
-func (n *Node) caughtUp(pr *progress) bool {
-	return pr.active(n.now, n.cfg.ElectionTimeout) && pr.match >= n.log.commit
+func (n *Node) caughtUp(member *pb.ReplicaMember) bool {
+	pr := n.lead.progress[member.Identity.Id]
+	return pr != nil && pr.active(n.now, n.cfg.ElectionTimeout) && pr.match >= n.log.commit
 }
 
 // onAppliedMembership notices the own removal once it is committed.
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -185,6 +185,11 @@
 	if pr == nil {
 		return
 	}
+	bound := findMember(n.members.current(), m.From).GetIdentity().GetIncarnation()
+	if bound != "" && bound != incarnation {
+		// The host goes by the committed list, which may not name the life yet.
+		return
+	}
 	if pr.incarnation != incarnation && pr.heard {
 		// Another life of a learner: what the earlier one had synced is gone.
 		*pr = n.newProgress()
