--- a/internal/consensus/learner_test.go
+++ b/internal/consensus/learner_test.go
@@ -41,3 +41,26 @@
 		t.Errorf("the list names %s, %s runs", member.Identity.Incarnation, h.disk.folder.Incarnation)
 	}
 }
+
+// An operator sees a group that can't commit after a repair. A change that names a
+// learner's life was appended, and before it was committed another life under that
+// id answered for everything; the leader made the named one, which holds nothing and
+// does not run, a voter on that word.
+func TestAnswersOfALifeThatIsNotNamedCountNowhere(t *testing.T) {
+	c := newCluster(12, 3)
+	c.run(2 * time.Second)
+	l := c.leader()
+	c.step(l, ProposeMembership{Change: MembershipChange{Add: &pb.ReplicaMember{
+		Identity: &pb.ReplicaIdentity{Id: 4, Incarnation: "named"}, Address: "4",
+	}}})
+	if !l.node.members.pending(l.node.log.commit) {
+		t.Fatal("the change is committed already")
+	}
+	c.step(l, Receive{Incarnation: "other", Message: &pb.Message{
+		Kind: pb.MessageKind_MESSAGE_KIND_APPEND_RESPONSE, From: 4, To: l.id,
+		Term: l.node.term, Index: l.node.log.lastIndex(),
+	}})
+	if pr := l.node.lead.progress[4]; pr == nil || pr.match != 0 || pr.heard {
+		t.Errorf("the answer counts: %+v", pr)
+	}
+}
