Have the simulated operator go by committed removals

In the schedule replica 2's first life had been removed, its second, a learner, was lost; the second removal was only appended (traced: committed list still names the learner, change pending) when the operator emptied the replica and forgot that it was lost. The removal was undone with its leader, and nobody removed the lost life again. Change: the operator takes a removal as done once the committed list leaves the id out too. This eases nothing: folders are emptied before their removal as before ("lose"), only the mark of the loss stays until the removal is committed. The schedule is kept as TestRepairThatIsUndone.

--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -211,36 +211,51 @@
 // and out of order, links cut both ways and one way, replicas killed before a
 // sync, frozen, emptied, put back from older copies and replaced, while leaders
 // change and snapshots are taken. The cause would be any hole in consensus.
-func TestSchedules(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		s := &schedule{c: newCluster(seed, rapid.IntRange(3, 5).Draw(t, "replicas")), copies: map[uint64]*disk{}}
-		if rapid.IntRange(0, 9).Draw(t, "unformed") > 0 {
-			s.c.run(1500 * time.Millisecond)
+func TestSchedules(t *testing.T) { rapid.Check(t, playSchedule) }
+
+// An operator sees a learner stay behind for good after a repair. Its disk was lost
+// and its removal appended, by a leader that fell before it was committed; but as an
+// earlier life of its id was removed, the removal was taken as done, the replica
+// emptied again and its loss forgotten. Found by TestSchedules with seed 23.
+func TestRepairThatIsUndone(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "2158026", "rapid.checks": "1"} {
+		old := flag.Lookup(name).Value.String()
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
 		}
-		s.c.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss")
-		s.c.chaos = rapid.SampledFrom([]float64{0, 0.001, 0.003, 0.01}).Draw(t, "chaos")
-		s.c.slow = rapid.SampledFrom([]float64{0.3, 0.9, 0.98}).Draw(t, "slow")
-		t.Repeat(map[string]func(*rapid.T){
-			"":             s.check,
-			"run":          s.run,
-			"run on":       s.run,
-			"run further":  s.run,
-			"propose":      s.propose,
-			"read":         s.read,
-			"crash":        s.fault(crashed),
-			"pause":        s.fault(frozen),
-			"cut off":      s.fault(cutOff),
-			"cut one way":  s.fault(cutOneWay),
-			"split":        s.split,
-			"repair":       s.repair,
-			"repair again": s.repair,
-			"transfer":     s.fault(transferred),
-			"resize":       s.resize,
-			"lose":         s.lose,
-			"copy folder":  s.copyFolder,
-			"put back":     s.putBack,
-		})
-		s.settle(t)
+		t.Cleanup(func() { _ = flag.Set(name, old) })
+	}
+	rapid.Check(t, playSchedule)
+}
+
+func playSchedule(t *rapid.T) {
+	seed := rapid.Uint64().Draw(t, "seed")
+	s := &schedule{c: newCluster(seed, rapid.IntRange(3, 5).Draw(t, "replicas")), copies: map[uint64]*disk{}}
+	if rapid.IntRange(0, 9).Draw(t, "unformed") > 0 {
+		s.c.run(1500 * time.Millisecond)
+	}
+	s.c.loss = rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss")
+	s.c.chaos = rapid.SampledFrom([]float64{0, 0.001, 0.003, 0.01}).Draw(t, "chaos")
+	s.c.slow = rapid.SampledFrom([]float64{0.3, 0.9, 0.98}).Draw(t, "slow")
+	t.Repeat(map[string]func(*rapid.T){
+		"":             s.check,
+		"run":          s.run,
+		"run on":       s.run,
+		"run further":  s.run,
+		"propose":      s.propose,
+		"read":         s.read,
+		"crash":        s.fault(crashed),
+		"pause":        s.fault(frozen),
+		"cut off":      s.fault(cutOff),
+		"cut one way":  s.fault(cutOneWay),
+		"split":        s.split,
+		"repair":       s.repair,
+		"repair again": s.repair,
+		"transfer":     s.fault(transferred),
+		"resize":       s.resize,
+		"lose":         s.lose,
+		"copy folder":  s.copyFolder,
+		"put back":     s.putBack,
 	})
+	s.settle(t)
 }
--- a/internal/consensus/simfault_test.go
+++ b/internal/consensus/simfault_test.go
@@ -109,11 +109,13 @@
 
 // emptyRemoved empties the disk of a removed replica now and then, so that it may
 // join again under its old id. One whose incarnation was not known when it was
-// removed can't.
+// removed can't. A removal that is not committed may still be undone: an operator
+// who took it as done would forget that the listed life is lost.
 func (c *cluster) emptyRemoved(l *host) {
 	for _, gone := range l.node.CommittedMembership().Removed {
 		h := c.hosts[gone.Id]
-		left := findMember(l.node.members.current(), gone.Id) == nil && gone.Incarnation != ""
+		listed := findMember(l.node.members.current(), gone.Id) != nil || findMember(l.node.CommittedMembership(), gone.Id) != nil
+		left := !listed && gone.Incarnation != ""
 		if left && (h.removed || c.lost[h.id]) && c.random.IntN(2) == 0 {
 			h.removed = false
 			delete(c.lost, h.id)
