--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
@@ -118,6 +119,10 @@
 }
 
 func entrySlopes() []Slope {
+	return slices.Concat(entryMemory(), entryControlTimes(), entryDecisionTimes())
+}
+
+func entryMemory() []Slope {
 	return []Slope{
 		{
 			Name: "entry-memory-per-server", Role: "entry", What: "heap of the reducer's view",
@@ -141,6 +146,12 @@
 				return HeapBytes(func() any { b.open(n); return b }), nil
 			},
 		},
+	}
+}
+
+// entryControlTimes are what control costs an entry.
+func entryControlTimes() []Slope {
+	return []Slope{
 		{
 			Name: "entry-renew-cpu", Role: "entry", What: "taking in a Watch answer without news",
 			Size: "backend servers", Unit: Microseconds, Sizes: fleetSizes(),
@@ -176,6 +187,12 @@
 				return CPUMicros(func() { b.announce(i % n); i++ }), nil
 			},
 		},
+	}
+}
+
+// entryDecisionTimes are what callers' requests cost its reducer.
+func entryDecisionTimes() []Slope {
+	return []Slope{
 		{
 			Name: "entry-request-cpu", Role: "entry", What: "all decisions of one request that is placed and answered",
 			Size: "backend servers", Unit: Microseconds, Sizes: fleetSizes(),
