Run the demo and one proof over TLS

Change: the test bed can write throw-away certificates; the demo uses them, and TestFaultsOverTLS kills the control leader and an entry under load over TLS.

--- a/cmd/goldcrest-load/demo.go
+++ b/cmd/goldcrest-load/demo.go
@@ -83,7 +83,7 @@
 		defer os.RemoveAll(dir)
 	}
 	bed, err := testbed.New(testbed.Options{
-		Bin: o.bin, Dir: dir, Deployment: o.deployment, Deploy: o.deploy,
+		Bin: o.bin, Dir: dir, Deployment: o.deployment, Deploy: o.deploy, TLS: true,
 		Tune: func(c *server.Config) { c.TimeScale = demoTimeScale },
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/proof/tls_test.go
@@ -0,0 +1,43 @@
+package proof
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+// A deployment runs with TLS between its own processes. Its control leader and an
+// entry are killed; the others must find each other again over new TLS connections,
+// or callers would be refused for good.
+func TestFaultsOverTLS(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+	defer cancel()
+	dir := filepath.Join(filepath.Dir(bin), "tls")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	b, err := testbed.New(testbed.Options{
+		Bin: bin, Dir: dir, Deployment: Deployment, Deploy: root + "/deploy", Engines: 1, Entries: 1, TLS: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if err := b.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	load := Load{Seed: 1, Duration: Mixed(1).Duration, Streams: 4, Once: 4, Lookups: 4}
+	run(t, ctx, NewTrial(b, 1), load, func(ctx context.Context) {
+		pause(ctx, FaultAt)
+		leader, err := b.Leader(ctx)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		leader.Kill()
+		b.Entries[0].Kill()
+	})
+}
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/devcert"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/forwarder"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/journal"
@@ -33,7 +34,7 @@
 
 	options          Options
 	ports            *portSource
-	keyFile          string
+	auth             settings.Auth
 	controlAddresses []string
 	wg               conc.WaitGroup
 }
@@ -50,9 +51,8 @@
 	if err := os.MkdirAll(b.path(journalDir), 0o700); err != nil {
 		return nil, Failed.Wrap(err, "folder")
 	}
-	b.keyFile = b.path("shared.key")
-	if err := os.WriteFile(b.keyFile, []byte(sharedKey), 0o600); err != nil {
-		return nil, Failed.Wrap(err, "shared key")
+	if err := b.writeAuth(); err != nil {
+		return nil, err
 	}
 	for _, plan := range []func() error{
 		b.planControl, b.planEntries, func() error { return b.planServers(d) },
@@ -93,7 +93,22 @@
 func (b *Bed) Link(from, to uint64) *forwarder.Forwarder { return b.Forwarders[linkName(from, to)] }
 
 // Auth is how the bed's own processes know each other.
-func (b *Bed) Auth() settings.Auth { return settings.Auth{SharedKeyFile: b.keyFile} }
+func (b *Bed) Auth() settings.Auth { return b.auth }
+
+func (b *Bed) writeAuth() error {
+	if b.options.TLS {
+		auth, err := devcert.Write(b.options.Dir)
+		if err != nil {
+			return Failed.Wrap(err, "certificates")
+		}
+		b.auth = auth
+	}
+	b.auth.SharedKeyFile = b.path("shared.key")
+	if err := os.WriteFile(b.auth.SharedKeyFile, []byte(sharedKey), 0o600); err != nil {
+		return Failed.Wrap(err, "shared key")
+	}
+	return nil
+}
 
 // EntryAddresses lists where callers connect.
 func (b *Bed) EntryAddresses() []string {
@@ -140,7 +155,10 @@
 // printed. Errors: Failed.
 func (b *Bed) Ctl(ctx context.Context, args ...string) (string, error) {
 	args = append(args, "--control", strings.Join(b.controlAddresses, ","),
-		"--cluster", b.options.Deployment, "--shared-key-file", b.keyFile)
+		"--cluster", b.options.Deployment, "--shared-key-file", b.auth.SharedKeyFile)
+	if b.auth.TLS() {
+		args = append(args, "--cert-file", b.auth.CertFile, "--key-file", b.auth.KeyFile, "--ca-file", b.auth.CAFile)
+	}
 	cmd := exec.CommandContext(ctx, filepath.Join(b.options.Bin, binCtl), args...)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
--- a/internal/testbed/options.go
+++ b/internal/testbed/options.go
@@ -41,6 +41,9 @@
 	// ForwardControl puts a forwarder on the way from each control replica to
 	// each other one; Bed.Link finds them.
 	ForwardControl bool
+	// TLS protects the system's own processes with throw-away certificates,
+	// beside the shared key.
+	TLS bool
 	// AnswerKeep is how long callers keep entry lists. Default 1s, to be quick.
 	AnswerKeep time.Duration
 	// OrderPause is the longest pause stated for control. Default 2s.
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -52,7 +52,7 @@
 func (b *Bed) common(name, dc string) settings.Common {
 	return settings.Common{
 		Cluster: b.options.Deployment, Name: name, Region: b.options.region(), DataCentre: dc,
-		Control: b.controlAddresses, Auth: settings.Auth{SharedKeyFile: b.keyFile},
+		Control: b.controlAddresses, Auth: b.auth,
 		Log: settings.Log{Level: b.options.LogLevel, SampleRouting: 1},
 	}
 }
