Give crashing requests their final answer at once; let suspects wait elsewhere

The users accept no answer that is held back. Change: the answer is given in the same step. Control tells entries of suspects from the first death on; new work that is suspected waits 0.3 s for its start and is refused when the quarantine comes, or served. View and state carry the suspects.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -171,9 +171,13 @@
 		}
 		return len(w.State().View(0).GetQuarantine())
 	}
+	before := w.State().ViewVersion()
 	if n := die("a"); n != 0 {
 		t.Fatalf("%d after one death", n)
 	}
+	if got := w.State().View(before).GetSuspects(); len(got) != 2 {
+		t.Fatalf("entries are told of %d suspects after one death, want 2", len(got))
+	}
 	if n := die("bb"); n != 1 {
 		t.Fatalf("%d after two deaths", n)
 	}
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -57,8 +57,9 @@
 	if len(sus.Deaths) < limits.QuarantineDeaths {
 		sus.Deaths = append(sus.Deaths, death)
 	}
+	s.touchView()
+	sus.SuspectedVersion = s.index
 	if len(sus.Deaths) >= limits.QuarantineDeaths {
-		s.touchView()
 		sus.Version = s.index
 		sus.ExpiresUnixMs = s.nowMS + limits.QuarantineTime.Milliseconds()
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -42,6 +42,9 @@
 		if sus.GetVersion() > known {
 			resp.Quarantine = append(resp.Quarantine, quarantineOf(sus))
 		}
+		if sus.GetVersion() == 0 && sus.GetSuspectedVersion() > known && !resp.GetFull() {
+			resp.Suspects = append(resp.Suspects, quarantineOf(sus))
+		}
 	}
 }
 
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -61,7 +61,7 @@
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
 	case r.quarantined(q):
-		r.condemn(q)
+		r.refuse(q, refuseQuarantined())
 	case q.attempts >= maxAttempts:
 		r.refuse(q, refuseFailed())
 	case ev.Outcome == outcome.NotRun:
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -48,8 +48,6 @@
 	requests map[string]*request
 	decide   decider
 	suspects suspectTable
-	// condemned waits for control before its final answer.
-	condemned []*request
 	// held is accepted work that does not wait in the queue.
 	held    []*request
 	report  reportBuffer
@@ -129,7 +127,6 @@
 	}
 	r.probe()
 	r.pollCaches()
-	r.refuseCondemned()
 	r.expireWaiting()
 	r.startWaiting()
 	r.sendReport()
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -52,10 +52,6 @@
 	// notBefore holds a retry back; waitsSince is when it began to wait.
 	notBefore  time.Duration
 	waitsSince time.Duration
-	// condemnedUntil is when a request that crashed servers gets its final
-	// answer at the latest.
-	condemnedUntil time.Duration
-	condemnedKnown bool
 }
 
 func (q *request) prefillLeft() int {
@@ -106,6 +102,12 @@
 		r.dispatch(q, s, placement.Choice{Reason: "goes on where it runs"}, true)
 		return
 	}
+	if r.suspected(q) {
+		q.notBefore = r.now + suspectWait
+		q.waitsSince = q.notBefore
+		r.held = append(r.held, q)
+		return
+	}
 	r.decide.queue.Push(q.work)
 	r.startWaiting()
 	if q.server == nil {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -41,13 +41,13 @@
 	// start again together, and the guilty one meets the same innocent ones on
 	// the next server within milliseconds.
 	staggerFor = 500 * time.Millisecond
-	// condemnedFor bounds how long the final answer waits until control has
-	// told all entries: the caller may send the request again to another one
-	// in the same millisecond.
-	condemnedFor = 300 * time.Millisecond
-	// viewSpread is how much later other entries may learn what this one has
-	// just learned from control.
-	viewSpread = 100 * time.Millisecond
+	// suspectWait is how long a request waits for its start when it ran on a
+	// server that died lately. Control tells all entries of a quarantine in some
+	// 20 ms: a caller that sends its request again to another entry, in the
+	// millisecond after its final answer, must not crash one more server there.
+	suspectWait = 300 * time.Millisecond
+	// suspectedFor is for how long after a death a request waits so.
+	suspectedFor = 30 * time.Second
 	// maxSuspects bounds the table; the oldest goes first.
 	maxSuspects = 4096
 )
@@ -231,27 +231,19 @@
 	r.logServer(s, "died")
 }
 
-// condemn holds a request's final answer until control has told all entries.
-func (r *Reducer) condemn(q *request) {
-	q.condemnedUntil = r.now + condemnedFor
-	r.condemned = append(r.condemned, q)
+// suspected tells whether new work ran on a server that died lately, by the word
+// of control.
+func (r *Reducer) suspected(q *request) bool {
+	until, ok := r.view.suspected[q.key()]
+	return ok && r.now < until
 }
 
-// refuseCondemned gives the final answers that need not wait any longer: control
-// has the quarantine and other entries have had the time to learn it.
-func (r *Reducer) refuseCondemned() {
-	r.condemned = slices.DeleteFunc(r.condemned, func(q *request) bool {
-		if r.requests[q.work.RequestID] != q {
-			return true
+// refuseQuarantined gives what waits its final answer once it is quarantined.
+func (r *Reducer) refuseQuarantined() {
+	for _, id := range sortedKeys(r.requests) {
+		q := r.requests[id]
+		if q.server == nil && r.view.quarantine[q.key()] {
+			r.refuse(q, refuseQuarantined())
 		}
-		if r.view.quarantine[q.key()] && !q.condemnedKnown {
-			q.condemnedKnown = true
-			q.condemnedUntil = min(q.condemnedUntil, r.now+viewSpread)
-		}
-		if r.now < q.condemnedUntil {
-			return false
-		}
-		r.refuse(q, refuseQuarantined())
-		return true
-	})
+	}
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,7 +33,10 @@
 	members     map[string]*declaration.Member
 	entries     map[string]*entryState
 	quarantine  map[quarantineKey]bool
-	control     []string
+	// suspected are requests that ran on a server that died lately, and until
+	// when that counts.
+	suspected map[quarantineKey]time.Duration
+	control   []string
 }
 
 func newView() view {
@@ -41,6 +45,7 @@
 		members:    make(map[string]*declaration.Member),
 		entries:    make(map[string]*entryState),
 		quarantine: make(map[quarantineKey]bool),
+		suspected:  make(map[quarantineKey]time.Duration),
 	}
 }
 
@@ -70,7 +75,9 @@
 		v.leaseUntil = until
 		r.dirty = r.dirty || wasStale
 	}
-	r.refuseCondemned()
+	if len(resp.Quarantine) > 0 {
+		r.refuseQuarantined()
+	}
 	r.startWaiting()
 }
 
@@ -89,7 +96,7 @@
 		v.objects = objects
 	}
 	r.applyEntries(resp)
-	v.applyQuarantine(resp)
+	v.applyQuarantine(resp, r.now)
 	for _, id := range r.servers.applyView(resp, r.now) {
 		r.decide.picker.Forget(id)
 	}
@@ -166,13 +173,17 @@
 	}
 }
 
-func (v *view) applyQuarantine(resp *pb.WatchResponse) {
+func (v *view) applyQuarantine(resp *pb.WatchResponse, now time.Duration) {
 	if resp.Full {
 		v.quarantine = make(map[quarantineKey]bool)
 	}
 	for _, q := range resp.Quarantine {
 		v.quarantine[quarantineKey{q.Member, q.Fingerprint}] = true
 	}
+	maps.DeleteFunc(v.suspected, func(_ quarantineKey, until time.Duration) bool { return until <= now })
+	for _, q := range resp.Suspects {
+		v.suspected[quarantineKey{q.Member, q.Fingerprint}] = now + suspectedFor
+	}
 	for _, q := range resp.RemovedQuarantine {
 		delete(v.quarantine, quarantineKey{q.Member, q.Fingerprint})
 	}
