--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -29,8 +29,11 @@
 // same base, or resend after a lost answer. Without the compare with base the
 // later one would silently revert the earlier one's change; without the memory
 // of accepted revisions a resent call would look refused although it won.
-func (s *State) applyDeclaration(d *pb.Declaration) *pb.ApplyResponse {
+func (s *State) applyDeclaration(d *pb.Declaration, newestWins bool) *pb.ApplyResponse {
 	current := s.declared.proto
+	if newestWins {
+		return s.applyNewest(d)
+	}
 	if past := s.declared.find(d.GetRevision()); past != nil {
 		return s.answerAgain(d, past)
 	}
@@ -50,6 +53,26 @@
 	return &pb.ApplyResponse{Accepted: true, CurrentRevision: d.GetRevision(), CurrentAuthor: d.GetAuthor()}
 }
 
+// applyNewest is the rule where operators don't know of each other and number
+// their changes from one sequence: the highest revision counts. One that comes
+// again, or late, is accepted and changes nothing, so that an operator who has
+// lost an answer may send the same to any replica.
+func (s *State) applyNewest(d *pb.Declaration) *pb.ApplyResponse {
+	current := s.declared.proto
+	if d.GetRevision() <= current.GetRevision() {
+		return &pb.ApplyResponse{
+			Accepted: true, Repeated: true,
+			CurrentRevision: current.GetRevision(), CurrentAuthor: current.GetAuthor(),
+		}
+	}
+	parsed, err := declaration.FromObjects(d.GetRevision(), d.GetObjects())
+	if err != nil {
+		return s.refuse("the declaration can't be read: " + err.Error())
+	}
+	s.setDeclaration(d, parsed)
+	return &pb.ApplyResponse{Accepted: true, CurrentRevision: d.GetRevision(), CurrentAuthor: d.GetAuthor()}
+}
+
 func (s *State) answerAgain(d *pb.Declaration, past *pb.AcceptedRevision) *pb.ApplyResponse {
 	if past.GetDigest() == d.GetDigest() && past.GetAuthor() == d.GetAuthor() {
 		return &pb.ApplyResponse{
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -69,8 +69,12 @@
 	leftAt time.Duration
 	// token is the newest order token that this incarnation has reported.
 	token *pb.FencingToken
-	// proposed is the registration that is on its way through the log.
+	// proposed is the registration that is on its way through the log, waiting
+	// the server's own calls that are answered with it.
 	proposed *pb.BackendServer
+	waiting  []uint64
+	// sequence is that of the newest word that the server itself has told here.
+	sequence uint64
 }
 
 // entryWatch is what a leader keeps of an entry.
@@ -175,16 +179,17 @@
 	list := r.lead.registrations
 	r.lead.registrations = nil
 	cmd := &pb.Command{Op: &pb.Command_Register{Register: &pb.RegisterServers{Servers: list}}}
-	r.propose(cmd, func(proto.Message, bool) { r.registered(list) })
+	r.propose(cmd, func(_ proto.Message, ok bool) { r.registered(list, ok) })
 }
 
-func (r *Reducer) registered(list []*pb.BackendServer) {
+func (r *Reducer) registered(list []*pb.BackendServer, ok bool) {
 	if r.lead == nil {
 		return
 	}
 	for _, told := range list {
 		if w := r.lead.servers[told.GetId()]; w != nil && w.proposed == told {
 			w.proposed = nil
+			r.answerWaiting(w, ok)
 		}
 	}
 }
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -107,6 +107,10 @@
 		r.onCall(e)
 	case CallGone:
 		r.onCallGone(e.ID)
+	case Announce:
+		r.onAnnounce(e)
+	case Leave:
+		r.onLeave(e)
 	case OrderAnswered:
 		r.onOrderAnswered(e)
 	case OrderUnanswered:
@@ -231,6 +235,7 @@
 	for _, w := range lead.watches {
 		r.reply(w.callID, nil, r.notLeader())
 	}
+	r.failWaiting(lead)
 	r.failProposals()
 }
 
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -105,6 +105,9 @@
 func (r *Reducer) serverWatch(told *pb.BackendServer) *serverWatch {
 	w := r.lead.servers[told.GetId()]
 	if w == nil || w.incarnation != told.GetIncarnation() {
+		if w != nil {
+			r.answerWaiting(w, true)
+		}
 		w = &serverWatch{incarnation: told.GetIncarnation()}
 		r.lead.servers[told.GetId()] = w
 	}
--- a/internal/control/rolesdrive.go
+++ b/internal/control/rolesdrive.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -143,7 +144,7 @@
 		Kind: pb.OrderKind_ORDER_KIND_LOAD_MODEL, Model: m.Name, ModelVersion: m.Version,
 		Reason: "declared version",
 	}
-	if !carriedOut(load, sv.told) {
+	if m.Version != declaration.AnyVersion && !carriedOut(load, sv.told) {
 		list = append(list, load)
 	}
 	for _, a := range m.Adapters {
--- /dev/null
+++ b/internal/control/runner/port.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// Driver serves another protocol for backend servers and operators on listeners
+// of its own. It only translates: what it takes goes to the Port.
+type Driver interface {
+	// Serve serves until Shutdown; its error ends the process.
+	Serve(port *Port) error
+	Shutdown(ctx context.Context) error
+}
+
+// Port is what a Driver may ask of this replica. Errors are twirp errors: a
+// replica that does not lead answers unavailable; see Leader.
+type Port struct {
+	cluster string
+	loop    *loop
+}
+
+// Announce tells a backend server's own word; see control.Announce.
+func (p *Port) Announce(ctx context.Context, a *pb.Announcement, sequence uint64) error {
+	_, err := p.loop.ask(ctx, func(id uint64) control.Event {
+		return control.Announce{ID: id, Announcement: a, Sequence: sequence}
+	})
+	return err
+}
+
+// Leave tells that one life of a backend server ends; see control.Leave.
+func (p *Port) Leave(ctx context.Context, incarnation string) error {
+	_, err := p.loop.ask(ctx, func(id uint64) control.Event {
+		return control.Leave{ID: id, Incarnation: incarnation}
+	})
+	return err
+}
+
+// ApplyNewest puts a declaration in force unless a newer one is.
+func (p *Port) ApplyNewest(ctx context.Context, d *pb.Declaration) (*pb.ApplyResponse, error) {
+	req := &pb.ApplyRequest{ClusterId: p.cluster, Declaration: proto.CloneOf(d), NewestWins: true}
+	return answer[*pb.ApplyResponse](p.loop.call(ctx, req))
+}
+
+// Declaration gives the declaration in force, confirmed by a quorum.
+func (p *Port) Declaration(ctx context.Context) (*pb.Declaration, error) {
+	resp, err := answer[*pb.GetDeclarationResponse](
+		p.loop.call(ctx, &pb.GetDeclarationRequest{ClusterId: p.cluster}))
+	return resp.GetDeclaration(), err
+}
+
+// Leader gives the address of the replica that leads as far as this one knows,
+// empty if it knows none, and whether that is this one.
+func (p *Port) Leader() (address string, self bool) {
+	g := p.loop.view()
+	return addressOf(g.members, g.leader), g.leads
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -52,11 +52,12 @@
 	net     *transport
 	engines *engineSender
 	server  *http.Server
+	drivers []Driver
 }
 
-// New opens the data folder and puts the state back. Errors: those of store and
-// rpc, BadSnapshot.
-func New(cfg *settings.Control, log *slog.Logger) (*Runner, error) {
+// New opens the data folder and puts the state back. The drivers serve other
+// protocols beside the system's own. Errors: those of store and rpc, BadSnapshot.
+func New(cfg *settings.Control, log *slog.Logger, drivers ...Driver) (*Runner, error) {
 	auth, err := rpc.LoadAuth(cfg.Auth)
 	if err != nil {
 		return nil, err
@@ -74,11 +75,14 @@
 	}
 	log.Info("recovered", "snapshot_index", recovered.Initial.Snapshot.GetIndex(),
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(began).Milliseconds())
-	node := consensus.NewNode(nodeConfig(cfg), recovered.Initial)
-	r := &Runner{cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st}
+	id := st.Identity().GetId()
+	node := consensus.NewNode(nodeConfig(id, cfg), recovered.Initial)
+	r := &Runner{
+		cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st, drivers: drivers,
+	}
 	auth.Count(r.metrics.Scope)
 	reducer := control.NewReducer(control.Config{
-		Cluster: cfg.Cluster, ID: cfg.ReplicaID,
+		Cluster: cfg.Cluster, ID: id,
 		Sender:     cfg.Name + "/" + uuid.NewString(),
 		OrderPause: cfg.OrderPause,
 	}, node, state)
@@ -89,9 +93,9 @@
 	return r, nil
 }
 
-func nodeConfig(cfg *settings.Control) consensus.Config {
+func nodeConfig(id uint64, cfg *settings.Control) consensus.Config {
 	return consensus.Config{
-		ID: cfg.ReplicaID, ElectionTimeout: cfg.ElectionTimeout,
+		ID: id, ElectionTimeout: cfg.ElectionTimeout,
 		SnapshotEntries: uint64(cfg.SnapshotEntries),
 		// Drawn from the clock so that replicas don't wait alike.
 		Seed: uint64(time.Now().UnixNano()),
@@ -150,10 +154,23 @@
 			r.loop.fail(Failed.Wrap(err, "serve"))
 		}
 	})
-	r.log.Info("serving", "address", r.cfg.Address, "replica", r.cfg.ReplicaID,
+	serving, endServing := context.WithCancel(context.Background())
+	defer endServing()
+	if r.cfg.MetricsAddress != "" {
+		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
+	}
+	for _, d := range r.drivers {
+		wg.Go(func() {
+			if err := d.Serve(&Port{cluster: r.cfg.Cluster, loop: r.loop}); err != nil {
+				r.loop.fail(Failed.Wrap(err, "serve"))
+			}
+		})
+	}
+	r.log.Info("serving", "address", r.cfg.Address, "replica", r.store.Identity().GetId(),
 		"incarnation", r.store.Identity().GetIncarnation())
 	err = r.wait(ctx)
 	r.stop()
+	endServing()
 	wg.Wait()
 	return err
 }
@@ -187,6 +204,11 @@
 func (r *Runner) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	for _, d := range r.drivers {
+		if err := d.Shutdown(ctx); err != nil {
+			r.log.Warn("a driver did not stop in time", "error", err.Error())
+		}
+	}
 	// Open calls are answered by the loop or run into their own timeout.
 	if err := r.server.Shutdown(ctx); err != nil {
 		_ = r.server.Close()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -95,7 +95,7 @@
 func (s *State) apply(e *pb.LogEntry, cmd *pb.Command) proto.Message {
 	switch op := cmd.GetOp().(type) {
 	case *pb.Command_Apply:
-		return s.applyDeclaration(op.Apply.GetDeclaration())
+		return s.applyDeclaration(op.Apply.GetDeclaration(), op.Apply.GetNewestWins())
 	case *pb.Command_Drain:
 		return s.applyDrain(op.Drain)
 	case *pb.Command_Register:
--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -73,6 +73,9 @@
 	firstSlack := w.FirstTokenBy - now - e.wait - e.prefill
 	finishSlack := w.FinishBy - now - e.wait - e.prefill - e.decode
 	slack := min(firstSlack, finishSlack)
+	if w.LateIsOfUse {
+		slack = finishSlack
+	}
 	if slack >= 0 {
 		return Verdict{Admit: true, Wait: e.wait, Reason: "fits its deadline", Figures: figures}
 	}
--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -49,6 +49,9 @@
 	e.wait = serverWait(w, s) + x.queueWait()
 	e.prefill = seconds(float64(w.PromptTokens) / max(1, s.bestPrefill))
 	e.decode = time.Duration(w.OutputTokens) * tokenTime
+	if w.Pace.TokenTime > 0 {
+		e.decode = time.Duration(w.OutputTokens) * w.Pace.TokenTime
+	}
 	return e
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -32,6 +32,9 @@
 	OutputTokens int
 	// Prefix is the chain of prompt block hashes, salted by member.
 	Prefix []uint64
+	// PartTokens are the tokens of each element of Prefix; nil where all have
+	// engineapi.BlockTokens.
+	PartTokens []int
 	// Arrived is when the request came in; FirstTokenBy and FinishBy are its
 	// deadlines.
 	Arrived      time.Duration
@@ -39,11 +42,37 @@
 	FinishBy     time.Duration
 	// Resumed work has been accepted before; it is never refused for load.
 	Resumed bool
+	// LateIsOfUse tells that an answer after FirstTokenBy is still worth having;
+	// only FinishBy decides then whether it is given up.
+	LateIsOfUse bool
+	// Pace is how fast engines are known to do such work; its zero fields stand
+	// for those of internal/enginemodel.
+	Pace Pace
 	// KVTokens is how many tokens of KV cache can be imported where it runs;
 	// with any there is no prefill.
 	KVTokens int
 }
 
+// Pace is how fast an engine does one work with nothing beside it.
+type Pace struct {
+	// PrefillRate is in tokens a second.
+	PrefillRate float64
+	// TokenTime is the time of one token in a batch of usual size.
+	TokenTime time.Duration
+}
+
+// HeldTokens is how many tokens the first parts of the prompt have.
+func (w *Work) HeldTokens(parts int) int {
+	if w.PartTokens == nil {
+		return parts * engineapi.BlockTokens
+	}
+	sum := 0
+	for _, n := range w.PartTokens[:parts] {
+		sum += n
+	}
+	return sum
+}
+
 // Server is one backend server as the decisions see it.
 type Server struct {
 	ID          string
@@ -59,6 +88,9 @@
 	// Usable is false while it leaves, changes, is drained or unconfirmed.
 	Usable bool
 	Slots  int
+	// CountsOnly tells that Load holds no tokens: what waits there is reckoned
+	// from what this entry has sent.
+	CountsOnly bool
 	// Load is its last report, ReportedAt when that was true (since boot, lag
 	// taken off).
 	Load       engineapi.Load
@@ -72,6 +104,8 @@
 	Requests      int
 	PrefillTokens int
 	DecodeTokens  int
+	// KVTokens is what these requests hold in memory there.
+	KVTokens int
 	// UrgentPrefillTokens is the prefill of urgent and lookup work whose first
 	// token has not come: all that such work waits for at an engine, since
 	// engines prefill by priority.
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -35,7 +35,7 @@
 	if w.Class != declaration.ClassBulk {
 		wait = l.urgent / rate
 	}
-	own := max(0, w.PromptTokens-held*engineapi.BlockTokens)
+	own := max(0, w.PromptTokens-w.HeldTokens(held))
 	return wait + float64(own)/rate
 }
 
--- a/internal/decision/placement/load.go
+++ b/internal/decision/placement/load.go
@@ -36,6 +36,11 @@
 			scale*float64(sent.SinceDecodeTokens),
 		kv: float64(report.KVUsed) + scale*float64(sent.SinceKVTokens),
 	}
+	if server.CountsOnly {
+		l.prefill = scale * float64(sent.PrefillTokens)
+		l.decode = scale * float64(sent.DecodeTokens)
+		l.kv = scale * float64(sent.KVTokens)
+	}
 	l.urgent = scale * float64(sent.UrgentPrefillTokens)
 	l.requests = max(l.requests, float64(sent.Requests))
 	return l
--- a/internal/decision/queue/deadline.go
+++ b/internal/decision/queue/deadline.go
@@ -26,16 +26,43 @@
 // windows are those of both deadlines.
 func windows(w *decision.Work) (first, whole window) {
 	first = window{
-		from: w.FirstTokenBy - tokensAt(w, busyPrefillRate),
-		to:   w.FirstTokenBy - tokensAt(w, quietPrefillRate),
+		from: w.FirstTokenBy - tokensAt(w, busy(w).PrefillRate),
+		to:   w.FirstTokenBy - tokensAt(w, quiet(w).PrefillRate),
 	}
 	whole = window{
-		from: w.FinishBy - serviceTime(w, busyPrefillRate, busyTokenTime),
-		to:   w.FinishBy - serviceTime(w, quietPrefillRate, quietTokenTime),
+		from: w.FinishBy - serviceTime(w, busy(w)),
+		to:   w.FinishBy - serviceTime(w, quiet(w)),
 	}
 	return first, whole
 }
 
+// busyShare is the part of its pace that work gets on a busy engine: that of the
+// rates above.
+const busyShare = busyPrefillRate / float64(quietPrefillRate)
+
+// quiet is the pace of the work on an idle engine, busy that on a busy one.
+func quiet(w *decision.Work) decision.Pace {
+	p := w.Pace
+	if p.PrefillRate <= 0 {
+		p.PrefillRate = quietPrefillRate
+	}
+	if p.TokenTime <= 0 {
+		p.TokenTime = quietTokenTime
+	}
+	return p
+}
+
+func busy(w *decision.Work) decision.Pace {
+	p := quiet(w)
+	p.PrefillRate *= busyShare
+	if w.Pace.TokenTime <= 0 {
+		p.TokenTime = busyTokenTime
+		return p
+	}
+	p.TokenTime = time.Duration(float64(p.TokenTime) / busyShare)
+	return p
+}
+
 // expiresAt is when the work can't be answered in time any more, even on an
 // idle engine. A bulk answer that is late for its first token is still of use;
 // nobody waits at the desk for an urgent one any more.
@@ -44,7 +71,7 @@
 		return w.FinishBy + neverExpires
 	}
 	_, whole := windows(w)
-	if w.Class == declaration.ClassBulk {
+	if w.Class == declaration.ClassBulk || w.LateIsOfUse {
 		return whole.to
 	}
 	return min(whole.to, w.FirstTokenBy)
@@ -54,11 +81,11 @@
 // its caller holds a part of the answer.
 const neverExpires = 365 * 24 * time.Hour
 
-func serviceTime(w *decision.Work, prefillRate float64, tokenTime time.Duration) time.Duration {
+func serviceTime(w *decision.Work, p decision.Pace) time.Duration {
 	if w.Kind == declaration.KindPlain {
 		return 0
 	}
-	return tokensAt(w, prefillRate) + time.Duration(w.OutputTokens)*tokenTime
+	return tokensAt(w, p.PrefillRate) + time.Duration(w.OutputTokens)*p.TokenTime
 }
 
 func tokensAt(w *decision.Work, prefillRate float64) time.Duration {
--- a/internal/decision/rates.go
+++ b/internal/decision/rates.go
@@ -5,8 +5,8 @@
 // Rates that are assumed of a server that has not reported any yet, in tokens/s:
 // a mixed engine's of internal/enginemodel, the lowest of the three roles.
 const (
-	assumedPrefillRate = 5000
-	assumedDecodeRate  = 450
+	AssumedPrefillRate = 5000
+	AssumedDecodeRate  = 450
 )
 
 // PrefillRate is the tokens/s that the server can prefill in its role.
@@ -15,7 +15,7 @@
 		return 0
 	}
 	if s.Load.PrefillRate <= 0 {
-		return assumedPrefillRate
+		return AssumedPrefillRate
 	}
 	return s.Load.PrefillRate
 }
@@ -27,7 +27,7 @@
 		return 0
 	}
 	if s.Load.DecodeRate <= 0 {
-		return assumedDecodeRate
+		return AssumedDecodeRate
 	}
 	return s.Load.DecodeRate
 }
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -34,7 +34,9 @@
 	Profiles []Profile `yaml:"profiles"`
 	Models   []Model   `yaml:"models"`
 	Services []Service `yaml:"services"`
-	Members  []Member  `yaml:"members"`
+	// HostRoutes pass requests on as they are; see HostRoute.
+	HostRoutes []HostRoute `yaml:"host_routes"`
+	Members    []Member    `yaml:"members"`
 	// BackendServers says what is known of backend servers beyond what they
 	// announce; the first rule whose prefix fits counts.
 	BackendServers []BackendServerRule `yaml:"backend_servers"`
@@ -79,9 +81,13 @@
 	RoleChangePrice time.Duration `yaml:"role_change_price" json:"role_change_price"`
 }
 
+// AnyVersion leaves engines in whatever version of the model they run.
+const AnyVersion = "any"
+
 // Model is a model that engines are to run, in one version at a time.
 type Model struct {
-	Name     string   `yaml:"name" json:"name"`
+	Name string `yaml:"name" json:"name"`
+	// Version may be AnyVersion.
 	Version  string   `yaml:"version" json:"version"`
 	Adapters []string `yaml:"adapters" json:"adapters"`
 }
@@ -105,6 +111,14 @@
 	// Routes are for plain services; the longest path prefix that fits counts.
 	// A call that fits no route is refused.
 	Routes []Route `yaml:"routes" json:"routes"`
+	// MaxConnections bounds the connections that one of its servers accepts from
+	// all entries together; 0: not known.
+	MaxConnections int `yaml:"max_connections" json:"max_connections,omitempty"`
+	// HealthPath is where its servers tell their health, empty where they have
+	// no such path.
+	HealthPath string `yaml:"health_path" json:"health_path,omitempty"`
+	// CacheTokens is the memory of one of its engines, in tokens; 0: not known.
+	CacheTokens uint64 `yaml:"cache_tokens" json:"cache_tokens,omitempty"`
 }
 
 // Route repeat rules.
--- a/internal/declaration/objects.go
+++ b/internal/declaration/objects.go
@@ -24,6 +24,7 @@
 	objectProfile = "profile"
 	objectModel   = "model"
 	objectService = "service"
+	objectRoute   = "host_route"
 	objectMember  = "member"
 	objectServers = "backend_servers"
 	objectRoles   = "roles"
@@ -42,6 +43,9 @@
 	for _, s := range d.Services {
 		b.add(objectService, s.Name, s)
 	}
+	for _, r := range d.HostRoutes {
+		b.add(objectRoute, r.Name, r)
+	}
 	for _, m := range d.Members {
 		b.add(objectMember, m.Name, m)
 	}
@@ -109,6 +113,8 @@
 		return appendJSON(&d.Models, o.Content)
 	case objectService:
 		return appendJSON(&d.Services, o.Content)
+	case objectRoute:
+		return appendJSON(&d.HostRoutes, o.Content)
 	case objectMember:
 		return appendJSON(&d.Members, o.Content)
 	case objectServers:
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -49,10 +49,18 @@
 func Parse(name string, data []byte) (*Declaration, finding.List) {
 	d := &Declaration{Roles: Roles{Automatic: true, MinMixedShare: DefaultMinMixedShare}}
 	file := yamlfile.Decode(name, data, d)
+	return d, d.finish(file)
+}
+
+// Finish fills in what a declaration that was made by code leaves out, and
+// checks it as one that was read from a file; name is for findings.
+func (d *Declaration) Finish(name string) finding.List { return d.finish(yamlfile.Unread(name)) }
+
+func (d *Declaration) finish(file *yamlfile.File) finding.List {
 	d.setDefaults()
 	c := &checker{d: d, file: file}
 	c.check()
-	return d, file.Findings()
+	return file.Findings()
 }
 
 func (d *Declaration) setDefaults() {
@@ -65,6 +73,9 @@
 		setDefault(&d.Profiles[i].RetryBudget, DefaultRetryBudget)
 		setDefault(&d.Profiles[i].RoleChangePrice, DefaultRoleChangePrice)
 	}
+	for i := range d.HostRoutes {
+		setDefault(&d.HostRoutes[i].MaxRuns, 1)
+	}
 	for i := range d.Members {
 		setDefault(&d.Members[i].Weight, DefaultWeight)
 	}
@@ -85,6 +96,33 @@
 type checker struct {
 	d    *Declaration
 	file *yamlfile.File
+	// The parts by name, made when first asked for: with hundreds of routes a
+	// search through the lists for each of them takes milliseconds.
+	profilesByName map[string]*Profile
+	servicesByName map[string]*Service
+	routedTo       map[string]bool
+}
+
+func (c *checker) profile(name string) *Profile {
+	if c.profilesByName == nil {
+		c.profilesByName = byName(c.d.Profiles, func(p *Profile) string { return p.Name })
+	}
+	return c.profilesByName[name]
+}
+
+func (c *checker) service(name string) *Service {
+	if c.servicesByName == nil {
+		c.servicesByName = byName(c.d.Services, func(s *Service) string { return s.Name })
+	}
+	return c.servicesByName[name]
+}
+
+func byName[T any](list []T, name func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(list))
+	for i := range list {
+		m[name(&list[i])] = &list[i]
+	}
+	return m
 }
 
 func (c *checker) check() {
@@ -101,6 +139,7 @@
 	c.profiles()
 	c.models()
 	c.services()
+	c.hostRoutes()
 	c.members()
 	c.servers()
 	c.roles()
@@ -153,7 +192,7 @@
 	names := newNames(c.file, "services")
 	for i, s := range c.d.Services {
 		path := names.add(i, s.Name)
-		if c.d.Profile(s.Profile) == nil {
+		if c.profile(s.Profile) == nil && !(s.Profile == "" && c.routed(s.Name)) {
 			c.file.Add(path+".profile", "%q is not declared under profiles", s.Profile)
 		}
 		switch s.Kind {
@@ -183,7 +222,7 @@
 	if s.Model != "" || s.Adapter != "" {
 		c.file.Add(path+".model", "is for model services only")
 	}
-	if len(s.Routes) == 0 {
+	if len(s.Routes) == 0 && !c.routed(s.Name) {
 		c.file.Add(path+".routes", "is empty; no call would fit")
 	}
 	seen := make(map[string]int)
@@ -226,7 +265,7 @@
 		credentials[m.CredentialSHA256] = m.Name
 		c.between(path+".weight", m.Weight, 0.001, 1000)
 		for j, s := range m.Services {
-			if c.d.Service(s) == nil {
+			if c.service(s) == nil {
 				c.file.Add(path+".services["+strconv.Itoa(j)+"]", "%q is not declared under services", s)
 			}
 		}
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -53,7 +53,7 @@
 	r.dirty = false
 	v := &r.view
 	s := &Snapshot{
-		Declaration: v.declaration, Members: v.members, ViewVersion: v.version,
+		Declaration: v.declaration, Members: v.members, Routes: v.routes, ViewVersion: v.version,
 		Revision: v.revision, LeaseUntil: v.leaseUntil, Control: v.control,
 		Leaving: r.leaving, Drained: make(map[string]bool), Servers: len(r.servers.sorted), Load: r.loadShare(),
 	}
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -57,6 +57,9 @@
 	Server      string
 	Incarnation string
 	Address     string
+	// Services are those of a plain server, Model the one of an engine.
+	Services []string
+	Model    string
 }
 
 // Report hands over to control what this entry has learned.
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -33,7 +33,10 @@
 	if ev.AtPrefill && q.prefill != nil {
 		s = q.prefill
 	}
-	q.mayHaveRun = q.mayHaveRun || ev.Outcome != outcome.NotRun
+	if ev.Outcome != outcome.NotRun {
+		q.mayHaveRun = true
+		q.runs++
+	}
 	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
 		q.reached = q.reached || ev.Took >= longAnswerless || s.aliveAt > q.sentAt
 	}
@@ -60,14 +63,20 @@
 		r.finish(q)
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
+	case q.endsInTime && r.now >= q.work.FinishBy:
+		r.refuse(q, refuseTimeout())
 	case r.quarantined(q):
 		r.refuse(q, refuseQuarantined())
 	case q.attempts >= maxAttempts:
 		r.refuse(q, refuseFailed())
+	case ev.Outcome != outcome.NotRun && q.repeat == RepeatOnce:
+		r.refuse(q, refuseUnknown())
+	case q.maxRuns > 0 && q.runs >= q.maxRuns:
+		r.refuse(q, refuseFailed())
+	case !r.extra.Take(r.now, q.work.Service, len(r.view.entries)):
+		r.refuse(q, refuseRepeats())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
-	case q.repeat == RepeatOnce:
-		r.refuse(q, refuseUnknown())
 	case q.repeat == RepeatAllowed:
 		r.retryCall(q, s)
 	default:
@@ -99,12 +108,15 @@
 // engine goes on: first a fresh connection to it. When that gives no token
 // either, or the engine is gone, another engine goes on from the tokens so far.
 func (r *Reducer) goOn(q *request, s *server, ev AttemptEnded) {
-	gone := ev.ServerDied || ev.StreamUnknown || ev.AtPrefill
+	gone := ev.ServerDied || ev.StreamUnknown || ev.AtPrefill || r.cfg.BreakEnds
 	if !gone && q.reconnects < maxReconnects {
 		q.reconnects++
 		r.dispatch(q, s, placement.Choice{Reason: "fresh connection"}, true)
 		return
 	}
+	if r.cfg.BreakEnds && !ev.ServerDied {
+		s.fail(r.now)
+	}
 	if !gone {
 		s.fail(r.now)
 		r.emit(Cancel{RequestID: q.work.RequestID, Attempt: q.engineAttempt, Address: s.pb.Address})
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -71,6 +71,11 @@
 	Fingerprint uint64
 	// RetryBudget is the profile's.
 	RetryBudget float64
+	// MaxRuns is on how many servers the request may run; 0: no bound of its own.
+	MaxRuns int
+	// EndsInTime tells that the final answer is due at Work.FinishBy, also when
+	// the caller holds a part of the answer.
+	EndsInTime bool
 	// Attempt is the last attempt that another entry may have used, 0 for none.
 	Attempt uint32
 	// Offset is how many tokens the caller has already.
@@ -117,6 +122,9 @@
 // CallerGone tells that the caller's connection is gone.
 type CallerGone struct{ RequestID string }
 
+// TimeUp tells that the time of a request with EndsInTime has run out.
+type TimeUp struct{ RequestID string }
+
 // Stop begins the planned stop of the entry. Keep is how long callers may still
 // come that were told of it before.
 type Stop struct{ Keep time.Duration }
@@ -132,4 +140,5 @@
 func (AttemptProgress) isEvent() {}
 func (AttemptEnded) isEvent()    {}
 func (CallerGone) isEvent()      {}
+func (TimeUp) isEvent()          {}
 func (Stop) isEvent()            {}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -36,6 +37,14 @@
 	Cluster    string
 	Identity   *pb.EntryIdentity
 	MaxStreams int
+	// BreakEnds tells that servers stop a request whose connection breaks. Else
+	// they go on, and a fresh connection can take it up.
+	BreakEnds bool
+	// Engines is what is assumed of engines that report no rates.
+	Engines decision.Pace
+	// Extra bounds what is sent beyond the first send of each request, over all
+	// entries; nil: only the profiles' retry budgets count.
+	Extra *admission.ExtraLimit
 }
 
 // Reducer decides for one entry. Not safe for concurrent use.
@@ -49,7 +58,9 @@
 	decide   decider
 	suspects suspectTable
 	// held is accepted work that does not wait in the queue.
-	held    []*request
+	held []*request
+	// extra is nil where Config.Extra is.
+	extra   *admission.Extra
 	report  reportBuffer
 	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
@@ -77,6 +88,7 @@
 		decide:   newDecider(),
 		suspects: newSuspectTable(),
 		report:   newReportBuffer(),
+		extra:    admission.NewExtra(cfg.Extra),
 	}
 }
 
@@ -111,6 +123,8 @@
 		r.attemptEnded(ev)
 	case CallerGone:
 		r.callerGone(ev)
+	case TimeUp:
+		r.timeUp(ev)
 	case Stop:
 		r.stop(ev)
 	}
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -80,6 +80,20 @@
 	}
 }
 
+func refuseTimeout() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusGatewayTimeout, Code: outcome.CodeDeadline,
+		Message: "no whole answer came within the time that the request may take",
+	}
+}
+
+func refuseRepeats() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeOverloaded,
+		Message: "too much is being sent again to send this once more", RetryAfter: soon,
+	}
+}
+
 func refuseLate() *outcome.Refusal {
 	return &outcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeDeadline,
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -31,6 +31,11 @@
 	// goes on with the attempt that runs there.
 	engineAttempt uint32
 	attempts      int
+	// runs is how many attempts may have run; maxRuns bounds them, 0: no bound.
+	runs    int
+	maxRuns int
+	// endsInTime: the final answer is due at work.FinishBy.
+	endsInTime bool
 	// server is where the attempt runs; nil while the request waits. prefill
 	// is the engine that prefills for it, if another one does.
 	server  *server
@@ -86,7 +91,9 @@
 	q := &request{
 		work: ev.Work, repeat: ev.Repeat, fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
 		attempt: ev.Attempt, done: ev.Offset, waitsSince: r.now,
+		maxRuns: ev.MaxRuns, endsInTime: ev.EndsInTime,
 	}
+	r.extra.Arrived(r.now, ev.Work.Service)
 	if ev.Attempt > 0 {
 		q.attempt = (ev.Attempt/attemptHop + 1) * attemptHop
 		q.engineAttempt = ev.Attempt
@@ -232,13 +239,21 @@
 	if q == nil {
 		return
 	}
-	if q.server != nil && q.repeat == RepeatResumable {
+	if q.server != nil && q.repeat == RepeatResumable && !r.cfg.BreakEnds {
 		r.emit(Cancel{RequestID: ev.RequestID, Attempt: q.engineAttempt, Address: q.server.pb.Address, After: cancelGrace})
 	}
 	r.finish(q)
 	r.startWaiting()
 }
 
+// timeUp gives a request whose time has run out its final answer, wherever it is.
+func (r *Reducer) timeUp(ev TimeUp) {
+	if q := r.requests[ev.RequestID]; q != nil {
+		r.refuse(q, refuseTimeout())
+		r.startWaiting()
+	}
+}
+
 // finish gives the final effect of a request that is not refused.
 func (r *Reducer) finish(q *request) {
 	r.forget(q)
@@ -287,7 +302,7 @@
 	for _, id := range sortedKeys(r.requests) {
 		q := r.requests[id]
 		end := q.work.FinishBy
-		if q.work.Resumed {
+		if q.work.Resumed && !q.endsInTime {
 			end = max(end, q.waitsSince) + max(end-q.work.Arrived, minResumedWait)
 		}
 		if q.server == nil && r.now >= end {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -225,7 +225,10 @@
 	for _, s := range r.servers.sorted {
 		failed := s.failures > 0
 		if left > 0 && !s.leaving && (failed || r.stale()) {
-			r.emit(Probe{Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address})
+			r.emit(Probe{
+				Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
+				Services: s.pb.Services, Model: s.pb.Model,
+			})
 			left--
 		}
 	}
@@ -266,11 +269,31 @@
 		Model: s.pb.Model, Adapters: s.pb.Adapters,
 		// A plain service does all of its work, as a mixed engine does.
 		Role:   cmp.Or(wire.Role(s.pb.Role), engineapi.RoleMixed),
-		Usable: usable, Slots: int(s.pb.Slots), Load: s.load, ReportedAt: s.reportedAt,
-		Sent: r.sent(s),
+		Usable: usable, Slots: int(s.pb.Slots), Load: r.loadOf(s), ReportedAt: s.reportedAt,
+		CountsOnly: s.countsOnly(), Sent: r.sent(s),
 	}
 }
 
+// countsOnly tells that the server reports how many requests it has, and no
+// tokens: its rates are never reported either.
+func (s *server) countsOnly() bool { return s.load.PrefillRate == 0 && s.load.DecodeRate == 0 }
+
+// loadOf is the server's load with the rates that are assumed of it if it
+// reports none.
+func (r *Reducer) loadOf(s *server) engineapi.Load {
+	load := s.load
+	if s.pb.Kind != pb.ServerKind_SERVER_KIND_MODEL {
+		return load
+	}
+	if load.PrefillRate == 0 {
+		load.PrefillRate = r.cfg.Engines.PrefillRate
+	}
+	if load.DecodeRate == 0 && r.cfg.Engines.TokenTime > 0 {
+		load.DecodeRate = float64(max(1, s.pb.Slots)) / r.cfg.Engines.TokenTime.Seconds()
+	}
+	return load
+}
+
 func (r *Reducer) sent(s *server) decision.Sent {
 	sent := decision.Sent{Requests: len(s.running)}
 	for _, id := range s.running {
@@ -280,6 +303,7 @@
 			sent.UrgentPrefillTokens += q.prefillLeft()
 		}
 		sent.DecodeTokens += q.decodeLeft()
+		sent.KVTokens += q.work.PromptTokens + q.work.OutputTokens
 	}
 	for _, w := range s.since {
 		sent.SinceRequests++
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -11,6 +11,8 @@
 	Declaration *declaration.Declaration
 	// Members maps the hash of a credential to its member.
 	Members map[string]*declaration.Member
+	// Routes are the declaration's host routes.
+	Routes declaration.RouteTable
 	// Entries are the entries of the view, in order of name.
 	Entries     []EntryWeight
 	ViewVersion uint64
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -31,6 +31,7 @@
 	objects     map[objectKey]*pb.Object
 	declaration *declaration.Declaration
 	members     map[string]*declaration.Member
+	routes      declaration.RouteTable
 	entries     map[string]*entryState
 	quarantine  map[quarantineKey]bool
 	// suspected are requests that ran on a server that died lately, and until
@@ -142,7 +143,7 @@
 	for i := range d.Members {
 		members[d.Members[i].CredentialSHA256] = &d.Members[i]
 	}
-	v.declaration, v.members = d, members
+	v.declaration, v.members, v.routes = d, members, declaration.NewRouteTable(d)
 }
 
 // applyEntries keeps since when each life of an entry is known. What a first
--- a/internal/traffic/control.go
+++ b/internal/host/control.go
@@ -1,4 +1,4 @@
-package traffic
+package host
 
 import (
 	"context"
@@ -18,18 +18,18 @@
 const (
 	// metaLeader is the key under which a replica names the leader.
 	metaLeader = "leader"
-	// controlPause is the wait between tries when no replica leads.
-	controlPause = 30 * time.Millisecond
+	// ControlPause is the wait between tries when no replica leads.
+	ControlPause = 30 * time.Millisecond
 	// avoidSilent is how long a replica that gave no answer is not gone back to
 	// on another one's word: about an election.
 	avoidSilent = time.Second
-	// controlTry bounds one try of a short call. A replica whose connection has
+	// ControlTry bounds one try of a short call. A replica whose connection has
 	// gone silent costs this much before another one is asked.
-	controlTry = 500 * time.Millisecond
+	ControlTry = 500 * time.Millisecond
 )
 
-// controlClient calls the control replica that leads.
-type controlClient struct {
+// ControlClient calls the control replica that leads.
+type ControlClient struct {
 	auth *rpc.Auth
 	http *http.Client
 
@@ -41,16 +41,17 @@
 	silent map[string]time.Time
 }
 
-func newControlClient(auth *rpc.Auth, addresses []string) *controlClient {
-	return &controlClient{
+// NewControlClient starts with any of the addresses.
+func NewControlClient(auth *rpc.Auth, addresses []string) *ControlClient {
+	return &ControlClient{
 		auth: auth, http: auth.Client(), addresses: slices.Clone(addresses),
 		current: addresses[rand.IntN(len(addresses))], clients: make(map[string]pb.Control),
 		silent: make(map[string]time.Time),
 	}
 }
 
-// learn takes the addresses that the view names beside those of the settings.
-func (c *controlClient) learn(addresses []string) {
+// Learn takes the addresses that the view names beside those of the settings.
+func (c *ControlClient) Learn(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range addresses {
@@ -60,7 +61,7 @@
 	}
 }
 
-func (c *controlClient) leader() (string, pb.Control) {
+func (c *ControlClient) leader() (string, pb.Control) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	client := c.clients[c.current]
@@ -75,7 +76,7 @@
 // named, else the next replica. A leader that has gone silent is still named by
 // the others until they have elected another; going back to it would cost a
 // timeout each time and the lease with them.
-func (c *controlClient) moveOn(address string, err error) {
+func (c *ControlClient) moveOn(address string, err error) {
 	named := ""
 	var twerr twirp.Error
 	if errors.As(err, &twerr) {
@@ -98,7 +99,7 @@
 
 // after gives the next replica that has not just been silent, else the next one.
 // It must be called with mu held.
-func (c *controlClient) after(address string) string {
+func (c *ControlClient) after(address string) string {
 	at := slices.Index(c.addresses, address)
 	for i := 1; i < len(c.addresses); i++ {
 		next := c.addresses[(at+i+len(c.addresses))%len(c.addresses)]
@@ -109,15 +110,15 @@
 	return c.addresses[(at+1)%len(c.addresses)]
 }
 
-// call tries fn at the leader, each time with a deadline of its own, until it
+// Call tries fn at the leader, each time with a deadline of its own, until it
 // succeeds or ctx ends. fn must be idempotent.
-func (c *controlClient) call(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
+func (c *ControlClient) Call(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
 	for {
 		err := c.once(ctx, try, fn)
 		if err == nil || ctx.Err() != nil || final(err) {
 			return err
 		}
-		pause := controlPause + rand.N(controlPause)
+		pause := ControlPause + rand.N(ControlPause)
 		select {
 		case <-ctx.Done():
 			return err
@@ -126,7 +127,7 @@
 	}
 }
 
-func (c *controlClient) once(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
+func (c *ControlClient) once(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
 	address, client := c.leader()
 	ctx, cancel := context.WithTimeout(ctx, try)
 	defer cancel()
--- a/internal/traffic/control_test.go
+++ b/internal/host/control_test.go
@@ -1,4 +1,4 @@
-package traffic
+package host
 
 import (
 	"context"
@@ -53,7 +53,7 @@
 	ice := &frozen{}
 	iceAt := serve(t, pb.NewControlServer(ice))
 	first, second := &follower{leader: iceAt}, &follower{leader: iceAt}
-	c := newControlClient(testAuth(t), []string{
+	c := NewControlClient(testAuth(t), []string{
 		iceAt, serve(t, pb.NewControlServer(first)), serve(t, pb.NewControlServer(second)),
 	})
 	c.current = iceAt
@@ -75,14 +75,14 @@
 
 // A replica that does not lead names the leader: the next try goes there.
 func TestLeaderIsFollowed(t *testing.T) {
-	leader := &fakeControl{}
+	leader := &leadingControl{}
 	leaderAt := serve(t, pb.NewControlServer(leader))
 	behind := &follower{leader: leaderAt}
-	c := newControlClient(testAuth(t), []string{serve(t, pb.NewControlServer(behind))})
+	c := NewControlClient(testAuth(t), []string{serve(t, pb.NewControlServer(behind))})
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	for range 2 {
-		err := c.call(ctx, patience, func(ctx context.Context, control pb.Control) error {
+		err := c.Call(ctx, patience, func(ctx context.Context, control pb.Control) error {
 			_, err := control.Report(ctx, &pb.ReportRequest{})
 			return err
 		})
--- a/internal/traffic/decisionlog.go
+++ b/internal/host/decisionlog.go
@@ -1,4 +1,4 @@
-package traffic
+package host
 
 import (
 	"context"
@@ -42,23 +42,23 @@
 }
 
 // writeDecisions writes lines until ctx ends, and then what is left.
-func (s *Server) writeDecisions(ctx context.Context) {
+func (h *Host) writeDecisions(ctx context.Context) {
 	for {
 		select {
-		case d := <-s.decisions.lines:
-			s.logDecision(d)
+		case d := <-h.decisions.lines:
+			h.logDecision(d)
 		case <-ctx.Done():
-			s.writeLeftDecisions()
+			h.writeLeftDecisions()
 			return
 		}
 	}
 }
 
-func (s *Server) writeLeftDecisions() {
+func (h *Host) writeLeftDecisions() {
 	for end := time.Now().Add(drainFor); time.Now().Before(end); {
 		select {
-		case d := <-s.decisions.lines:
-			s.logDecision(d)
+		case d := <-h.decisions.lines:
+			h.logDecision(d)
 		default:
 			return
 		}
@@ -67,15 +67,15 @@
 
 // logDecision writes one line. Routing lines may be sampled, refusals and
 // changes of servers and views are always written.
-func (s *Server) logDecision(d entry.LogDecision) {
-	s.countDecision(d)
+func (h *Host) logDecision(d entry.LogDecision) {
+	h.CountDecision(d)
 	sampled := d.Kind == entry.LogRoute || d.Kind == entry.LogWait
-	if sampled && rand.Float64() >= s.settings.Log.SampleRouting {
+	if sampled && rand.Float64() >= h.Settings.Log.SampleRouting {
 		return
 	}
 	attrs := []slog.Attr{slog.String("kind", d.Kind), slog.String("reason", d.Reason)}
 	for _, a := range []struct{ name, value string }{
-		{"request_id", wireIDOf(d.RequestID)}, {"member", d.Member}, {"profile", d.Profile},
+		{"request_id", WireIDOf(d.RequestID)}, {"member", d.Member}, {"profile", d.Profile},
 		{"class", d.Class}, {"server", d.Server},
 	} {
 		if a.value != "" {
@@ -87,14 +87,14 @@
 		figures = append(figures, slog.Float64(f.Name, f.Value))
 	}
 	attrs = append(attrs, slog.Group("figures", figures...))
-	s.log.LogAttrs(s.background, slog.LevelInfo, "decision", attrs...)
+	h.Log.LogAttrs(h.Background, slog.LevelInfo, "decision", attrs...)
 }
 
-// countDecision counts under names that always have the same labels: the
+// CountDecision counts a line under names that always have the same labels: the
 // metrics library panics when one name comes with two sets of them.
-func (s *Server) countDecision(d entry.LogDecision) {
-	s.metrics.Scope.Tagged(map[string]string{"kind": d.Kind}).Counter("decisions").Inc(1)
+func (h *Host) CountDecision(d entry.LogDecision) {
+	h.Metrics.Scope.Tagged(map[string]string{"kind": d.Kind}).Counter("decisions").Inc(1)
 	if d.Kind == entry.LogRefuse {
-		s.metrics.Scope.Tagged(map[string]string{"code": d.Reason}).Counter("refusals").Inc(1)
+		h.Metrics.Scope.Tagged(map[string]string{"code": d.Reason}).Counter("refusals").Inc(1)
 	}
 }
--- a/internal/traffic/core.go
+++ b/internal/host/loop.go
@@ -1,11 +1,14 @@
-package traffic
+package host
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 )
@@ -25,9 +28,9 @@
 	mailboxSize = 8
 )
 
-// core owns the reducer: one goroutine steps it, traffic goroutines post events
+// loop owns the reducer: one goroutine steps it, traffic goroutines post events
 // and wait at their request's mailbox for effects.
-type core struct {
+type loop struct {
 	reducer  *entry.Reducer
 	events   chan entry.Event
 	carryOut func(entry.Effect)
@@ -38,18 +41,18 @@
 	mailboxes map[string]chan entry.Effect
 }
 
-func newCore(r *entry.Reducer, carryOut func(entry.Effect)) *core {
-	c := &core{
+func newLoop(r *entry.Reducer, carryOut func(entry.Effect)) *loop {
+	l := &loop{
 		reducer: r, events: make(chan entry.Event, eventBuffer), carryOut: carryOut,
 		stopped: make(chan struct{}), mailboxes: make(map[string]chan entry.Effect),
 	}
-	c.snapshot.Store(&entry.Snapshot{})
-	return c
+	l.snapshot.Store(&entry.Snapshot{})
+	return l
 }
 
 // run steps the reducer until ctx ends.
-func (c *core) run(ctx context.Context) {
-	defer close(c.stopped)
+func (l *loop) run(ctx context.Context) {
+	defer close(l.stopped)
 	timer := time.NewTimer(tickEvery)
 	defer timer.Stop()
 	quiet := false
@@ -57,15 +60,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ev := <-c.events:
-			c.step(ev)
-			if quiet && !c.reducer.Quiet() {
+		case ev := <-l.events:
+			l.step(ev)
+			if quiet && !l.reducer.Quiet() {
 				quiet = false
 				timer.Reset(tickEvery)
 			}
 		case <-timer.C:
-			c.step(entry.Tick{})
-			quiet = c.reducer.Quiet()
+			l.step(entry.Tick{})
+			quiet = l.reducer.Quiet()
 			timer.Reset(tickPace(quiet))
 		}
 	}
@@ -78,59 +81,72 @@
 	return tickEvery
 }
 
-func (c *core) step(ev entry.Event) {
-	for _, e := range c.reducer.Step(clock.Boot(), ev) {
+func (l *loop) step(ev entry.Event) {
+	for _, e := range l.reducer.Step(clock.Boot(), ev) {
 		switch e := e.(type) {
 		case entry.Publish:
-			c.snapshot.Store(e.Snapshot)
+			l.snapshot.Store(e.Snapshot)
 		case entry.Dispatch:
-			c.deliver(e.RequestID, e)
+			l.deliver(e.RequestID, e)
 		case entry.Refuse:
-			c.deliver(e.RequestID, e)
+			l.deliver(e.RequestID, e)
 		case entry.Finish:
-			c.deliver(e.RequestID, e)
+			l.deliver(e.RequestID, e)
 		default:
-			c.carryOut(e)
+			l.carryOut(e)
 		}
 	}
 }
 
 // post hands an event to the reducer. After the end it does nothing.
-func (c *core) post(ev entry.Event) {
+func (l *loop) post(ev entry.Event) {
 	select {
-	case c.events <- ev:
-	case <-c.stopped:
+	case l.events <- ev:
+	case <-l.stopped:
 	}
 }
 
 // open gives the mailbox of a request.
-func (c *core) open(id string) <-chan entry.Effect {
+func (l *loop) open(id string) <-chan entry.Effect {
 	box := make(chan entry.Effect, mailboxSize)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.mailboxes[id] = box
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mailboxes[id] = box
 	return box
 }
 
-func (c *core) close(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.mailboxes, id)
+func (l *loop) close(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.mailboxes, id)
 }
 
 // open requests, for the planned stop.
-func (c *core) openRequests() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.mailboxes)
+func (l *loop) openRequests() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.mailboxes)
 }
 
-func (c *core) deliver(id string, e entry.Effect) {
-	c.mu.Lock()
-	box := c.mailboxes[id]
-	c.mu.Unlock()
+func (l *loop) deliver(id string, e entry.Effect) {
+	l.mu.Lock()
+	box := l.mailboxes[id]
+	l.mu.Unlock()
 	if box == nil {
 		return
 	}
 	box <- e
 }
+
+const jobSeparator = "#"
+
+// NewJobKey names one run of a request at this entry towards the reducer: a
+// caller that takes its request over begins another run of the same request,
+// and the last effect for the old run must not end the new one.
+func NewJobKey(wireID string) string { return wireID + jobSeparator + uuid.NewString()[:8] }
+
+// WireIDOf gives the request id towards servers of a run.
+func WireIDOf(jobKey string) string {
+	wireID, _, _ := strings.Cut(jobKey, jobSeparator)
+	return wireID
+}
--- a/internal/traffic/spawn.go
+++ b/internal/host/spawn.go
@@ -1,4 +1,4 @@
-package traffic
+package host
 
 import (
 	"os"
@@ -6,14 +6,14 @@
 	"github.com/sourcegraph/conc/panics"
 )
 
-// spawn runs f on a goroutine of its own. A panic in it is logged at once:
+// Spawn runs f on a goroutine of its own. A panic in it is logged at once:
 // conc would keep it until the end of the process and nobody would know why a
 // request hangs.
-func (s *Server) spawn(f func()) {
-	s.tasks.Go(func() {
+func (h *Host) Spawn(f func()) {
+	h.tasks.Go(func() {
 		if r := panics.Try(f); r != nil {
-			s.log.Error("a task panicked", "panic", r.String())
-			s.metrics.Scope.Counter("panics").Inc(1)
+			h.Log.Error("a task panicked", "panic", r.String())
+			h.Metrics.Scope.Counter("panics").Inc(1)
 		}
 	})
 }
@@ -21,12 +21,12 @@
 // exitPanicked is the exit code of Go's own panics.
 const exitPanicked = 2
 
-// orDie runs a loop that the entry can't do without. After a panic its state
+// OrDie runs a loop that the entry can't do without. After a panic its state
 // can't be trusted and the process ends: callers go on at other entries, while
 // an entry whose reducer stands still would hold them for ever.
-func (s *Server) orDie(f func()) {
+func (h *Host) OrDie(f func()) {
 	if r := panics.Try(f); r != nil {
-		s.log.Error("a loop panicked; the entry ends", "panic", r.String())
+		h.Log.Error("a loop panicked; the entry ends", "panic", r.String())
 		os.Exit(exitPanicked)
 	}
 }
--- a/internal/traffic/watch.go
+++ b/internal/host/watch.go
@@ -1,4 +1,4 @@
-package traffic
+package host
 
 import (
 	"context"
@@ -19,48 +19,48 @@
 )
 
 // watch keeps the view up to date until ctx ends.
-func (s *Server) watch(ctx context.Context) {
+func (h *Host) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		var sent time.Duration
 		var resp *pb.WatchResponse
-		err := s.control.call(ctx, watchTry, func(ctx context.Context, c pb.Control) error {
+		err := h.Control.Call(ctx, watchTry, func(ctx context.Context, c pb.Control) error {
 			var err error
 			sent = clock.Boot()
-			resp, err = c.Watch(ctx, s.watchRequest())
+			resp, err = c.Watch(ctx, h.watchRequest())
 			return err
 		})
 		if err != nil {
-			s.log.Warn("watch failed", "error", err)
-			pause(ctx, time.Second)
+			h.Log.Warn("watch failed", "error", err)
+			Pause(ctx, time.Second)
 			continue
 		}
-		s.control.learn(resp.Control)
-		s.core.post(entry.ViewReceived{SentAt: sent, Response: resp})
-		s.awaitVersion(ctx, resp.Version)
+		h.Control.Learn(resp.Control)
+		h.Post(entry.ViewReceived{SentAt: sent, Response: resp})
+		h.awaitVersion(ctx, resp.Version)
 	}
 }
 
 // awaitVersion lets the reducer apply a view before the next poll names its
 // version, for a bounded time: the reducer may have dropped it.
-func (s *Server) awaitVersion(ctx context.Context, version uint64) {
+func (h *Host) awaitVersion(ctx context.Context, version uint64) {
 	for range 10 {
-		if s.core.snapshot.Load().ViewVersion >= version || !pause(ctx, time.Millisecond) {
+		if h.Snapshot().ViewVersion >= version || !Pause(ctx, time.Millisecond) {
 			return
 		}
 	}
 }
 
-func (s *Server) watchRequest() *pb.WatchRequest {
-	snap := s.core.snapshot.Load()
+func (h *Host) watchRequest() *pb.WatchRequest {
+	snap := h.Snapshot()
 	return &pb.WatchRequest{
-		ClusterId: s.settings.Cluster, Entry: s.identity, KnownVersion: snap.ViewVersion,
+		ClusterId: h.Settings.Cluster, Entry: h.Identity, KnownVersion: snap.ViewVersion,
 		Revision: snap.Revision, Leaving: snap.Leaving, Load: snap.Load,
 		HoldMs: uint32(watchHold.Milliseconds()),
 	}
 }
 
-// pause waits; false when ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits; false when ctx ended before.
+func Pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
--- /dev/null
+++ b/internal/httpconn/answer.go
@@ -0,0 +1,142 @@
+package httpconn
+
+import (
+	"errors"
+	"io"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Lengths of a body as fasthttp tells them.
+const (
+	lengthChunked = -1
+	// lengthToEnd: the body ends where the connection does.
+	lengthToEnd = -2
+)
+
+// Answer is an answer whose head has been read. Close must be called.
+type Answer struct {
+	Header  fasthttp.ResponseHeader
+	client  *Client
+	conn    *conn
+	unwatch func() bool
+	body    io.Reader
+	length  int
+	// whole is set once the body has been read to its end.
+	whole bool
+}
+
+// exchange writes the request and reads the head of the answer to it.
+func (a *Answer) exchange(call Call) error {
+	err := call.Request.Write(a.conn.w)
+	if err == nil {
+		err = a.conn.w.Flush()
+	}
+	if err != nil {
+		return Classify(err)
+	}
+	skipBody := call.Request.Header.IsHead()
+	for range maxSkipped {
+		if err := a.readHead(skipBody); err != nil {
+			return err
+		}
+		if call.Mine == nil || call.Mine(&a.Header) {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, a); err != nil || !a.keepable() {
+			return Mixed.New("the answer is to another request")
+		}
+	}
+	return Mixed.New("%d answers are to other requests", maxSkipped)
+}
+
+func (a *Answer) readHead(skipBody bool) error {
+	a.whole = false
+	a.Header.Reset()
+	// The library's reader takes heads of 1xx for answers; they only announce one.
+	for {
+		if err := a.Header.Read(a.conn.r); err != nil {
+			return Classify(err)
+		}
+		if status := a.Header.StatusCode(); status >= 200 {
+			break
+		}
+	}
+	a.length = a.Header.ContentLength()
+	status := a.Header.StatusCode()
+	if skipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		a.length = 0
+	}
+	switch a.length {
+	case lengthChunked:
+		a.body = httputil.NewChunkedReader(a.conn.r)
+	case lengthToEnd:
+		a.body = a.conn.r
+	default:
+		a.body = io.LimitReader(a.conn.r, int64(a.length))
+	}
+	return nil
+}
+
+// Length is the body's length, less than 0 if it is not told.
+func (a *Answer) Length() int { return a.length }
+
+// ToEnd tells that the body ends only where the connection does, so that an end
+// on the way can't be told from its end.
+func (a *Answer) ToEnd() bool { return a.length == lengthToEnd }
+
+// Read gives the body's bytes and io.EOF once it is whole. Errors: Broken for a
+// body that ends early.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.whole {
+		return 0, io.EOF
+	}
+	n, err := a.body.Read(p)
+	if a.length >= 0 {
+		a.length -= n
+	}
+	switch {
+	case errors.Is(err, io.EOF) && a.length > 0:
+		return n, Broken.New("the body ends %d bytes early", a.length)
+	case errors.Is(err, io.EOF):
+		return n, a.end()
+	case err != nil:
+		return n, Broken.Wrap(err, "body")
+	}
+	return n, nil
+}
+
+// end takes what follows the last chunk of a body.
+func (a *Answer) end() error {
+	if a.Header.ContentLength() == lengthChunked {
+		for {
+			line, err := a.conn.r.ReadSlice('\n')
+			if err != nil {
+				return Broken.Wrap(err, "trailer")
+			}
+			if len(line) <= 2 {
+				break
+			}
+		}
+	}
+	a.whole = true
+	return io.EOF
+}
+
+// keepable tells whether the connection can carry another request.
+func (a *Answer) keepable() bool {
+	return a.whole && a.Header.ContentLength() != lengthToEnd && !a.Header.ConnectionClose() &&
+		a.conn.r.Buffered() == 0
+}
+
+// Close gives the connection back if the body has been read to its end, and
+// closes it otherwise: the server then stops its work.
+func (a *Answer) Close() {
+	untouched := a.unwatch()
+	if untouched && a.keepable() {
+		a.client.keep(a.conn)
+		return
+	}
+	a.client.drop(a.conn)
+}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -2,6 +2,8 @@
 package obs
 
 import (
+	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -18,6 +20,9 @@
 // reportInterval is how often tally hands its counters to the registry.
 const reportInterval = time.Second
 
+// readHeaderTimeout bounds how long a reader of metrics may take to ask.
+const readHeaderTimeout = 5 * time.Second
+
 // NewLogger gives a logger of JSON lines with the process's name.
 func NewLogger(w io.Writer, process string, s settings.Log) *slog.Logger {
 	var level slog.Level
@@ -51,5 +56,17 @@
 	}
 }
 
+// Serve serves the page at /metrics of an address of its own until ctx ends. Without
+// it the process goes on: nobody's request needs metrics.
+func (m *Metrics) Serve(ctx context.Context, address string, log *slog.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler)
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		log.Error("metrics are not served", "address", address, "error", err.Error())
+	}
+}
+
 // Close writes out what is counted.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,8 +6,13 @@
 import (
 	"net"
 	"os"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/finding"
 	"goldcrestseam.dev/goldcrestseam/internal/yamlfile"
 )
@@ -23,6 +28,15 @@
 	DataCentre string `yaml:"data_centre"`
 	// Control lists the control replicas' addresses, host:port.
 	Control []string `yaml:"control"`
+	// ControlPort takes the place of the ports in Control, for addresses that
+	// name the replicas' VMs by another service of theirs. Default 0: as listed.
+	ControlPort int `yaml:"control_port"`
+	// MetricsAddress is where metrics are served besides, at /metrics, host:port;
+	// empty for nowhere else.
+	MetricsAddress string `yaml:"metrics_address"`
+	// MemoryMB is what the process may use of the VM's memory; the runtime
+	// collects garbage harder as it comes near. Default 0: no bound.
+	MemoryMB int `yaml:"memory_mb"`
 	// Auth says how the system's own processes know each other.
 	Auth Auth `yaml:"auth"`
 	// Log sets up logging.
@@ -38,6 +52,10 @@
 	CertFile string `yaml:"cert_file"`
 	KeyFile  string `yaml:"key_file"`
 	CAFile   string `yaml:"ca_file"`
+	// TrustedNetwork leaves the protocols open to whoever reaches their
+	// addresses, for networks that only the deployment's own VMs are on. Default
+	// false.
+	TrustedNetwork bool `yaml:"trusted_network"`
 }
 
 // TLS tells whether TLS is on.
@@ -55,8 +73,15 @@
 // Entry holds the settings of goldcrest-entry.
 type Entry struct {
 	Common `yaml:"common"`
-	// CallerAddress is where callers and backend servers connect, host:port.
+	// CallerAddress is where callers and backend servers connect, host:port. It
+	// may be empty where Relay has one.
 	CallerAddress string `yaml:"caller_address"`
+	// Relay serves host routes; left out, it is off.
+	Relay Relay `yaml:"relay"`
+	// Engines is what is assumed of model engines until it has been measured.
+	Engines Engines `yaml:"engines"`
+	// Repeats bounds what is sent again, over all entries.
+	Repeats Repeats `yaml:"repeats"`
 	// PeerAddress is where other entries connect and metrics are served.
 	PeerAddress string `yaml:"peer_address"`
 	// MaxBodyBytes bounds a caller's body; a larger one is answered 413.
@@ -72,6 +97,41 @@
 	StopTimeout time.Duration `yaml:"stop_timeout"`
 }
 
+// Relay is where an entry serves callers whose requests are passed on as they
+// are, by the declaration's host routes.
+type Relay struct {
+	// CallerAddress is where such callers connect, host:port.
+	CallerAddress string `yaml:"caller_address"`
+	// DirectoryAddress is where they ask which entries to use.
+	DirectoryAddress string `yaml:"directory_address"`
+	// ReadyAddress is where the entry tells whether it is ready.
+	ReadyAddress string `yaml:"ready_address"`
+}
+
+// On tells whether the entry relays.
+func (r Relay) On() bool { return r.CallerAddress != "" }
+
+// Engines holds rates that are assumed of engines that report none.
+type Engines struct {
+	// PrefillRate is in tokens a second. Default 5000, a mixed engine's of
+	// internal/enginemodel.
+	PrefillRate float64 `yaml:"prefill_rate"`
+	// TokenTime is the time of one token of a stream on a busy engine. Default
+	// 36ms, from the same model.
+	TokenTime time.Duration `yaml:"token_time"`
+}
+
+// Repeats bounds what a deployment's entries together send beyond the first send
+// of each request. Zero Window: only the profiles' retry budgets count.
+type Repeats struct {
+	// Ratio is how many such sends a service may get per request for it.
+	Ratio float64 `yaml:"ratio"`
+	// Extra is how many it may get besides in each window.
+	Extra int `yaml:"extra"`
+	// Window is the span over which both are counted.
+	Window time.Duration `yaml:"window"`
+}
+
 // ControlReplica is one replica of the group as settings bootstrap it.
 type ControlReplica struct {
 	// ID is the replica id, at least 1.
@@ -97,6 +157,16 @@
 	// Join starts an empty data folder as a replica that waits to be added
 	// with goldcrestctl replica add. Default false.
 	Join bool `yaml:"join"`
+	// GroupFromControl takes the place of ReplicaID and Bootstrap. At FirstStart a
+	// replica whose Address is one of Common.Control is a first member, under an
+	// id made from that address. Any other one, and one whose folder is lost,
+	// draws an id and waits to be added. Default false.
+	GroupFromControl bool `yaml:"group_from_control"`
+	// FirstStart is true only while the whole deployment starts for the first time.
+	FirstStart bool `yaml:"first_start"`
+	// RegistryAddress is where backend servers announce themselves to control
+	// and operators of a relayed deployment call, host:port; empty for none.
+	RegistryAddress string `yaml:"registry_address"`
 	// ElectionTimeout: a follower that hears no leader for one to two times
 	// this long stands for election. Default 400ms.
 	ElectionTimeout time.Duration `yaml:"election_timeout"`
@@ -117,6 +187,8 @@
 	DefaultElectionTimeout = 400 * time.Millisecond
 	DefaultSnapshotEntries = 2000
 	DefaultOrderPause      = 10 * time.Second
+	DefaultPrefillRate     = decision.AssumedPrefillRate
+	DefaultTokenTime       = 36 * time.Millisecond
 	minSharedKeyBytes      = 16
 )
 
@@ -132,6 +204,7 @@
 		return nil, unreadable(path)
 	}
 	s.check(file)
+	s.usePort()
 	return s, file.Findings()
 }
 
@@ -147,6 +220,8 @@
 		return nil, unreadable(path)
 	}
 	s.check(file)
+	s.usePort()
+	s.formGroup()
 	return s, file.Findings()
 }
 
@@ -169,8 +244,19 @@
 
 func (s *Entry) check(file *yamlfile.File) {
 	s.Common.check(file)
-	checkAddress(file, "caller_address", s.CallerAddress)
+	if s.CallerAddress != "" || !s.Relay.On() {
+		checkAddress(file, "caller_address", s.CallerAddress)
+	}
+	if s.Relay.On() {
+		checkAddress(file, "relay.caller_address", s.Relay.CallerAddress)
+		checkAddress(file, "relay.directory_address", s.Relay.DirectoryAddress)
+		checkAddress(file, "relay.ready_address", s.Relay.ReadyAddress)
+	}
 	checkAddress(file, "peer_address", s.PeerAddress)
+	s.Engines.check(file)
+	if s.Repeats.Ratio < 0 || s.Repeats.Extra < 0 || s.Repeats.Window < 0 {
+		file.Add("repeats", "ratio, extra and window must not be less than 0")
+	}
 	if s.CallerAddress == s.PeerAddress {
 		file.Add("peer_address", "is the caller address too; use another port")
 	}
@@ -182,9 +268,12 @@
 
 func (s *Control) check(file *yamlfile.File) {
 	s.Common.check(file)
-	if s.ReplicaID == 0 {
+	if s.ReplicaID == 0 && !s.GroupFromControl {
 		file.Add("replica_id", "must be at least 1")
 	}
+	if s.RegistryAddress != "" {
+		checkAddress(file, "registry_address", s.RegistryAddress)
+	}
 	checkAddress(file, "address", s.Address)
 	if s.DataDir == "" {
 		file.Add("data_dir", "is missing; name a folder on the VM's disk")
@@ -196,6 +285,12 @@
 }
 
 func (s *Control) checkBootstrap(file *yamlfile.File) {
+	if s.GroupFromControl {
+		if len(s.Bootstrap) > 0 || s.ReplicaID != 0 || s.Join {
+			file.Add("group_from_control", "takes the place of bootstrap, replica_id and join; leave them out")
+		}
+		return
+	}
 	if len(s.Bootstrap) == 0 && !s.Join {
 		file.Add("bootstrap", "is empty: no quorum; list the replicas or set join: true")
 	}
@@ -241,13 +336,54 @@
 	for i, a := range s.Control {
 		checkAddress(file, elem("common.control", i), a)
 	}
+	if s.ControlPort < 0 || s.ControlPort > maxPort {
+		file.Add("common.control_port", "%d is not a port", s.ControlPort)
+	}
+	if s.MetricsAddress != "" {
+		checkAddress(file, "common.metrics_address", s.MetricsAddress)
+	}
+	if s.MemoryMB < 0 {
+		file.Add("common.memory_mb", "is less than 0")
+	}
 	s.Auth.check(file)
 	s.Log.check(file)
 }
 
+const maxPort = 1<<16 - 1
+
+// usePort puts ControlPort into the addresses of the control replicas.
+func (s *Common) usePort() {
+	if s.ControlPort == 0 {
+		return
+	}
+	for i, a := range s.Control {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			s.Control[i] = net.JoinHostPort(host, strconv.Itoa(s.ControlPort))
+		}
+	}
+}
+
+// formGroup makes the bootstrap list that GroupFromControl stands for.
+func (s *Control) formGroup() {
+	if !s.GroupFromControl {
+		return
+	}
+	if !s.FirstStart || !slices.Contains(s.Control, s.Address) {
+		s.Join = true
+		return
+	}
+	for _, a := range s.Control {
+		s.Bootstrap = append(s.Bootstrap, ControlReplica{ID: replicaIDOf(a), Address: a, Region: s.Region})
+	}
+	s.ReplicaID = replicaIDOf(s.Address)
+}
+
+// replicaIDOf gives the id that a first member has by its address.
+func replicaIDOf(address string) uint64 { return max(1, xxhash.Sum64String(address)) }
+
 func (a Auth) check(file *yamlfile.File) {
-	if a.SharedKeyFile == "" && !a.TLS() {
-		file.Add("common.auth", "names neither shared_key_file nor cert_file; one is required")
+	if a.SharedKeyFile == "" && !a.TLS() && !a.TrustedNetwork {
+		file.Add("common.auth", "names neither shared_key_file nor cert_file; one is required unless trusted_network is true")
 	}
 	if a.SharedKeyFile != "" {
 		key, err := os.ReadFile(a.SharedKeyFile)
@@ -283,6 +419,18 @@
 	}
 }
 
+func (e *Engines) check(file *yamlfile.File) {
+	if e.PrefillRate < 0 || e.TokenTime < 0 {
+		file.Add("engines", "prefill_rate and token_time must be more than 0")
+	}
+	if e.PrefillRate == 0 {
+		e.PrefillRate = DefaultPrefillRate
+	}
+	if e.TokenTime == 0 {
+		e.TokenTime = DefaultTokenTime
+	}
+}
+
 func checkPositive(file *yamlfile.File, path string, v int) {
 	if v <= 0 {
 		file.Add(path, "must be more than 0")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,8 +42,10 @@
 
 // Options says which folder is opened and for whom.
 type Options struct {
-	Dir       string
-	Cluster   string
+	Dir     string
+	Cluster string
+	// ReplicaID is 0 for a replica that keeps the id of its folder and draws one
+	// for a new folder.
 	ReplicaID uint64
 	// Bootstrap is the first member list of a new cluster, the same at each of
 	// its replicas. It counts only while the folder is empty and Join is false.
@@ -130,6 +132,9 @@
 }
 
 func create(o Options) error {
+	if o.ReplicaID == 0 {
+		o.ReplicaID = max(1, rand.Uint64())
+	}
 	temp := filepath.Join(o.Dir, newFileName)
 	if err := os.RemoveAll(temp); err != nil {
 		return Failed.Wrap(err, "left-over file")
@@ -250,7 +255,7 @@
 	}
 	s.takeNewID(o, r)
 	id := s.folder.Identity
-	if s.folder.ClusterId != o.Cluster || id.GetId() != o.ReplicaID {
+	if s.folder.ClusterId != o.Cluster || o.ReplicaID != 0 && id.GetId() != o.ReplicaID {
 		return nil, Foreign.New("the folder belongs to replica %d of cluster %q", id.GetId(), s.folder.ClusterId)
 	}
 	if err := s.removeStrays(); err != nil {
@@ -269,7 +274,7 @@
 func (s *Store) takeNewID(o Options, r *Recovered) {
 	init := r.Initial
 	unused := init.HardState.GetTerm() == 0 && len(init.Entries) == 0 && s.snapshot == nil
-	if !unused || !r.Joined || !o.Join || s.folder.ClusterId != o.Cluster || s.folder.Identity.GetId() == o.ReplicaID {
+	if o.ReplicaID == 0 || !unused || !r.Joined || !o.Join || s.folder.ClusterId != o.Cluster || s.folder.Identity.GetId() == o.ReplicaID {
 		return
 	}
 	s.folder.Identity = &pb.ReplicaIdentity{Id: o.ReplicaID, Incarnation: uuid.NewString()}
--- a/internal/traffic/cancels.go
+++ b/internal/traffic/cancels.go
@@ -6,6 +6,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 )
 
 // cancels holds the cancels that wait for their time. One is dropped when the
@@ -28,7 +29,7 @@
 }
 
 func (c *cancels) plan(e entry.Cancel) {
-	wireID := wireIDOf(e.RequestID)
+	wireID := host.WireIDOf(e.RequestID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if e.After > 0 && time.Now().Before(c.kept[wireID]) {
--- a/internal/traffic/claims.go
+++ b/internal/traffic/claims.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -39,7 +40,7 @@
 
 // claims hands claims and settlements to control, in batches.
 type claims struct {
-	control *controlClient
+	control *host.ControlClient
 	cluster string
 	wake    chan struct{}
 	wakeSet chan struct{}
@@ -51,7 +52,7 @@
 	underWay int
 }
 
-func newClaims(control *controlClient, cluster string) *claims {
+func newClaims(control *host.ControlClient, cluster string) *claims {
 	return &claims{
 		control: control, cluster: cluster,
 		wake: make(chan struct{}, 1), wakeSet: make(chan struct{}, 1),
@@ -114,7 +115,7 @@
 			return
 		case <-c.wake:
 		}
-		pause(ctx, claimGather)
+		host.Pause(ctx, claimGather)
 		for batch := takeBatch(c, &c.claims); len(batch) > 0; batch = takeBatch(c, &c.claims) {
 			spawn(func() { c.sendClaims(ctx, batch) })
 		}
@@ -140,13 +141,13 @@
 		req.Claims = append(req.Claims, w.claim.pb)
 	}
 	var resp *pb.ClaimResponse
-	err := c.control.call(ctx, controlTry, func(ctx context.Context, control pb.Control) error {
+	err := c.control.Call(ctx, host.ControlTry, func(ctx context.Context, control pb.Control) error {
 		var err error
 		resp, err = control.Claim(ctx, req)
 		return err
 	})
 	if err != nil || len(resp.Results) != len(batch) {
-		pause(ctx, controlPause)
+		host.Pause(ctx, host.ControlPause)
 		c.askAgain(batch)
 		return
 	}
@@ -175,7 +176,7 @@
 			return
 		case <-c.wakeSet:
 		}
-		pause(ctx, claimGather)
+		host.Pause(ctx, claimGather)
 		for batch := takeBatch(c, &c.settling); len(batch) > 0; batch = takeBatch(c, &c.settling) {
 			c.sendSettlements(ctx, batch)
 		}
@@ -189,7 +190,7 @@
 	for _, w := range batch {
 		req.Settlements = append(req.Settlements, w.pb)
 	}
-	err := c.control.call(ctx, settleTry, func(ctx context.Context, control pb.Control) error {
+	err := c.control.Call(ctx, settleTry, func(ctx context.Context, control pb.Control) error {
 		_, err := control.Settle(ctx, req)
 		return err
 	})
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -18,6 +18,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -83,7 +84,7 @@
 // newModelJob puts together what the reducer and the engine need.
 func (s *Server) newModelJob(k *call, req *completionRequest, service *declaration.Service, wireID string) *modelJob {
 	profile := k.snap.Declaration.Profile(service.Profile)
-	salt := cacheSalt(s.settings.Cluster, k.member.Name)
+	salt := cacheSalt(s.host.Settings.Cluster, k.member.Name)
 	now := clock.Boot()
 	seed := fingerprint(k.member.Name, k.requestID)
 	if req.Seed != nil {
@@ -93,7 +94,7 @@
 		s: s, request: req, wireID: wireID, pieces: make(chan piece, pieceBuffer),
 		arrived: entry.Arrived{
 			Work: decision.Work{
-				RequestID: newJobKey(wireID), Member: k.member.Name, MemberWeight: k.member.Weight,
+				RequestID: host.NewJobKey(wireID), Member: k.member.Name, MemberWeight: k.member.Weight,
 				Service: service.Name, Profile: profile.Name, ProfileShare: profile.Share,
 				Class: profile.Class, Kind: declaration.KindModel, Model: service.Model,
 				Adapter: service.Adapter, PromptTokens: promptTokens(req.Prompt),
@@ -112,25 +113,12 @@
 	}
 	j.record = newStreamRecord(&pb.StreamRecord{
 		Member: k.member.Name, RequestId: k.requestID, WireId: wireID, Service: service.Name,
-		Owner: s.identity.Name, Body: k.body, CreatedUnixMs: time.Now().UnixMilli(),
+		Owner: s.host.Identity.Name, Body: k.body, CreatedUnixMs: time.Now().UnixMilli(),
 	})
 	s.records.put(j.record)
 	return j
 }
 
-// newJobKey names one run of a request at this entry towards the reducer: a
-// caller that takes its request over begins another run of the same request,
-// and the last effect for the old run must not end the new one.
-func newJobKey(wireID string) string { return wireID + jobSeparator + uuid.NewString()[:8] }
-
-const jobSeparator = "#"
-
-// wireIDOf gives the request id towards servers of a run.
-func wireIDOf(jobKey string) string {
-	wireID, _, _ := strings.Cut(jobKey, jobSeparator)
-	return wireID
-}
-
 // cacheSalt keeps members' prefix caches apart: with a shared cache a member
 // could tell from the time to the first token what another has asked.
 func cacheSalt(cluster, member string) string {
@@ -147,9 +135,9 @@
 
 // answerModel drives the job and answers its caller.
 func (s *Server) answerModel(c *fiber.Ctx, j *modelJob) error {
-	ctx, cancel := context.WithCancel(s.background)
+	ctx, cancel := context.WithCancel(s.host.Background)
 	done := s.jobs.add(j.wireID, cancel)
-	s.spawn(func() {
+	s.host.Spawn(func() {
 		defer done()
 		defer cancel()
 		j.run(ctx)
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -2,17 +2,15 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -37,20 +35,6 @@
 // Namespace holds the error types of this package.
 var Namespace = errorx.NewNamespace("traffic")
 
-// Error types of calls to backend servers.
-var (
-	// NotSent: the connection could not be opened; no byte was sent.
-	NotSent = Namespace.NewType("not_sent")
-	// Refused: nothing listens at the address; the process is gone.
-	Refused = NotSent.NewSubtype("refused")
-	// Broken: the connection failed or went silent after bytes were sent.
-	Broken = Namespace.NewType("broken")
-	// Closed: the connection was opened and then closed without any answer.
-	Closed = Broken.NewSubtype("closed")
-	// Mixed: the answer is not to this request and attempt.
-	Mixed = Namespace.NewType("mixed")
-)
-
 // engineClient calls backend servers.
 type engineClient struct {
 	// fresh opens a connection for each call: streams, once-only calls.
@@ -86,52 +70,14 @@
 	}
 }
 
-// dialError tells a failed dial from all that can fail later.
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
-func (e *dialError) Unwrap() error { return e.cause }
-
 func dialServer(address string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, serverDial)
 	if err != nil {
-		return nil, &dialError{cause: err}
+		return nil, &httpconn.DialError{Cause: err}
 	}
 	return conn, nil
 }
 
-// classify gives the error its type. Wrapping hides the cause from errors.Is, so
-// that a refused connection gets a type of its own here.
-func classify(err error) error {
-	var dial *dialError
-	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNREFUSED) {
-		return Refused.Wrap(err, "no connection")
-	}
-	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return NotSent.Wrap(err, "no connection")
-	}
-	if closedWithoutAnswer(err) {
-		return Closed.Wrap(err, "call")
-	}
-	return Broken.Wrap(err, "call")
-}
-
-func closedWithoutAnswer(err error) bool {
-	for _, known := range []error{fasthttp.ErrConnectionClosed, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, known) {
-			return true
-		}
-	}
-	return false
-}
-
-// gone tells whether a new connection to a server shows that its process is
-// gone: nothing listens there, or what stands in between opens the connection
-// and closes it at once. A timeout does not show it: the server may be frozen.
-func gone(err error) bool {
-	return errorx.IsOfType(err, Refused) || errorx.IsOfType(err, Closed)
-}
-
 // said is what a backend server says of itself on every answer.
 type said struct {
 	state       engineapi.State
@@ -178,7 +124,7 @@
 // looksGone asks a server for its health to learn whether it died of a call.
 func (c *engineClient) looksGone(address string) bool {
 	_, _, err := c.bytes(fasthttp.MethodGet, "http://"+address+engineapi.PathHealth, nil, probeTimeout)
-	return err != nil && gone(err)
+	return err != nil && httpconn.Gone(err)
 }
 
 // cancel stops attempts of a request. It is idempotent and sent twice at most.
@@ -219,7 +165,7 @@
 		req.SetBodyRaw(body)
 	}
 	if err := c.fresh.DoTimeout(req, resp, timeout); err != nil {
-		return 0, nil, classify(err)
+		return 0, nil, httpconn.Classify(err)
 	}
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
 }
@@ -231,7 +177,7 @@
 		return err
 	}
 	if status != fasthttp.StatusOK {
-		return Broken.New("status %d", status)
+		return httpconn.Broken.New("status %d", status)
 	}
 	return json.Unmarshal(answer, out)
 }
--- a/internal/traffic/entries.go
+++ b/internal/traffic/entries.go
@@ -43,15 +43,15 @@
 // getEntries tells callers where to connect. They may name their own data
 // centre; else the entry's counts.
 func (s *Server) getEntries(c *fiber.Ctx) error {
-	dataCentre := c.Query("data_centre", s.settings.DataCentre)
+	dataCentre := c.Query("data_centre", s.host.Settings.DataCentre)
 	answer := entriesAnswer{Entries: []entryAnswer{}}
-	for _, e := range s.core.snapshot.Load().AddressesFor(dataCentre) {
+	for _, e := range s.host.Snapshot().AddressesFor(dataCentre) {
 		answer.Entries = append(answer.Entries, entryAnswer{
 			Name: e.Name, Address: e.Address, DataCentre: e.DataCentre,
 			Weight: math.Round(e.Weight*1000) / 1000,
 		})
 	}
-	keep := s.settings.AnswerKeep.Seconds() * (1 - keepSpread*rand.Float64())
+	keep := s.host.Settings.AnswerKeep.Seconds() * (1 - keepSpread*rand.Float64())
 	answer.KeepSeconds = math.Round(keep*10) / 10
 	s.head(c, outcome.Ran)
 	return c.JSON(answer)
@@ -66,7 +66,7 @@
 	if err := decoder.Decode(&a); err != nil || decoder.More() {
 		return invalid("the announcement is not the JSON that is expected")
 	}
-	if a.Cluster != s.settings.Cluster {
+	if a.Cluster != s.host.Settings.Cluster {
 		return &outcome.Refusal{
 			Status: fiber.StatusForbidden, Code: outcome.CodeForbidden, Outcome: outcome.NotRun,
 			Message: "the announcement is for another cluster",
@@ -75,9 +75,9 @@
 	if problem := checkAnnouncement(&a); problem != "" {
 		return invalid(problem)
 	}
-	s.core.post(entry.Announced{Announcement: a})
+	s.host.Post(entry.Announced{Announcement: a})
 	s.head(c, outcome.Ran)
-	return c.JSON(s.core.snapshot.Load().AnnounceAnswer(a.ID))
+	return c.JSON(s.host.Snapshot().AnnounceAnswer(a.ID))
 }
 
 // checkAnnouncement gives what is wrong, or "".
--- a/internal/traffic/harness_test.go
+++ b/internal/traffic/harness_test.go
@@ -18,6 +18,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
@@ -52,7 +53,7 @@
 	view := f.view
 	f.mu.Unlock()
 	if req.KnownVersion == view.Version {
-		pause(ctx, time.Duration(req.HoldMs)*time.Millisecond)
+		host.Pause(ctx, time.Duration(req.HoldMs)*time.Millisecond)
 		return &pb.WatchResponse{
 			Version: view.Version, KnownVersion: view.Version, Revision: view.Revision, LeaseMs: view.LeaseMs,
 		}, nil
@@ -226,7 +227,7 @@
 	b.stop = stop
 	b.t.Cleanup(stop)
 	go func() { b.ended <- server.Run(ctx) }()
-	b.until("the entry is ready", func() bool { return server.core.snapshot.Load().Ready() })
+	b.until("the entry is ready", func() bool { return server.host.Snapshot().Ready() })
 }
 
 // until waits for something that must come about.
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -44,7 +44,7 @@
 		DisableStartupMessage: true,
 		CaseSensitive:         true,
 		StrictRouting:         true,
-		BodyLimit:             readLimitFactor * s.settings.MaxBodyBytes,
+		BodyLimit:             readLimitFactor * s.host.Settings.MaxBodyBytes,
 		ReadBufferSize:        callerBuffer,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           callerIdle,
@@ -81,7 +81,7 @@
 // readCall copies the request and finds its member by the credential. The
 // member never comes from the body.
 func (s *Server) readCall(c *fiber.Ctx) (*call, *outcome.Refusal) {
-	snap := s.core.snapshot.Load()
+	snap := s.host.Snapshot()
 	k := &call{
 		snap: snap, method: strings.Clone(c.Method()), path: strings.Clone(c.Params("*")),
 		query: string(c.Request().URI().QueryString()), body: bytes.Clone(c.Request().Body()),
@@ -101,7 +101,7 @@
 		return k, invalid("X-Request-Id must be 1 to 64 letters, digits, dots, dashes or underscores")
 	}
 	c.Set(outcome.HeaderRequestID, k.requestID)
-	if len(k.body) > s.settings.MaxBodyBytes {
+	if len(k.body) > s.host.Settings.MaxBodyBytes {
 		k.body = nil
 		return k, &outcome.Refusal{
 			Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeTooLarge, Outcome: outcome.NotRun,
@@ -190,21 +190,21 @@
 // head sets the headers that every answer carries.
 func (s *Server) head(c *fiber.Ctx, o outcome.Outcome) {
 	c.Set(outcome.HeaderOutcome, string(o))
-	c.Set(outcome.HeaderEntry, s.identity.Name)
-	if s.core.snapshot.Load().Leaving {
+	c.Set(outcome.HeaderEntry, s.host.Identity.Name)
+	if s.host.Snapshot().Leaving {
 		c.Set("Connection", "close")
 	}
 }
 
 func (s *Server) getHealth(c *fiber.Ctx) error {
-	snap := s.core.snapshot.Load()
+	snap := s.host.Snapshot()
 	s.head(c, outcome.Ran)
 	status := http.StatusOK
 	if !snap.Ready() || snap.Leaving {
 		status = http.StatusServiceUnavailable
 	}
 	return c.Status(status).JSON(healthAnswer{
-		Entry: s.identity.Name, Ready: snap.Ready(), Leaving: snap.Leaving,
+		Entry: s.host.Identity.Name, Ready: snap.Ready(), Leaving: snap.Leaving,
 		Revision: snap.Revision, ViewVersion: snap.ViewVersion,
 	})
 }
--- a/internal/traffic/http_test.go
+++ b/internal/traffic/http_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/callerconn"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -99,7 +100,7 @@
 func TestFrozenCallerIsGivenUp(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &callerConn{Conn: near, stall: 20 * time.Millisecond}
+	conn := &callerconn.Conn{Conn: near, Stall: 20 * time.Millisecond}
 	if _, err := conn.Write([]byte("data")); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Fatalf("write to a frozen caller: %v", err)
 	}
@@ -110,7 +111,7 @@
 func TestCountingNeverPanics(t *testing.T) {
 	b := newBench(t, nil, nil)
 	for _, kind := range []string{entry.LogRoute, entry.LogWait, entry.LogRefuse, entry.LogView, entry.LogServer} {
-		b.server.countDecision(entry.LogDecision{Kind: kind, Reason: "overloaded"})
+		b.server.host.CountDecision(entry.LogDecision{Kind: kind, Reason: "overloaded"})
 	}
 	a := b.do("POST", "/v1/completions", as("hotels"), `{"model":"eligibility","prompt":"x"}`)
 	if a.code() != outcome.CodeNoServer || a.outcome() != outcome.NotRun || a.header.Get("Retry-After") == "" {
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -11,6 +11,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -52,14 +53,14 @@
 // run drives the request until its final effect and ends with a last piece.
 func (j *modelJob) run(ctx context.Context) {
 	key := j.arrived.Work.RequestID
-	box := j.s.core.open(key)
-	defer j.s.core.close(key)
+	box := j.s.host.Open(key)
+	defer j.s.host.Close(key)
 	defer close(j.pieces)
-	j.s.core.post(j.arrived)
+	j.s.host.Post(j.arrived)
 	for {
 		select {
 		case <-ctx.Done():
-			j.s.core.post(entry.CallerGone{RequestID: j.arrived.Work.RequestID})
+			j.s.host.Post(entry.CallerGone{RequestID: j.arrived.Work.RequestID})
 			return
 		case e := <-box:
 			if j.take(ctx, e) {
@@ -75,13 +76,13 @@
 	case entry.Dispatch:
 		ended, err := j.attempt(ctx, e)
 		if errors.Is(err, errCallerGone) {
-			j.s.core.post(entry.CallerGone{RequestID: j.arrived.Work.RequestID})
+			j.s.host.Post(entry.CallerGone{RequestID: j.arrived.Work.RequestID})
 			return true
 		}
 		if ended.Whole {
 			j.finished()
 		}
-		j.s.core.post(ended)
+		j.s.host.Post(ended)
 		return false
 	case entry.Refuse:
 		_ = j.send(ctx, piece{offset: j.offset, end: true, refusal: e.Refusal})
@@ -176,8 +177,8 @@
 // failed notes how a connection failed. A connection that could not be opened
 // has sent nothing; one that is refused tells that the process is gone.
 func (a *modelAttempt) failed(err error) {
-	a.ended.ServerDied = errorx.IsOfType(err, Refused) || (a.d.Reconnect && gone(err))
-	if errorx.IsOfType(err, NotSent) && !a.d.Reconnect {
+	a.ended.ServerDied = errorx.IsOfType(err, httpconn.Refused) || (a.d.Reconnect && httpconn.Gone(err))
+	if errorx.IsOfType(err, httpconn.NotSent) && !a.d.Reconnect {
 		return
 	}
 	a.ended.Outcome = outcome.Unknown
@@ -208,7 +209,7 @@
 // relay hands the stream's tokens on until its end or its failure.
 func (a *modelAttempt) relay(ctx context.Context, stream *engineStream) error {
 	a.ended.Outcome = outcome.Unknown
-	a.s.core.post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt})
+	a.s.host.Post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt})
 	finish := ""
 	for {
 		if ctx.Err() != nil {
@@ -216,7 +217,7 @@
 		}
 		chunk, done, err := stream.next()
 		if err != nil {
-			a.s.log.Info("stream broke", "request_id", a.wireID, "server", a.d.Server, "error", err.Error())
+			a.s.host.Log.Info("stream broke", "request_id", a.wireID, "server", a.d.Server, "error", err.Error())
 			return nil
 		}
 		if done {
@@ -264,7 +265,7 @@
 	a.offset += chunk.Tokens
 	a.text = append(a.text, chunk.Text...)
 	a.noteProgress()
-	a.s.core.post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: a.offset - a.start})
+	a.s.host.Post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: a.offset - a.start})
 	return a.send(ctx, piece{offset: a.offset, tokens: chunk.Tokens, text: chunk.Text})
 }
 
--- a/internal/traffic/once.go
+++ b/internal/traffic/once.go
@@ -36,11 +36,11 @@
 	}
 	j.arrived.Repeat = entry.RepeatOnce
 	j.claim = s.newClaim(j, key)
-	ctx, cancel := context.WithTimeout(s.background, claimWait)
+	ctx, cancel := context.WithTimeout(s.host.Background, claimWait)
 	defer cancel()
 	result, err := s.claims.claim(ctx, j.claim)
 	if err != nil {
-		s.spawn(func() { s.giveBack(j.claim) })
+		s.host.Spawn(func() { s.giveBack(j.claim) })
 		return refuseNoControl()
 	}
 	if result.Status != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
@@ -53,7 +53,7 @@
 // was given up: without it the key would stay taken for as long as the entry
 // lives. Control grants the same claim again, so that asking once more tells.
 func (s *Server) giveBack(c *claim) {
-	ctx, cancel := context.WithTimeout(s.background, settleGiveUp)
+	ctx, cancel := context.WithTimeout(s.host.Background, settleGiveUp)
 	defer cancel()
 	for ctx.Err() == nil {
 		result, err := s.claims.claim(ctx, c)
@@ -85,14 +85,14 @@
 	k := j.call
 	return &claim{pb: &pb.Claim{
 		Member: k.member.Name, Service: j.arrived.Work.Service, Key: key,
-		RequestId: uuid.NewString(), Owner: s.identity,
+		RequestId: uuid.NewString(), Owner: s.host.Identity,
 		Fingerprint: fingerprint(k.method, j.uri, string(k.body)),
 	}}
 }
 
 // runClaimed sends a granted call and settles the claim by what came of it.
 func (s *Server) runClaimed(c *fiber.Ctx, j *plainJob) error {
-	refusal := j.run(s.background)
+	refusal := j.run(s.host.Background)
 	status, stored := pb.ClaimStatus_CLAIM_STATUS_DONE, (*pb.StoredAnswer)(nil)
 	switch {
 	case refusal == nil:
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -109,7 +110,7 @@
 
 // renew tells holders how far streams have got, in batches.
 func (p *peers) renew(ctx context.Context, store *recordStore) {
-	for pause(ctx, renewTick) {
+	for host.Pause(ctx, renewTick) {
 		byHolder := make(map[string][]*streamRecord)
 		for _, r := range store.sweep(time.Now()) {
 			holder := r.heldBy()
@@ -234,7 +235,7 @@
 var _ pb.Peer = peerService{}
 
 func (p peerService) wrongCluster(id string) error {
-	if id != p.s.settings.Cluster {
+	if id != p.s.host.Settings.Cluster {
 		return twirp.PermissionDenied.Error("another cluster")
 	}
 	return nil
@@ -245,7 +246,7 @@
 	if err := p.wrongCluster(req.ClusterId); err != nil {
 		return nil, err
 	}
-	if p.s.core.snapshot.Load().Leaving {
+	if p.s.host.Snapshot().Leaving {
 		return nil, twirp.Unavailable.Error("this entry stops")
 	}
 	kept := true
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -19,6 +19,8 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -78,7 +80,7 @@
 	if route.Repeat == declaration.RepeatOnce {
 		return s.answerOnce(c, job)
 	}
-	if refusal := job.run(s.background); refusal != nil {
+	if refusal := job.run(s.host.Background); refusal != nil {
 		return refusal
 	}
 	return s.sendPlain(c, job.answer)
@@ -125,7 +127,7 @@
 		s: s, call: k, wireID: wireID, uri: uri, until: time.Now().Add(profile.Deadline),
 		arrived: entry.Arrived{
 			Work: decision.Work{
-				RequestID: newJobKey(wireID), Member: k.member.Name, MemberWeight: k.member.Weight,
+				RequestID: host.NewJobKey(wireID), Member: k.member.Name, MemberWeight: k.member.Weight,
 				Service: service.Name, Profile: profile.Name, ProfileShare: profile.Share,
 				Class: profile.Class, Kind: declaration.KindPlain, Arrived: now,
 				FirstTokenBy: now + profile.FirstToken, FinishBy: now + profile.Deadline,
@@ -140,18 +142,18 @@
 // run drives the call until its final effect; nil when there is an answer.
 func (j *plainJob) run(ctx context.Context) *outcome.Refusal {
 	key := j.arrived.Work.RequestID
-	box := j.s.core.open(key)
-	defer j.s.core.close(key)
-	j.s.core.post(j.arrived)
+	box := j.s.host.Open(key)
+	defer j.s.host.Close(key)
+	j.s.host.Post(j.arrived)
 	for {
 		select {
 		case <-ctx.Done():
-			j.s.core.post(entry.CallerGone{RequestID: key})
+			j.s.host.Post(entry.CallerGone{RequestID: key})
 			return handedOn()
 		case e := <-box:
 			switch e := e.(type) {
 			case entry.Dispatch:
-				j.s.core.post(j.attempt(e))
+				j.s.host.Post(j.attempt(e))
 			case entry.Refuse:
 				return e.Refusal
 			case entry.Finish:
@@ -169,12 +171,12 @@
 	switch {
 	case err == nil:
 		j.answer, ended.Whole, ended.Outcome = answer, true, outcome.Ran
-	case errorx.IsOfType(err, NotSent):
-		ended.ServerDied = errorx.IsOfType(err, Refused)
+	case errorx.IsOfType(err, httpconn.NotSent):
+		ended.ServerDied = errorx.IsOfType(err, httpconn.Refused)
 	case errors.Is(err, errNotStarted):
 	default:
 		ended.Outcome = outcome.Unknown
-		ended.ServerDied = errorx.IsOfType(err, Closed) && j.s.engines.looksGone(d.Address)
+		ended.ServerDied = errorx.IsOfType(err, httpconn.Closed) && j.s.engines.looksGone(d.Address)
 	}
 	return ended
 }
@@ -196,15 +198,15 @@
 		req.SetConnectionClose()
 	}
 	if timeout <= 0 {
-		return nil, NotSent.New("no time is left")
+		return nil, httpconn.NotSent.New("no time is left")
 	}
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
-		return nil, classify(err)
+		return nil, httpconn.Classify(err)
 	}
 	word := readSaid(&resp.Header)
 	j.s.heard(d.Server, d.Incarnation, word)
 	if !echoes(&resp.Header, j.wireID, d.Attempt) {
-		return nil, Mixed.New("the answer is to another request")
+		return nil, httpconn.Mixed.New("the answer is to another request")
 	}
 	if word.notStarted {
 		return nil, errNotStarted
--- a/internal/traffic/regenerate.go
+++ b/internal/traffic/regenerate.go
@@ -82,7 +82,7 @@
 		made.tokens += chunk.Tokens
 		made.text += chunk.Text
 		if chunk.Tokens > 0 {
-			a.s.core.post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: made.tokens - a.known.tokens})
+			a.s.host.Post(entry.AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: made.tokens - a.known.tokens})
 		}
 	}
 	return made, true
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -109,7 +110,7 @@
 	}
 	if err := client.Do(req, resp); err != nil {
 		fasthttp.ReleaseResponse(resp)
-		return nil, classify(err)
+		return nil, httpconn.Classify(err)
 	}
 	s := &engineStream{
 		resp: resp, status: resp.StatusCode(), said: readSaid(&resp.Header), wireID: wireID, attempt: attempt,
@@ -143,12 +144,12 @@
 		return chunk, true, nil
 	}
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return chunk, false, Broken.Wrap(err, "chunk")
+		return chunk, false, httpconn.Broken.Wrap(err, "chunk")
 	}
 	// A late chunk of an older attempt, or one of another request, must not
 	// get into this answer: the caller would read another's text.
 	if chunk.RequestID != s.wireID || chunk.Attempt != s.attempt {
-		return chunk, false, Mixed.New("chunk of another request or attempt")
+		return chunk, false, httpconn.Mixed.New("chunk of another request or attempt")
 	}
 	return chunk, false, nil
 }
@@ -162,7 +163,7 @@
 			line, err = s.longLine(line)
 		}
 		if err != nil {
-			return nil, Broken.Wrap(err, "stream")
+			return nil, httpconn.Broken.Wrap(err, "stream")
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
--- a/internal/traffic/stream_test.go
+++ b/internal/traffic/stream_test.go
@@ -187,7 +187,7 @@
 		Id: "engine-1", Kind: pb.ServerKind_SERVER_KIND_MODEL, Model: "review", Role: pb.EngineRole_ENGINE_ROLE_MIXED,
 		Incarnation: testLife, Address: ln.Addr().String(), State: pb.ServerState_SERVER_STATE_SERVING, Slots: 8,
 	})
-	b.until("the engine is known", func() bool { return b.server.core.snapshot.Load().ViewVersion == 2 })
+	b.until("the engine is known", func() bool { return b.server.host.Snapshot().ViewVersion == 2 })
 	b.request("POST", "/v1/completions", as("hotels"), `{"model":"eligibility","prompt":"x","max_tokens":12,"stream":true}`)
 	b.until("the death is reported", func() bool { return len(b.control.deaths()) > 0 })
 	if d := b.control.deaths()[0]; d.Server != "engine-1" || len(d.Suspects) != 1 || d.Suspects[0].Member != "hotels" {
