Serve the users' platform: relay, adapter and deploy files

Package relay is the life of a request that is passed on as it is; platform/ translates the platform's calls for callers, servers and operators.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -5,9 +5,7 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -15,6 +13,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/control/runner"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
+	"goldcrestseam.dev/goldcrestseam/platform"
 )
 
 // gcPercent trades memory, of which a replica has 64 MB, for processor time, of
@@ -44,17 +43,27 @@
 }
 
 func run(cmd *cobra.Command, file string) error {
+	file = os.ExpandEnv(file)
 	s, findings := settings.LoadControl(file)
 	if len(findings) > 0 {
 		return cli.Invalid(findings)
 	}
-	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	log := obs.NewLogger(os.Stderr, s.Name, s.Log)
-	r, err := runner.New(s, log)
+	cli.LimitMemory(s.MemoryMB)
+	out := obs.NewBounded(os.Stdout)
+	defer out.Close()
+	log := obs.NewLogger(out, s.Name, s.Log)
+	ctx := cli.Stopped(cmd.Context())
+	var drivers []runner.Driver
+	if s.RegistryAddress != "" {
+		drivers = append(drivers, platform.NewRegistry(s.RegistryAddress, log))
+	}
+	r, err := runner.New(s, log, drivers...)
 	if err != nil {
 		return err
 	}
+	go cli.WatchFile(ctx, file, log, func() {
+		log.Info("settings changed; they count from the next start on", "settings", file)
+	})
 	return r.Run(ctx)
 }
 
@@ -75,7 +84,7 @@
 }
 
 func addSettings(cmd *cobra.Command, file *string) {
-	cmd.Flags().StringVar(file, "settings", "", "settings file (YAML)")
+	cmd.Flags().StringVar(file, "settings", "", "settings file (YAML); $NAME stands for a variable of the environment")
 	if err := cmd.MarkFlagRequired("settings"); err != nil {
 		panic(err)
 	}
--- a/cmd/goldcrest-entry/main.go
+++ b/cmd/goldcrest-entry/main.go
@@ -4,9 +4,8 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -14,6 +13,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 	"goldcrestseam.dev/goldcrestseam/internal/traffic"
+	"goldcrestseam.dev/goldcrestseam/platform"
 )
 
 func main() {
@@ -34,33 +34,49 @@
 		Args:    cobra.NoArgs,
 		RunE:    func(*cobra.Command, []string) error { return run(file) },
 	}
-	cmd.Flags().StringVar(&file, "settings", "", "settings file (YAML)")
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (YAML); $NAME stands for a variable of the environment")
 	_ = cmd.MarkFlagRequired("settings")
 	return cmd
 }
 
+// server is an entry with one of its ways in.
+type server interface {
+	Run(ctx context.Context) error
+	Reload(*settings.Entry)
+}
+
 func run(file string) error {
+	file = os.ExpandEnv(file)
 	s, findings := settings.LoadEntry(file)
 	if len(findings) > 0 {
 		return cli.Invalid(findings)
 	}
-	// The channel stays registered until the end: a second signal must not
-	// fall back to the default, which would kill the process and cut streams.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	server, err := traffic.New(s, obs.NewLogger(os.Stderr, s.Name, s.Log))
+	cli.LimitMemory(s.MemoryMB)
+	out := obs.NewBounded(os.Stdout)
+	defer out.Close()
+	log := obs.NewLogger(out, s.Name, s.Log)
+	ctx := cli.Stopped(context.Background())
+	server, err := newServer(s, log)
 	if err != nil {
 		return cli.WithCode(cli.ExitFailed, err)
 	}
-	go func() {
-		<-signals
-		cancel()
-	}()
+	go cli.WatchFile(ctx, file, log, func() {
+		if s, findings := settings.LoadEntry(file); len(findings) == 0 {
+			server.Reload(s)
+		} else {
+			log.Error("settings not reloaded", "findings", findings.Err().Error())
+		}
+	})
 	return cli.WithCode(cli.ExitFailed, server.Run(ctx))
 }
 
+func newServer(s *settings.Entry, log *slog.Logger) (server, error) {
+	if s.Relay.On() {
+		return platform.NewEntry(s, log)
+	}
+	return traffic.New(s, log)
+}
+
 func newCheckSettings() *cobra.Command {
 	return &cobra.Command{
 		Use:     "check-settings FILE",
--- /dev/null
+++ b/internal/relay/carryout.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+)
+
+// probeTimeout bounds a health probe; probes of a failing server come every 200 ms.
+const probeTimeout = 400 * time.Millisecond
+
+// carryOut does the reducer's effects that are about servers. Cancels need no
+// effect here: a request ends at its server when its connection does.
+func (s *Server) carryOut(e entry.Effect) {
+	if p, ok := e.(entry.Probe); ok {
+		s.host.Spawn(func() { s.probe(p) })
+	}
+}
+
+func (s *Server) probe(p entry.Probe) {
+	ctx, cancel := context.WithTimeout(s.host.Background, probeTimeout)
+	defer cancel()
+	service := serviceOf(s.host.Snapshot().Declaration, p)
+	if service == nil || service.HealthPath == "" {
+		return
+	}
+	target := Target{Address: p.Address, Incarnation: p.Incarnation}
+	if !s.backend.Health(ctx, target, service.HealthPath) {
+		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation})
+		return
+	}
+	s.host.Post(entry.ServerSaid{Server: p.Server, Incarnation: p.Incarnation, State: engineapi.StateServing})
+}
+
+// serviceOf gives a service that the probed server runs, or nil.
+func serviceOf(d *declaration.Declaration, p entry.Probe) *declaration.Service {
+	if d == nil {
+		return nil
+	}
+	for i := range d.Services {
+		s := &d.Services[i]
+		if p.Model != "" && s.Model == p.Model || len(p.Services) > 0 && s.Name == p.Services[0] {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/job.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
+
+// maxWholeBytes bounds an answer that is not a stream.
+const maxWholeBytes = 16 << 20
+
+// job is one request as its goroutine drives it.
+type job struct {
+	s       *Server
+	req     *Request
+	route   *declaration.HostRoute
+	service *declaration.Service
+	caller  Caller
+	arrived entry.Arrived
+	// whole is the answer that goes to the caller.
+	whole *wholeAnswer
+	// failure is a server's own answer that is no success: the caller gets it if
+	// no other attempt does better.
+	failure *wholeAnswer
+	// stream is what the caller has of a stream; nil before its first event.
+	stream *relayed
+	log    jobLog
+}
+
+type wholeAnswer struct {
+	head Head
+	body []byte
+}
+
+// Serve relays one request; it returns when the caller has its final answer. ctx
+// ends when the caller is gone.
+func (s *Server) Serve(ctx context.Context, req *Request, caller Caller) {
+	snap := s.host.Snapshot()
+	if !snap.Ready() {
+		s.refuse(req, caller, notReady())
+		return
+	}
+	route := snap.Routes.Find(req.Host, req.Path)
+	if route == nil {
+		s.refuse(req, caller, noRoute())
+		return
+	}
+	j := &job{s: s, req: req, route: route, caller: caller, arrived: s.arrived(req, route, snap)}
+	j.service = snap.Declaration.Service(j.arrived.Work.Service)
+	j.log = newJobLog(j)
+	j.run(ctx)
+}
+
+// run drives the request until its final effect.
+func (j *job) run(ctx context.Context) {
+	key := j.arrived.Work.RequestID
+	box := j.s.host.Open(key)
+	defer j.s.host.Close(key)
+	ctx, cancel := context.WithTimeout(ctx, timeLeft(&j.arrived.Work))
+	defer cancel()
+	j.s.host.Post(j.arrived)
+	ended := ctx.Done()
+	for {
+		select {
+		case <-ended:
+			ended = nil
+			if j.gone(ctx) {
+				return
+			}
+			j.s.host.Post(entry.TimeUp{RequestID: key})
+		case e := <-box:
+			if j.take(ctx, e) {
+				return
+			}
+		}
+	}
+}
+
+// gone tells the reducer if the caller is gone.
+func (j *job) gone(ctx context.Context) bool {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	j.s.host.Post(entry.CallerGone{RequestID: j.arrived.Work.RequestID})
+	j.log.end("caller gone")
+	if j.stream != nil {
+		j.caller.End(false)
+	}
+	return true
+}
+
+// take carries out one effect; true after the final one.
+func (j *job) take(ctx context.Context, e entry.Effect) bool {
+	switch e := e.(type) {
+	case entry.Dispatch:
+		ended := j.attempt(ctx, e)
+		if j.gone(ctx) {
+			return true
+		}
+		j.s.host.Post(ended)
+		return false
+	case entry.Refuse:
+		j.refuse(e.Refusal)
+		return true
+	default:
+		j.finish()
+		return true
+	}
+}
+
+// refuse gives the final answer of a request that no server has answered well.
+func (j *job) refuse(r *outcome.Refusal) {
+	switch {
+	case j.stream != nil:
+		j.log.end("cut", "reason", r.Message)
+		j.caller.End(false)
+	case j.failure != nil && r.Outcome != outcome.NotRun:
+		j.log.end("server's own failure", "status", j.failure.head.Status)
+		j.caller.Whole(&j.failure.head, j.failure.body)
+	default:
+		j.log.refused(r)
+		j.caller.Refuse(r)
+	}
+}
+
+func (j *job) finish() {
+	if j.stream != nil {
+		j.log.end("stream", "events", j.stream.events)
+		j.caller.End(true)
+		return
+	}
+	j.log.end("answer", "status", j.whole.head.Status)
+	j.caller.Whole(&j.whole.head, j.whole.body)
+}
+
+// attempt sends the request to one server and tells how that ended.
+func (j *job) attempt(ctx context.Context, d entry.Dispatch) entry.AttemptEnded {
+	began := time.Now()
+	ended := entry.AttemptEnded{RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.NotRun}
+	j.log.sent(d)
+	events := j.events()
+	err := j.send(ctx, d, &ended, began)
+	ended.Took = time.Since(began)
+	ended.Tokens = j.events() - events
+	if ended.FirstToken > 0 {
+		ended.Decode = ended.Took - ended.FirstToken
+	}
+	if err != nil {
+		j.failed(err, &ended)
+	}
+	j.log.attempted(d, &ended, err)
+	return ended
+}
+
+func (j *job) events() int {
+	if j.stream == nil {
+		return 0
+	}
+	return j.stream.events
+}
+
+// failed notes how a connection failed. Only one that could not be opened has
+// sent nothing.
+func (j *job) failed(err error, ended *entry.AttemptEnded) {
+	ended.ServerDied = errorx.IsOfType(err, httpconn.Refused)
+	if !errorx.IsOfType(err, httpconn.NotSent) {
+		ended.Outcome = outcome.Unknown
+	}
+}
+
+func (j *job) send(ctx context.Context, d entry.Dispatch, ended *entry.AttemptEnded, began time.Time) error {
+	a, err := j.s.backend.Send(ctx, Attempt{
+		Target: Target{
+			Address: d.Address, Incarnation: d.Incarnation,
+			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
+		},
+		Request: j.req, Left: timeLeft(&j.arrived.Work), Once: j.arrived.Repeat == entry.RepeatOnce,
+		Rank: j.route.Rank, After: j.after(),
+	})
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	j.heard(d, a.Said)
+	success := a.Head.Status >= http.StatusOK && a.Head.Status < http.StatusMultipleChoices
+	switch {
+	case a.Said.NotRun:
+		ended.ServerDied = a.Said.OtherLife
+		return nil
+	case success && !a.Said.Proven:
+		return httpconn.Mixed.New("a success without the server's mark")
+	case success && j.route.Stream:
+		return j.relay(a, ended, began)
+	}
+	return j.readWhole(a, ended, success)
+}
+
+// heard passes on what a server told of itself.
+func (j *job) heard(d entry.Dispatch, said Said) {
+	if !said.HasLoad || said.OtherLife {
+		return
+	}
+	j.s.host.Post(entry.ServerSaid{
+		Server: d.Server, Incarnation: d.Incarnation, State: engineapi.StateServing, HasLoad: true,
+		Load: engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)},
+	})
+}
+
+// readWhole takes an answer that is not a stream.
+func (j *job) readWhole(a *Answer, ended *entry.AttemptEnded, success bool) error {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxWholeBytes {
+		return httpconn.Broken.New("the answer has more than %d bytes", maxWholeBytes)
+	}
+	answer := &wholeAnswer{head: a.Head, body: body}
+	ended.Outcome = outcome.Ran
+	again := a.Head.Status >= http.StatusInternalServerError && j.arrived.Repeat != entry.RepeatOnce
+	if !success && again && j.stream == nil {
+		j.failure = answer
+		return nil
+	}
+	if j.stream != nil {
+		// The head of the stream has gone out; this answer can't follow it.
+		return nil
+	}
+	j.whole, ended.Whole = answer, true
+	return nil
+}
--- /dev/null
+++ b/internal/relay/log.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"log/slog"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
+
+// jobLog writes the lines of one request beside those of the reducer's
+// decisions: what was sent, how each attempt ended, and the final answer.
+type jobLog struct {
+	job      *job
+	began    time.Time
+	attempts int
+}
+
+func newJobLog(j *job) jobLog { return jobLog{job: j, began: time.Now()} }
+
+func (l *jobLog) line(message string, args ...any) {
+	args = append([]any{
+		"request_id", l.job.req.ID, "route", l.job.route.Name, "ms", time.Since(l.began).Milliseconds(),
+	}, args...)
+	l.job.s.host.Log.Info(message, args...)
+}
+
+func (l *jobLog) sent(entry.Dispatch) { l.attempts++ }
+
+// attempted writes a line for an attempt that did not give the answer.
+func (l *jobLog) attempted(d entry.Dispatch, ended *entry.AttemptEnded, err error) {
+	if ended.Whole {
+		return
+	}
+	args := []any{
+		"server", d.Server, "incarnation", d.Incarnation, "attempt", d.Attempt,
+		"outcome", ended.Outcome, "took_ms", ended.Took.Milliseconds(), "server_died", ended.ServerDied,
+	}
+	if err != nil {
+		args = append(args, "error", err.Error())
+	}
+	if f := l.job.failure; f != nil {
+		args = append(args, "status", f.head.Status)
+	}
+	l.line("attempt failed", args...)
+}
+
+// end writes the line of the final answer and counts it.
+func (l *jobLog) end(how string, args ...any) {
+	l.job.s.count(l.job.route.Profile, how, time.Since(l.began))
+	l.line("answered", append([]any{"how", how, "attempts", l.attempts}, args...)...)
+}
+
+func (l *jobLog) refused(r *outcome.Refusal) {
+	l.job.s.count(l.job.route.Profile, "refused", time.Since(l.began))
+	l.job.s.logRefused(l.job.req.ID, l.job.route.Name, r, l.attempts)
+}
+
+func (s *Server) logRefused(id, route string, r *outcome.Refusal, attempts int) {
+	s.host.Log.LogAttrs(s.host.Background, slog.LevelInfo, "refused",
+		slog.String("request_id", id), slog.String("route", route), slog.String("code", string(r.Code)),
+		slog.Int("status", r.Status), slog.String("outcome", string(r.Outcome)), slog.Int("attempts", attempts),
+		slog.Float64("retry_after_s", r.RetryAfter.Seconds()), slog.String("reason", r.Message))
+}
+
+// count keeps the figures that metrics show: profiles are few and declared, so
+// that the labels stay bounded.
+func (s *Server) count(profile, how string, took time.Duration) {
+	scope := s.host.Metrics.Scope.Tagged(map[string]string{"profile": profile, "how": how})
+	scope.Counter("relayed").Inc(1)
+	scope.Timer("relayed_time").Record(took)
+}
--- /dev/null
+++ b/internal/relay/work.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+)
+
+func pace(set *settings.Entry) decision.Pace {
+	return decision.Pace{PrefillRate: set.Engines.PrefillRate, TokenTime: set.Engines.TokenTime}
+}
+
+func extraLimit(r settings.Repeats) *admission.ExtraLimit {
+	return &admission.ExtraLimit{Ratio: r.Ratio, Constant: r.Extra, Window: r.Window}
+}
+
+// arrived describes the request to the reducer.
+func (s *Server) arrived(r *Request, route *declaration.HostRoute, snap *entry.Snapshot) entry.Arrived {
+	service := snap.Declaration.Service(route.Target(r.ID))
+	profile := snap.Declaration.Profile(route.Profile)
+	now := clock.Boot()
+	limit := route.Timeout
+	if r.Patience > 0 {
+		limit = min(limit, r.Patience)
+	}
+	w := decision.Work{
+		RequestID: host.NewJobKey(r.ID), MemberWeight: 1, Service: service.Name, Profile: profile.Name,
+		ProfileShare: profile.Share, Class: profile.Class, Kind: service.Kind, Model: service.Model,
+		Arrived: now, FirstTokenBy: now + profile.FirstToken, FinishBy: now + limit,
+		LateIsOfUse: true, Pace: pace(s.host.Settings),
+	}
+	if r.Prompt != nil {
+		r.Prompt.describe(&w)
+	}
+	return entry.Arrived{
+		Work: w, Repeat: repeat(route), Fingerprint: fingerprint(r), RetryBudget: profile.RetryBudget,
+		MaxRuns: route.MaxRuns, EndsInTime: true,
+	}
+}
+
+func (p *Prompt) describe(w *decision.Work) {
+	w.PromptTokens, w.OutputTokens = p.Tokens, p.MaxOutput
+	if p.LikelyOutput > 0 {
+		w.OutputTokens = min(p.LikelyOutput, max(p.MaxOutput, p.LikelyOutput))
+	}
+	// Parts are cached only behind all parts before them: each one's hash has
+	// those of its predecessors in it.
+	chain := xxhash.New()
+	_, _ = chain.WriteString(p.Model)
+	for _, part := range p.Parts {
+		_, _ = chain.WriteString("\x00" + part.ID)
+		w.Prefix = append(w.Prefix, chain.Sum64())
+		w.PartTokens = append(w.PartTokens, part.Tokens)
+	}
+}
+
+func repeat(route *declaration.HostRoute) entry.Repeat {
+	switch route.Repeat {
+	case declaration.RepeatAllowed:
+		return entry.RepeatAllowed
+	case declaration.RepeatResumed:
+		return entry.RepeatResumable
+	default:
+		return entry.RepeatOnce
+	}
+}
+
+// fingerprint names what the caller asks, whichever try it is.
+func fingerprint(r *Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Host, r.Method, r.URI} {
+		_, _ = h.WriteString(part + "\x00")
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
+// share is this entry's part of the connections that a server accepts.
+func share(service *declaration.Service, entries int) int {
+	if service == nil || service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, service.MaxConnections/max(1, entries))
+}
+
+// timeLeft is how long the request may still take.
+func timeLeft(w *decision.Work) time.Duration { return w.FinishBy - clock.Boot() }
