Use engines that only prefill, and give shared prompt parts homes

Cause: four of nine engines take prefill only and got nothing, so that the other five read 169,000 tokens/s, all they can. Every entry learned alone where parts are cached and saw hardly any part twice.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -42,6 +42,9 @@
 	FinishBy     time.Duration
 	// Resumed work has been accepted before; it is never refused for load.
 	Resumed bool
+	// Shared is how many of the first parts other requests have too. They are kept
+	// at a few servers each, the same ones for all entries; 0: not known.
+	Shared int
 	// LateIsOfUse tells that an answer after FirstTokenBy is still worth having;
 	// only FinishBy decides then whether it is given up.
 	LateIsOfUse bool
@@ -59,6 +62,8 @@
 	PrefillRate float64
 	// TokenTime is the time of one token in a batch of usual size.
 	TokenTime time.Duration
+	// MoveRate is how many tokens' KV cache move between two engines a second.
+	MoveRate float64
 }
 
 // HeldTokens is how many tokens the first parts of the prompt have.
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -13,6 +13,24 @@
 // each way, and its loss is more likely seen as silence.
 const remotePenalty = 0.005
 
+// unread is how many tokens of the prompt a server must read that holds its first
+// parts.
+func unread(w *decision.Work, held int) int { return max(0, w.PromptTokens-w.HeldTokens(held)) }
+
+// moveTime is how long the KV cache takes from one engine to another that holds
+// the prompt's first parts, in seconds. Where parts are not told apart, all of it
+// moves.
+func moveTime(w *decision.Work, held int) float64 {
+	if w.PartTokens == nil {
+		held = 0
+	}
+	rate := w.Pace.MoveRate
+	if rate <= 0 {
+		rate = kvTokenRate
+	}
+	return float64(unread(w, held)) / rate
+}
+
 // kvTokenRate is how many tokens' KV cache move between two engines a second:
 // 160 kB a token over 25 Gbit/s.
 const kvTokenRate = 20000
@@ -35,8 +53,7 @@
 	if w.Class != declaration.ClassBulk {
 		wait = l.urgent / rate
 	}
-	own := max(0, w.PromptTokens-w.HeldTokens(held))
-	return wait + float64(own)/rate
+	return wait + float64(unread(w, held))/rate
 }
 
 // decodeCost is the own decode at the server's fill. A step takes longer with
--- /dev/null
+++ b/internal/decision/placement/home.go
@@ -0,0 +1,71 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+// homesPerPrefix is how many engines of each role are the homes of a prefix: with
+// two, one that is busy or gone leaves another, and a fleet that holds the
+// prefixes several times over still has room for both copies.
+const homesPerPrefix = 2
+
+// home is a server with its rank for a prefix.
+type home struct {
+	index int
+	score uint64
+}
+
+// settle counts the shared parts of a prompt as held by their homes.
+//
+// It answers prompts that share long parts, each asked for a few times a minute
+// by callers of all entries. An entry alone sees hardly any part twice, so what it
+// remembers of its own sends helps nobody: every engine reads every part. By rank
+// of a hash all entries send a part to the same engines without a word between
+// them; a home that does not hold it yet does so from the first request on. That
+// a home is chosen is still a matter of cost: one with a longer queue than the
+// reading elsewhere takes is passed by.
+func settle(w *decision.Work, fleet *decision.Fleet, held []int) {
+	if w.Shared == 0 || w.Shared > len(w.Prefix) {
+		return
+	}
+	var prefill, whole [homesPerPrefix]home
+	key := w.Prefix[w.Shared-1]
+	for i := range fleet.Servers {
+		s := &fleet.Servers[i]
+		if !s.Serves(w) {
+			continue
+		}
+		h := home{index: i, score: mix(key, xxhash.Sum64String(s.ID)) | 1}
+		if s.Role == engineapi.RolePrefill {
+			insert(&prefill, h)
+		} else {
+			insert(&whole, h)
+		}
+	}
+	for _, h := range append(prefill[:], whole[:]...) {
+		if h.score > 0 {
+			held[h.index] = max(held[h.index], w.Shared)
+		}
+	}
+}
+
+// insert keeps the homes with the highest scores.
+func insert(best *[homesPerPrefix]home, h home) {
+	for i := range best {
+		if h.score > best[i].score {
+			best[i], h = h, best[i]
+		}
+	}
+}
+
+// mix makes one hash of two.
+func mix(a, b uint64) uint64 {
+	x := a ^ b*0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return x
+}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -30,6 +30,9 @@
 	Server *decision.Server
 	// Prefill is the engine that prefills first, nil when Server does.
 	Prefill *decision.Server
+	// Unread is how many tokens of the prompt are to be read there, as far as is
+	// known: the others are in the server's cache.
+	Unread  int
 	Reason  string
 	Figures []decision.Figure
 }
@@ -70,21 +73,21 @@
 	p.limits.align(fleet)
 	held := p.held(now, w, fleet)
 	b := p.scan(now, w, fleet, held)
-	pair := b.pair(w)
+	pair := b.pair(w, held)
 	switch {
 	case b.whole.index < 0 && pair.decode < 0:
 		return Choice{}, false
 	case pair.decode >= 0 && (b.whole.index < 0 || pair.cost < b.whole.cost):
 		server := &fleet.Servers[pair.decode]
 		return Choice{
-			Server: server, Prefill: &fleet.Servers[pair.prefill],
+			Server: server, Prefill: &fleet.Servers[pair.prefill], Unread: unread(w, held[pair.prefill]),
 			Reason:  "lowest cost: prefill and decode apart",
 			Figures: p.figures(pair.cost, held[pair.prefill], pair.decode, server),
 		}, true
 	default:
 		server := &fleet.Servers[b.whole.index]
 		return Choice{
-			Server: server, Reason: "lowest cost",
+			Server: server, Reason: "lowest cost", Unread: unread(w, held[b.whole.index]),
 			Figures: p.figures(b.whole.cost, held[b.whole.index], b.whole.index, server),
 		}, true
 	}
--- a/internal/decision/placement/prefix.go
+++ b/internal/decision/placement/prefix.go
@@ -136,5 +136,6 @@
 			}
 		}
 	}
+	settle(w, fleet, p.scratch)
 	return p.scratch
 }
--- a/internal/decision/placement/scan.go
+++ b/internal/decision/placement/scan.go
@@ -125,12 +125,14 @@
 }
 
 // pair joins the ends that cost least, with the transfer of the KV cache.
-func (b *best) pair(w *decision.Work) pair {
+func (b *best) pair(w *decision.Work, held []int) pair {
 	out := pair{prefill: -1, decode: -1}
 	out.join(b.prefill, b.decode)
 	out.join(b.prefill, b.mixedDecode)
 	out.join(b.mixedPrefill, b.decode)
-	out.cost += float64(w.PromptTokens) / kvTokenRate
+	if out.decode >= 0 {
+		out.cost += moveTime(w, held[out.decode])
+	}
 	return out
 }
 
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -119,6 +119,9 @@
 	HealthPath string `yaml:"health_path" json:"health_path,omitempty"`
 	// CacheTokens is the memory of one of its engines, in tokens; 0: not known.
 	CacheTokens uint64 `yaml:"cache_tokens" json:"cache_tokens,omitempty"`
+	// MoveRate is how many tokens' KV cache move between two of its engines a
+	// second; 0: not known.
+	MoveRate float64 `yaml:"move_rate" json:"move_rate,omitempty"`
 }
 
 // Route repeat rules.
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -40,6 +40,8 @@
 	// is the engine that prefills for it, if another one does.
 	server  *server
 	prefill *server
+	// unread is how many tokens the prefiller has to read.
+	unread int
 	// done is how many tokens earlier attempts gave, got those of this one.
 	// here is how many this server gave before a fresh connection to it.
 	done int
@@ -63,7 +65,7 @@
 	if q.got > 0 {
 		return 0
 	}
-	return q.work.PromptTokens + q.done
+	return q.unread
 }
 
 // prefiller is the server that does the request's prefill.
@@ -184,7 +186,11 @@
 	s.running = append(s.running, q.work.RequestID)
 	s.cache.usedAt = r.now
 	context := q.work.PromptTokens + q.done
-	tokens := decision.Tokens{Prefill: context, Decode: q.decodeLeft(), KV: context + q.decodeLeft()}
+	q.unread = context
+	if choice.Server != nil {
+		q.unread = choice.Unread + q.done
+	}
+	tokens := decision.Tokens{Prefill: q.unread, Decode: q.decodeLeft(), KV: context + q.decodeLeft()}
 	if choice.Prefill != nil {
 		tokens.Prefill = 0
 	}
@@ -198,7 +204,7 @@
 		q.prefill = p
 		p.running = append(p.running, q.work.RequestID)
 		p.cache.usedAt = r.now
-		p.since = append(p.since, sentWork{r.now, decision.Tokens{Prefill: context, KV: context}})
+		p.since = append(p.since, sentWork{r.now, decision.Tokens{Prefill: q.unread, KV: context}})
 		d.PrefillServer, d.PrefillIncarnation, d.PrefillAddress = p.pb.Id, p.pb.Incarnation, p.pb.Address
 	}
 	r.emit(d)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -274,6 +274,10 @@
 	}
 }
 
+// prefillOnlyGain is how much faster an engine prefills that does nothing else
+// than one that decodes beside it: twice, by the engines' own description.
+const prefillOnlyGain = 2
+
 // countsOnly tells that the server reports how many requests it has, and no
 // tokens: its rates are never reported either.
 func (s *server) countsOnly() bool { return s.load.PrefillRate == 0 && s.load.DecodeRate == 0 }
@@ -287,6 +291,9 @@
 	}
 	if load.PrefillRate == 0 {
 		load.PrefillRate = r.cfg.Engines.PrefillRate
+		if s.pb.Role == pb.EngineRole_ENGINE_ROLE_PREFILL {
+			load.PrefillRate *= prefillOnlyGain
+		}
 	}
 	if load.DecodeRate == 0 && r.cfg.Engines.TokenTime > 0 {
 		load.DecodeRate = float64(max(1, s.pb.Slots)) / r.cfg.Engines.TokenTime.Seconds()
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -179,15 +179,12 @@
 }
 
 func (j *job) send(ctx context.Context, d entry.Dispatch, ended *entry.AttemptEnded, began time.Time) error {
-	a, err := j.s.backend.Send(ctx, Attempt{
-		Target: Target{
-			Address: d.Address, Incarnation: d.Incarnation,
-			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
-		},
-		Request: j.req, Left: timeLeft(&j.arrived.Work), Once: j.arrived.Repeat == entry.RepeatOnce,
-		Rank: j.route.Rank, After: j.after(),
-	})
+	cache := j.prefill(ctx, d)
+	attempt := j.attemptAt(d.Address, d.Incarnation)
+	attempt.From = cache
+	a, err := j.s.backend.Send(ctx, attempt)
 	if err != nil {
+		j.free(cache)
 		return err
 	}
 	defer a.Body.Close()
@@ -205,6 +202,17 @@
 	return j.readWhole(a, ended, success)
 }
 
+func (j *job) attemptAt(address, incarnation string) Attempt {
+	return Attempt{
+		Target: Target{
+			Address: address, Incarnation: incarnation,
+			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
+		},
+		Request: j.req, Left: timeLeft(&j.arrived.Work), Once: j.arrived.Repeat == entry.RepeatOnce,
+		Rank: j.route.Rank, After: j.after(),
+	}
+}
+
 // heard passes on what a server told of itself.
 func (j *job) heard(d entry.Dispatch, said Said) {
 	if !said.HasLoad || said.OtherLife {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -45,6 +45,15 @@
 	l.line("attempt failed", args...)
 }
 
+// notPrefilled writes a line for a prefill that another engine did not do.
+func (l *jobLog) notPrefilled(d entry.Dispatch, err error) {
+	reason := "refused"
+	if err != nil {
+		reason = err.Error()
+	}
+	l.line("prefill apart failed", "server", d.PrefillServer, "incarnation", d.PrefillIncarnation, "reason", reason)
+}
+
 // end writes the line of the final answer and counts it.
 func (l *jobLog) end(how string, args ...any) {
 	l.job.s.count(l.job.route.Profile, how, time.Since(l.began))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,6 +97,14 @@
 	Rank int
 	// After asks a stream to go on after that event; empty: from its start.
 	After string
+	// From is where the prompt's KV cache lies; nil: the server prefills by itself.
+	From *Cache
+}
+
+// Cache is a prompt's KV cache that an engine holds for another one to fetch.
+type Cache struct {
+	Address string
+	Handle  string
 }
 
 // Said is what a server told of itself with an answer.
@@ -134,6 +142,11 @@
 // ends the connection is closed, also while the body is read.
 type Backend interface {
 	Send(ctx context.Context, a Attempt) (*Answer, error)
+	// Prefill asks an engine to prefill only and to hold the KV cache. The cache is
+	// nil if the engine did not do so.
+	Prefill(ctx context.Context, a Attempt) (*Cache, Said, error)
+	// Free lets an engine drop a KV cache that nobody fetches.
+	Free(ctx context.Context, c *Cache)
 	// Health asks a server for its health on the path; false for none or a bad one.
 	Health(ctx context.Context, t Target, path string) bool
 	// CloseIdle closes connections that idle too long.
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -37,6 +37,7 @@
 		Arrived: now, FirstTokenBy: now + profile.FirstToken, FinishBy: now + limit,
 		LateIsOfUse: true, Pace: pace(s.host.Settings),
 	}
+	w.Pace.MoveRate = service.MoveRate
 	if r.Prompt != nil {
 		r.Prompt.describe(&w)
 	}
@@ -55,6 +56,8 @@
 	// those of its predecessors in it.
 	chain := xxhash.New()
 	_, _ = chain.WriteString(p.Model)
+	// The last part is the request's own.
+	w.Shared = max(0, len(p.Parts)-1)
 	for _, part := range p.Parts {
 		_, _ = chain.WriteString("\x00" + part.ID)
 		w.Prefix = append(w.Prefix, chain.Sum64())
