Estimate what other entries have at a server from the counts in its answers

Cause: an entry multiplied its own few sends by the number of entries, so that one request of its own made a home look full and the next went elsewhere: parts were read again (2.0 of 5.9 million tokens) while one engine had 3 s of queue.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -94,8 +94,13 @@
 	Usable bool
 	Slots  int
 	// CountsOnly tells that Load holds no tokens: what waits there is reckoned
-	// from what this entry has sent.
-	CountsOnly bool
+	// from what this entry has sent and from OthersRunning and OthersWaiting, an
+	// estimate of other entries' requests there.
+	CountsOnly                   bool
+	OthersRunning, OthersWaiting float64
+	// UsualUnread and UsualKV are what a request has to read and to hold there on
+	// average, in tokens.
+	UsualUnread, UsualKV float64
 	// Load is its last report, ReportedAt when that was true (since boot, lag
 	// taken off).
 	Load       engineapi.Load
--- /dev/null
+++ b/internal/decision/others.go
@@ -0,0 +1,53 @@
+package decision
+
+import (
+	"math"
+	"time"
+)
+
+// Others estimates how many requests of other entries run and wait at one server
+// that reports counts only, on the answers that it gives this entry.
+//
+// It answers many entries that share few servers: each sees a report now and
+// then, between them it knows only its own sends, and all choose the server that
+// looked idle last. The count of a report is believed less the older it is, and
+// the usual count takes its place.
+type Others struct {
+	// running and waiting are those of the last report, at when it came.
+	running, waiting float64
+	at               time.Duration
+	// usualRunning and usualWaiting are averages over reports.
+	usualRunning, usualWaiting float64
+	reports                    int
+}
+
+const (
+	// othersTime is how fast a report gets old: requests come and go within some
+	// hundred milliseconds.
+	othersTime = 300 * time.Millisecond
+	// othersWeight is the weight of a report in the averages: some tens of reports,
+	// which an entry gets of a server in a few seconds.
+	othersWeight = 0.05
+)
+
+// Reported takes in a report; own is how many of the requests in it are this
+// entry's.
+func (o *Others) Reported(now time.Duration, running, waiting, own int) {
+	// Which of the own ones wait is not told: they count in proportion.
+	total := float64(running + waiting)
+	part := 0.0
+	if total > 0 {
+		part = max(0, total-float64(own)) / total
+	}
+	o.running, o.waiting, o.at = part*float64(running), part*float64(waiting), now
+	o.reports++
+	weight := max(othersWeight, 1/float64(o.reports))
+	o.usualRunning += weight * (o.running - o.usualRunning)
+	o.usualWaiting += weight * (o.waiting - o.usualWaiting)
+}
+
+// Estimate is how many of the others' requests run and wait there now.
+func (o *Others) Estimate(now time.Duration) (running, waiting float64) {
+	fresh := math.Exp(-max(0, (now-o.at).Seconds()) / othersTime.Seconds())
+	return fresh*o.running + (1-fresh)*o.usualRunning, fresh*o.waiting + (1-fresh)*o.usualWaiting
+}
--- a/internal/decision/placement/home.go
+++ b/internal/decision/placement/home.go
@@ -10,7 +10,7 @@
 // homesPerPrefix is how many engines of each role are the homes of a prefix: with
 // two, one that is busy or gone leaves another, and a fleet that holds the
 // prefixes several times over still has room for both copies.
-const homesPerPrefix = 2
+const homesPerPrefix = 1
 
 // home is a server with its rank for a prefix.
 type home struct {
--- a/internal/decision/placement/load.go
+++ b/internal/decision/placement/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
 
 // load is a server's load as it is reckoned to be now.
@@ -36,12 +37,32 @@
 			scale*float64(sent.SinceDecodeTokens),
 		kv: float64(report.KVUsed) + scale*float64(sent.SinceKVTokens),
 	}
+	l.urgent = scale * float64(sent.UrgentPrefillTokens)
 	if server.CountsOnly {
-		l.prefill = scale * float64(sent.PrefillTokens)
-		l.decode = scale * float64(sent.DecodeTokens)
-		l.kv = scale * float64(sent.KVTokens)
+		return countedLoad(server)
 	}
-	l.urgent = scale * float64(sent.UrgentPrefillTokens)
 	l.requests = max(l.requests, float64(sent.Requests))
 	return l
 }
+
+// readingShare is the part of the others' running requests at an engine that also
+// decodes that is still being read: a question's reading takes a tenth of its time
+// there, a dossier's a third.
+const readingShare = 0.2
+
+// countedLoad is the load of a server that reports counts only.
+func countedLoad(server *decision.Server) load {
+	sent := &server.Sent
+	others := server.OthersRunning + server.OthersWaiting
+	reading := server.OthersWaiting + readingShare*server.OthersRunning
+	if server.Role == engineapi.RolePrefill {
+		reading = others
+	}
+	return load{
+		requests: others + float64(sent.Requests),
+		prefill:  reading*server.UsualUnread + float64(sent.PrefillTokens),
+		urgent:   float64(sent.UrgentPrefillTokens),
+		decode:   float64(sent.DecodeTokens),
+		kv:       others*server.UsualKV + float64(sent.KVTokens),
+	}
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -195,6 +195,7 @@
 		tokens.Prefill = 0
 	}
 	s.since = append(s.since, sentWork{r.now, tokens})
+	s.usual.add(tokens)
 	d := Dispatch{
 		RequestID: q.work.RequestID, Attempt: q.attempt, EngineAttempt: q.engineAttempt, Server: s.pb.Id,
 		Incarnation: s.pb.Incarnation, Address: s.pb.Address, Reconnect: reconnect,
@@ -204,7 +205,9 @@
 		q.prefill = p
 		p.running = append(p.running, q.work.RequestID)
 		p.cache.usedAt = r.now
-		p.since = append(p.since, sentWork{r.now, decision.Tokens{Prefill: q.unread, KV: context}})
+		reading := decision.Tokens{Prefill: q.unread, KV: context}
+		p.since = append(p.since, sentWork{r.now, reading})
+		p.usual.add(reading)
 		d.PrefillServer, d.PrefillIncarnation, d.PrefillAddress = p.pb.Id, p.pb.Incarnation, p.pb.Address
 	}
 	r.emit(d)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -42,6 +42,10 @@
 	// running holds the ids of the requests that this entry has there.
 	running []string
 	cache   cacheFollower
+	// others estimates other entries' requests there; usual is what a request has
+	// to read and hold there.
+	others decision.Others
+	usual  usualWork
 	// since sums what was sent after the load was measured.
 	since []sentWork
 }
@@ -135,6 +139,23 @@
 	}
 	s.load, s.reportedAt = load, at
 	s.forgetSent(at)
+	s.others.Reported(now, int(load.Running), int(load.Queued), len(s.running))
+}
+
+// usualWork averages what this entry's requests had to do at a server.
+type usualWork struct {
+	unread, kv float64
+	count      int
+}
+
+// usualWeight is the weight of a request in the averages.
+const usualWeight = 0.05
+
+func (u *usualWork) add(t decision.Tokens) {
+	u.count++
+	weight := max(usualWeight, 1/float64(u.count))
+	u.unread += weight * (float64(t.Prefill) - u.unread)
+	u.kv += weight * (float64(t.KV) - u.kv)
 }
 
 func (s *server) forgetSent(before time.Duration) {
@@ -263,6 +284,7 @@
 }
 
 func (r *Reducer) decisionServer(s *server, usable bool) decision.Server {
+	running, waiting := s.others.Estimate(r.now)
 	return decision.Server{
 		ID: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
 		DataCentre: s.pb.DataCentre, Kind: wire.Kind(s.pb.Kind), Services: s.pb.Services,
@@ -270,7 +292,8 @@
 		// A plain service does all of its work, as a mixed engine does.
 		Role:   cmp.Or(wire.Role(s.pb.Role), engineapi.RoleMixed),
 		Usable: usable, Slots: int(s.pb.Slots), Load: r.loadOf(s), ReportedAt: s.reportedAt,
-		CountsOnly: s.countsOnly(), Sent: r.sent(s),
+		CountsOnly: s.countsOnly(), OthersRunning: running, OthersWaiting: waiting,
+		UsualUnread: s.usual.unread, UsualKV: s.usual.kv, Sent: r.sent(s),
 	}
 }
 
