--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -53,11 +53,12 @@
 	defer out.Close()
 	log := obs.NewLogger(out, s.Name, s.Log)
 	ctx := cli.Stopped(cmd.Context())
-	var drivers []runner.Driver
+	var drivers runner.Drivers
 	if s.RegistryAddress != "" {
-		drivers = append(drivers, platform.NewRegistry(s.RegistryAddress, log))
+		drivers.Calls = []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, log)}
+		drivers.Orders = platform.Orders{}
 	}
-	r, err := runner.New(s, log, drivers...)
+	r, err := runner.New(s, log, drivers)
 	if err != nil {
 		return err
 	}
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -81,6 +81,7 @@
 		return
 	}
 	r.onAnnouncement("", a)
+	r.onReportedRole(a.GetServer())
 	w = r.lead.servers[a.GetServer().GetId()]
 	if w == nil || w.incarnation != a.GetServer().GetIncarnation() {
 		// Of a life that was replaced: there is nothing to wait for.
--- a/internal/control/delivery.go
+++ b/internal/control/delivery.go
@@ -18,6 +18,9 @@
 	// orderRetry is when an order without a result is sent again. An engine
 	// answers the same id again without running it twice.
 	orderRetry = 2 * time.Second
+	// orderRunningRetry takes its place once the engine has said that it carries the
+	// order out: its own announcement ends the order, and each sending has a price.
+	orderRunningRetry = 8 * time.Second
 	// idleMargin is how much later than the view came into force a load report
 	// must be true to show that nothing runs: an entry may have sent work just
 	// before, and it needs to arrive.
@@ -118,12 +121,21 @@
 	if d.inForceAt == 0 {
 		d.inForceAt = r.now
 	}
-	if !r.idleSince(o.proto.GetServer(), d.inForceAt+idleMargin) || r.heldBack(o, d) {
+	if !r.drained(o.proto.GetServer(), d) || r.heldBack(o, d) {
 		return
 	}
 	r.moveTo(o, d, pb.OrderState_ORDER_STATE_SENT, "")
 }
 
+// drained tells whether the engine can be sent its order: it is idle, or lets its
+// requests finish by itself.
+func (r *Reducer) drained(id string, d *delivery) bool {
+	if r.state.declared.parsed != nil && r.state.declared.parsed.Roles.EnginesDrain {
+		return true
+	}
+	return r.idleSince(id, d.inForceAt+idleMargin)
+}
+
 // idleSince tells whether the engine has reported, of a time after since, that
 // it runs nothing.
 func (r *Reducer) idleSince(id string, since time.Duration) bool {
@@ -205,10 +217,12 @@
 	r.logOrder(o.proto, "order sent")
 }
 
+// wireOrder gives the order under a token of this leader's term: one that another
+// leader's copy bears would not tell the two senders apart.
 func (r *Reducer) wireOrder(o *pb.Order) engineapi.Order {
 	return engineapi.Order{
 		ID: o.GetId(), Incarnation: o.GetIncarnation(), Sender: r.cfg.Sender,
-		Token: wire.Token(o.GetToken()),
+		Token: engineapi.FencingToken{Term: max(r.term, o.GetToken().GetTerm()), Sequence: o.GetToken().GetSequence()},
 		Kind:  wireKind(o.GetKind()), Role: wire.Role(o.GetRole()),
 		Model: o.GetModel(), Version: o.GetModelVersion(), Adapter: o.GetAdapter(),
 	}
@@ -245,7 +259,9 @@
 	d.inFlight = false
 	d.nextSend = r.now + orderRetry
 	switch {
-	case d.proposing || e.Answer.Result == engineapi.OrderRunning:
+	case e.Answer.Result == engineapi.OrderRunning:
+		d.nextSend = r.now + orderRunningRetry
+	case d.proposing:
 	case e.Answer.Result == engineapi.OrderDone:
 		r.moveTo(o, d, pb.OrderState_ORDER_STATE_DONE, "")
 	default:
@@ -284,6 +300,18 @@
 	}
 }
 
+// onReportedRole takes an engine's word that it has the role that it was ordered
+// to take, for engines that report no order ids.
+func (r *Reducer) onReportedRole(told *pb.BackendServer) {
+	o := r.state.orders[told.GetId()]
+	if o == nil || o.proto.GetKind() != pb.OrderKind_ORDER_KIND_SET_ROLE || o.proto.GetRole() != told.GetRole() {
+		return
+	}
+	if told.GetState() == pb.ServerState_SERVER_STATE_SERVING {
+		r.onReportedOrder(told, o.proto.GetId())
+	}
+}
+
 // onReportedOrder takes the engine's own report that it carried out an order.
 func (r *Reducer) onReportedOrder(told *pb.BackendServer, orderID string) {
 	o, d := r.current(told.GetId(), orderID)
--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -37,11 +37,25 @@
 	}
 	offeredNow := r.lead.demand.byModel
 	r.lead.demand = newDemandWindow(r.now)
-	if !d.Roles.Automatic || r.now-r.lead.heardAt > deafAfter {
+	if r.now-r.lead.heardAt > deafAfter {
 		return
 	}
 	for _, m := range d.Models {
-		r.planModel(m.Name, interval, offeredNow[m.Name])
+		switch {
+		case d.Roles.Automatic:
+			r.planModel(m.Name, interval, offeredNow[m.Name])
+		case d.Roles.PrefillShare > 0:
+			r.keepShare(m.Name, d.Roles.PrefillShare)
+		}
+	}
+}
+
+// keepShare orders the changes that keep the declared share of a model's engines
+// at prefill.
+func (r *Reducer) keepShare(model string, share float64) {
+	o := roles.Observation{Engines: r.engines(model, &modelPlan{}), Bounds: r.roleBounds()}
+	for _, c := range roles.Keep(&o, share) {
+		r.orderChange(&o, c)
 	}
 }
 
--- a/internal/control/runner/engines.go
+++ b/internal/control/runner/engines.go
@@ -21,20 +21,38 @@
 // maxOrderAnswer bounds an engine's answer to an order.
 const maxOrderAnswer = 64 << 10
 
+// OrderProtocol is how orders are spoken with engines.
+type OrderProtocol interface {
+	// Write fills the request for an order.
+	Write(req *fasthttp.Request, e control.SendOrder) error
+	// Read takes the engine's answer to it. Errors: the answer tells nothing of
+	// the order.
+	Read(resp *fasthttp.Response, e control.SendOrder) (*engineapi.OrderAnswer, error)
+}
+
+// nativeOrders speaks the system's own protocol with engines.
+type nativeOrders struct{}
+
 // engineSender sends orders to engines.
 type engineSender struct {
-	loop *loop
-	wg   conc.WaitGroup
+	loop     *loop
+	protocol OrderProtocol
+	wg       conc.WaitGroup
 }
 
-func newEngineSender(l *loop) *engineSender { return &engineSender{loop: l} }
+func newEngineSender(l *loop, p OrderProtocol) *engineSender {
+	if p == nil {
+		p = nativeOrders{}
+	}
+	return &engineSender{loop: l, protocol: p}
+}
 
 func (s *engineSender) wait() { s.wg.Wait() }
 
 // send sends one order once, off the control goroutine.
 func (s *engineSender) send(e control.SendOrder) {
 	s.wg.Go(func() {
-		answer, notSent, err := deliver(e)
+		answer, notSent, err := deliver(s.protocol, e)
 		if err != nil {
 			s.loop.post(control.OrderUnanswered{
 				Server: e.Server, OrderID: e.Order.ID, NotSent: notSent, Reason: err.Error(),
@@ -48,11 +66,7 @@
 // deliver gives the engine's answer, or an error and whether no byte went out.
 // Each order has a connection of its own: none that has gone silent is used, and
 // closing it drops what of the order has not left yet.
-func deliver(e control.SendOrder) (*engineapi.OrderAnswer, bool, error) {
-	body, err := json.Marshal(e.Order)
-	if err != nil {
-		return nil, true, err
-	}
+func deliver(p OrderProtocol, e control.SendOrder) (*engineapi.OrderAnswer, bool, error) {
 	guard := &leaseGuard{until: e.LeaseUntil}
 	client := &fasthttp.HostClient{
 		Addr: e.Address, Dial: guard.dialer(e.Timeout),
@@ -63,26 +77,38 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	if err := p.Write(req, e); err != nil {
+		return nil, true, err
+	}
+	if err := client.DoTimeout(req, resp, e.Timeout); err != nil {
+		return nil, !guard.written(), err
+	}
+	answer, err := p.Read(resp, e)
+	return answer, false, err
+}
+
+func (nativeOrders) Write(req *fasthttp.Request, e control.SendOrder) error {
+	body, err := json.Marshal(e.Order)
+	if err != nil {
+		return err
+	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + e.Address + engineapi.PathOrders)
 	req.Header.SetContentType("application/json")
 	req.SetBody(body)
-	if err := client.DoTimeout(req, resp, e.Timeout); err != nil {
-		return nil, !guard.written(), err
-	}
-	return readAnswer(e.Order.ID, resp)
+	return nil
 }
 
-// readAnswer takes an answer only if it is about this order.
-func readAnswer(orderID string, resp *fasthttp.Response) (*engineapi.OrderAnswer, bool, error) {
+// Read takes an answer only if it is about this order.
+func (nativeOrders) Read(resp *fasthttp.Response, e control.SendOrder) (*engineapi.OrderAnswer, error) {
 	answer := &engineapi.OrderAnswer{}
 	if err := json.Unmarshal(resp.Body(), answer); err != nil {
-		return nil, false, errorx.Decorate(err, "status %d", resp.StatusCode())
+		return nil, errorx.Decorate(err, "status %d", resp.StatusCode())
 	}
-	if answer.ID != orderID || answer.Result == "" {
-		return nil, false, Failed.New("the answer is about order %q with result %q", answer.ID, answer.Result)
+	if answer.ID != e.Order.ID || answer.Result == "" {
+		return nil, Failed.New("the answer is about order %q with result %q", answer.ID, answer.Result)
 	}
-	return answer, false, nil
+	return answer, nil
 }
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -17,6 +17,14 @@
 	Shutdown(ctx context.Context) error
 }
 
+// Drivers are the other protocols of a replica; the zero value has none.
+type Drivers struct {
+	// Calls serve backend servers and operators.
+	Calls []Driver
+	// Orders speaks with engines; nil: the system's own protocol.
+	Orders OrderProtocol
+}
+
 // Port is what a Driver may ask of this replica. Errors are twirp errors: a
 // replica that does not lead answers unavailable; see Leader.
 type Port struct {
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -52,12 +52,12 @@
 	net     *transport
 	engines *engineSender
 	server  *http.Server
-	drivers []Driver
+	drivers Drivers
 }
 
 // New opens the data folder and puts the state back. The drivers serve other
 // protocols beside the system's own. Errors: those of store and rpc, BadSnapshot.
-func New(cfg *settings.Control, log *slog.Logger, drivers ...Driver) (*Runner, error) {
+func New(cfg *settings.Control, log *slog.Logger, drivers Drivers) (*Runner, error) {
 	auth, err := rpc.LoadAuth(cfg.Auth)
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
 	r.net = newTransport(cfg, auth, st, r.loop)
-	r.engines = newEngineSender(r.loop)
+	r.engines = newEngineSender(r.loop, drivers.Orders)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
 	return r, nil
 }
@@ -159,7 +159,7 @@
 	if r.cfg.MetricsAddress != "" {
 		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
 	}
-	for _, d := range r.drivers {
+	for _, d := range r.drivers.Calls {
 		wg.Go(func() {
 			if err := d.Serve(&Port{cluster: r.cfg.Cluster, loop: r.loop}); err != nil {
 				r.loop.fail(Failed.Wrap(err, "serve"))
@@ -204,7 +204,7 @@
 func (r *Runner) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	for _, d := range r.drivers {
+	for _, d := range r.drivers.Calls {
 		if err := d.Shutdown(ctx); err != nil {
 			r.log.Warn("a driver did not stop in time", "error", err.Error())
 		}
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -44,6 +44,13 @@
 	return time * (1 + l.requests/float64(max(1, server.Slots)))
 }
 
+// besideReading is how much more reading costs for each stream beside it, at an
+// engine that reads between the tokens of its streams: all of them stand still
+// for that long. Without it dossiers are read beside twenty streams while
+// prefill engines idle; the streams take twice as long, hold their memory twice as
+// long, and what comes next waits for memory.
+const besideReading = 0.2
+
 // prefillCost is the wait behind the server's prefill and the own prefill
 // without the blocks that it holds. Affinity is so bounded by what it saves: a
 // server with the prefix and a longer queue than that is not chosen.
@@ -53,14 +60,18 @@
 	if w.Class != declaration.ClassBulk {
 		wait = l.urgent / rate
 	}
-	return wait + float64(unread(w, held))/rate
+	reading := float64(unread(w, held)) / rate
+	if server.CountsOnly && server.Role == engineapi.RoleMixed {
+		reading *= 1 + besideReading*l.requests
+	}
+	return wait + reading
 }
 
 // decodeCost is the own decode at the server's fill. A step takes longer with
 // more streams, and with prefill beside it.
 func (p *Picker) decodeCost(i int, w *decision.Work, server *decision.Server, l load) float64 {
 	slots := float64(max(1, server.Slots))
-	fill := min(1, (l.requests+1)/slots)
+	fill := min(1, max((l.requests+1)/slots, memoryFill(w, server, l)))
 	perToken := slots / max(1, server.DecodeRate()) * (stepBase + (1-stepBase)*fill)
 	slow := 1 / max(minFactor, p.limits.aligned[i].factor)
 	if server.Role == engineapi.RoleMixed {
@@ -69,6 +80,15 @@
 	return float64(w.OutputTokens) * perToken * slow
 }
 
+// memoryFill is the part of the server's KV memory that is taken with the work;
+// 0 where its size is not known.
+func memoryFill(w *decision.Work, server *decision.Server, l load) float64 {
+	if server.Load.KVTokens == 0 || !server.CountsOnly {
+		return 0
+	}
+	return (l.kv + float64(w.PromptTokens+w.OutputTokens)) / float64(server.Load.KVTokens)
+}
+
 // interference is how much more a stream counts at a mixed engine than its own
 // time there: as long as one decodes, that engine prefills at less than half of
 // its rate. Without it streams go to idle mixed engines while decode engines have
--- a/internal/decision/placement/load.go
+++ b/internal/decision/placement/load.go
@@ -50,6 +50,10 @@
 // there, a dossier's a third.
 const readingShare = 0.2
 
+// urgentBehind is the part of the backlog that urgent work waits for at an engine
+// that orders by priority what waits, but not what it has begun to read.
+const urgentBehind = 1
+
 // countedLoad is the load of a server that reports counts only.
 func countedLoad(server *decision.Server) load {
 	sent := &server.Sent
@@ -58,10 +62,11 @@
 	if server.Role == engineapi.RolePrefill {
 		reading = others
 	}
+	prefill := reading*server.UsualUnread + float64(sent.PrefillTokens)
 	return load{
 		requests: others + float64(sent.Requests),
-		prefill:  reading*server.UsualUnread + float64(sent.PrefillTokens),
-		urgent:   float64(sent.UrgentPrefillTokens),
+		prefill:  prefill,
+		urgent:   max(float64(sent.UrgentPrefillTokens), urgentBehind*prefill),
 		decode:   float64(sent.DecodeTokens),
 		kv:       others*server.UsualKV + float64(sent.KVTokens),
 	}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -98,6 +98,9 @@
 		{Name: "cost_seconds", Value: cost},
 		{Name: "cached_blocks", Value: float64(held)},
 		{Name: "limit", Value: p.limits.aligned[index].slots(server)},
+		{Name: "own_there", Value: float64(server.Sent.Requests)},
+		{Name: "others_running", Value: server.OthersRunning},
+		{Name: "others_waiting", Value: server.OthersWaiting},
 	}
 }
 
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -172,6 +172,12 @@
 type Roles struct {
 	// Automatic lets the system change roles. Default true.
 	Automatic bool `yaml:"automatic" json:"automatic"`
+	// PrefillShare is the share of a model's engines that is kept to prefill only,
+	// as long as Automatic is false; 0: roles stay as the engines have them.
+	PrefillShare float64 `yaml:"prefill_share" json:"prefill_share,omitempty"`
+	// EnginesDrain tells that an engine lets its requests finish before it carries
+	// out an order. Else control waits until it is idle.
+	EnginesDrain bool `yaml:"engines_drain" json:"engines_drain,omitempty"`
 	// MaxAway is how many engines of one model may be away at once. Default 1.
 	MaxAway int `yaml:"max_away" json:"max_away"`
 	// MinMixedShare is the smallest share of mixed engines, 0 to 1. Default 0.34.
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -289,6 +289,7 @@
 func (c *checker) roles() {
 	r := c.d.Roles
 	c.between("roles.max_away", float64(r.MaxAway), 1, 1000)
+	c.between("roles.prefill_share", r.PrefillShare, 0, 1)
 	c.between("roles.min_mixed_share", r.MinMixedShare, 0, 1)
 	c.duration("roles.change_time", r.ChangeTime, 0, time.Hour)
 	c.between("roles.goodput_weight", r.GoodputWeight, 0.001, 1000)
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -213,6 +213,12 @@
 	r.emit(d)
 	r.log(LogRoute, q, s.pb.Id, choice.Reason, append(choice.Figures,
 		Figure{Name: "attempt", Value: float64(q.attempt)},
+		Figure{Name: "prompt_tokens", Value: float64(q.work.PromptTokens)},
+		Figure{Name: "unread_tokens", Value: float64(q.unread)},
+		Figure{Name: "output_tokens", Value: float64(q.work.OutputTokens)},
+		Figure{Name: "reported_running", Value: float64(s.load.Running)},
+		Figure{Name: "reported_waiting", Value: float64(s.load.Queued)},
+		Figure{Name: "report_age_ms", Value: float64((r.now - s.reportedAt).Milliseconds())},
 		Figure{Name: "done_tokens", Value: float64(q.done)},
 		Figure{Name: "waited_ms", Value: float64((r.now - q.waitsSince).Milliseconds())}))
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -318,6 +318,9 @@
 			load.PrefillRate *= prefillOnlyGain
 		}
 	}
+	if load.KVTokens == 0 {
+		load.KVTokens = r.view.cacheTokens[s.pb.Model]
+	}
 	if load.DecodeRate == 0 && r.cfg.Engines.TokenTime > 0 {
 		load.DecodeRate = float64(max(1, s.pb.Slots)) / r.cfg.Engines.TokenTime.Seconds()
 	}
@@ -328,9 +331,11 @@
 	sent := decision.Sent{Requests: len(s.running)}
 	for _, id := range s.running {
 		q := r.requests[id]
-		sent.PrefillTokens += q.prefillLeft()
-		if q.work.Class != declaration.ClassBulk && s == q.prefiller() {
-			sent.UrgentPrefillTokens += q.prefillLeft()
+		if s == q.prefiller() {
+			sent.PrefillTokens += q.prefillLeft()
+			if q.work.Class != declaration.ClassBulk {
+				sent.UrgentPrefillTokens += q.prefillLeft()
+			}
 		}
 		sent.DecodeTokens += q.decodeLeft()
 		sent.KVTokens += q.work.PromptTokens + q.work.OutputTokens
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -32,6 +32,8 @@
 	declaration *declaration.Declaration
 	members     map[string]*declaration.Member
 	routes      declaration.RouteTable
+	// cacheTokens is the declared memory of an engine by its model.
+	cacheTokens map[string]uint64
 	entries     map[string]*entryState
 	quarantine  map[quarantineKey]bool
 	// suspected are requests that ran on a server that died lately, and until
@@ -143,6 +145,10 @@
 	for i := range d.Members {
 		members[d.Members[i].CredentialSHA256] = &d.Members[i]
 	}
+	v.cacheTokens = make(map[string]uint64)
+	for _, s := range d.Services {
+		v.cacheTokens[s.Model] = max(v.cacheTokens[s.Model], s.CacheTokens)
+	}
 	v.declaration, v.members, v.routes = d, members, declaration.NewRouteTable(d)
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -14,6 +14,11 @@
 	job      *job
 	began    time.Time
 	attempts int
+	// server ran the last attempt, prefiller did its prefill if another one did.
+	server, prefiller string
+	// sentAt, prefilledAt and firstAt are when the last attempt went out, when its
+	// prefill apart was done and when its first event came, since began.
+	sentAt, prefilledAt, firstAt time.Duration
 }
 
 func newJobLog(j *job) jobLog { return jobLog{job: j, began: time.Now()} }
@@ -25,7 +30,15 @@
 	l.job.s.host.Log.Info(message, args...)
 }
 
-func (l *jobLog) sent(entry.Dispatch) { l.attempts++ }
+func (l *jobLog) sent(d entry.Dispatch) {
+	l.attempts++
+	l.server, l.prefiller = d.Server, d.PrefillServer
+	l.sentAt, l.prefilledAt, l.firstAt = time.Since(l.began), 0, 0
+}
+
+func (l *jobLog) prefilled() { l.prefilledAt = time.Since(l.began) }
+
+func (l *jobLog) first() { l.firstAt = time.Since(l.began) }
 
 // attempted writes a line for an attempt that did not give the answer.
 func (l *jobLog) attempted(d entry.Dispatch, ended *entry.AttemptEnded, err error) {
@@ -57,7 +70,16 @@
 // end writes the line of the final answer and counts it.
 func (l *jobLog) end(how string, args ...any) {
 	l.job.s.count(l.job.route.Profile, how, time.Since(l.began))
-	l.line("answered", append([]any{"how", how, "attempts", l.attempts}, args...)...)
+	args = append([]any{
+		"how", how, "attempts", l.attempts, "server", l.server, "sent_ms", l.sentAt.Milliseconds(),
+	}, args...)
+	if l.prefiller != "" {
+		args = append(args, "prefiller", l.prefiller, "prefilled_ms", l.prefilledAt.Milliseconds())
+	}
+	if l.firstAt > 0 {
+		args = append(args, "first_ms", l.firstAt.Milliseconds())
+	}
+	l.line("answered", args...)
 }
 
 func (l *jobLog) refused(r *outcome.Refusal) {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -28,7 +28,9 @@
 	}
 	if cache == nil {
 		j.log.notPrefilled(d, err)
+		return nil
 	}
+	j.log.prefilled()
 	return cache
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,6 +48,7 @@
 		}
 		if ended.FirstToken == 0 {
 			ended.FirstToken = time.Since(began)
+			j.log.first()
 		}
 		if err := j.hand(a, event); err != nil {
 			return err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/finding"
 	"goldcrestseam.dev/goldcrestseam/internal/yamlfile"
 )
@@ -167,6 +168,8 @@
 	// RegistryAddress is where backend servers announce themselves to control
 	// and operators of a relayed deployment call, host:port; empty for none.
 	RegistryAddress string `yaml:"registry_address"`
+	// Roles bounds role changes where an operator's document says nothing of them.
+	Roles declaration.Roles `yaml:"roles"`
 	// ElectionTimeout: a follower that hears no leader for one to two times
 	// this long stands for election. Default 400ms.
 	ElectionTimeout time.Duration `yaml:"election_timeout"`
