--- a/internal/control/delivery.go
+++ b/internal/control/delivery.go
@@ -212,17 +212,15 @@
 	d.inFlight = true
 	r.emit(SendOrder{
 		Server: o.proto.GetServer(), Address: sv.told.GetAddress(),
-		Order: r.wireOrder(o.proto), LeaseUntil: r.node.LeaseUntil(), Timeout: orderTimeout,
+		Order: r.wireOrder(o.proto), Term: r.term, LeaseUntil: r.node.LeaseUntil(), Timeout: orderTimeout,
 	})
 	r.logOrder(o.proto, "order sent")
 }
 
-// wireOrder gives the order under a token of this leader's term: one that another
-// leader's copy bears would not tell the two senders apart.
 func (r *Reducer) wireOrder(o *pb.Order) engineapi.Order {
 	return engineapi.Order{
 		ID: o.GetId(), Incarnation: o.GetIncarnation(), Sender: r.cfg.Sender,
-		Token: engineapi.FencingToken{Term: max(r.term, o.GetToken().GetTerm()), Sequence: o.GetToken().GetSequence()},
+		Token: wire.Token(o.GetToken()),
 		Kind:  wireKind(o.GetKind()), Role: wire.Role(o.GetRole()),
 		Model: o.GetModel(), Version: o.GetModelVersion(), Adapter: o.GetAdapter(),
 	}
--- a/internal/control/effect.go
+++ b/internal/control/effect.go
@@ -36,6 +36,8 @@
 	Server  string
 	Address string
 	Order   engineapi.Order
+	// Term is the sending leader's; the order's token bears that of its intent.
+	Term uint64
 	// LeaseUntil is when this leader's authority ends, since boot.
 	LeaseUntil time.Duration
 	Timeout    time.Duration
