Let what is usual at a server fade while it tells nothing

Cause: two engines that had been full got no work for 25 s after: the estimate of others' requests there stayed at its average, and only an answer could lower it.

--- a/internal/decision/others.go
+++ b/internal/decision/others.go
@@ -25,6 +25,9 @@
 	// othersTime is how fast a report gets old: requests come and go within some
 	// hundred milliseconds.
 	othersTime = 300 * time.Millisecond
+	// usualTime is how fast what is usual gets old: a queue of seconds is worked off
+	// in as many.
+	usualTime = 2 * time.Second
 	// othersWeight is the weight of a report in the averages: some tens of reports,
 	// which an entry gets of a server in a few seconds.
 	othersWeight = 0.05
@@ -47,7 +50,13 @@
 }
 
 // Estimate is how many of the others' requests run and wait there now.
+//
+// What is usual fades too. A server that looked full gets nothing from this entry,
+// so that no answer tells it of the server's recovery: without the fading it
+// would look full for ever.
 func (o *Others) Estimate(now time.Duration) (running, waiting float64) {
-	fresh := math.Exp(-max(0, (now-o.at).Seconds()) / othersTime.Seconds())
-	return fresh*o.running + (1-fresh)*o.usualRunning, fresh*o.waiting + (1-fresh)*o.usualWaiting
+	age := max(0, (now - o.at).Seconds())
+	fresh := math.Exp(-age / othersTime.Seconds())
+	usual := (1 - fresh) * math.Exp(-age/usualTime.Seconds())
+	return fresh*o.running + usual*o.usualRunning, fresh*o.waiting + usual*o.usualWaiting
 }
--- /dev/null
+++ b/internal/decision/others_test.go
@@ -0,0 +1,51 @@
+package decision
+
+import (
+	"testing"
+	"time"
+)
+
+// An engine was full when its last answer came, and gets nothing from this entry
+// since. The others' work is done after some seconds, but no answer tells so.
+// Once it kept its last count for half a minute and one engine got all the work.
+func TestFullServerIsTriedAgain(t *testing.T) {
+	var o Others
+	for i := range 200 {
+		o.Reported(time.Duration(i)*10*time.Millisecond, 28, 64, 2)
+	}
+	full := 2 * time.Second
+	if running, waiting := o.Estimate(full); running+waiting < 80 {
+		t.Fatalf("just reported 92, estimated %.1f", running+waiting)
+	}
+	if running, waiting := o.Estimate(full + 10*time.Second); running+waiting > 2 {
+		t.Fatalf("ten seconds later still %.1f", running+waiting)
+	}
+}
+
+// A report counts what is the entry's own, too: only the rest is of others.
+func TestOwnRequestsAreNotOthers(t *testing.T) {
+	var o Others
+	o.Reported(0, 6, 2, 4)
+	if running, waiting := o.Estimate(0); running != 3 || waiting != 1 {
+		t.Fatalf("others %.1f running, %.1f waiting; want 3 and 1", running, waiting)
+	}
+	o.Reported(0, 1, 0, 3)
+	if running, waiting := o.Estimate(0); running != 0 || waiting != 0 {
+		t.Fatalf("more own than reported: others %.1f, %.1f", running, waiting)
+	}
+}
+
+// Between reports the estimate goes from the last one to what is usual: an old
+// count of a busy moment must not keep all entries away.
+func TestOldReportGivesWayToTheUsual(t *testing.T) {
+	var o Others
+	for i := range 1000 {
+		o.Reported(time.Duration(i)*10*time.Millisecond, 2, 0, 0)
+	}
+	now := 10 * time.Second
+	o.Reported(now, 40, 0, 0)
+	late, _ := o.Estimate(now + time.Second)
+	if late > 6 {
+		t.Fatalf("a second after a busy moment still %.1f", late)
+	}
+}
