--- a/internal/decision/placement/scan.go
+++ b/internal/decision/placement/scan.go
@@ -97,7 +97,7 @@
 // offerImport offers a server that goes on from imported KV cache.
 func (s *scored) offerImport(b *best, turn uint32) {
 	if s.server.Role != engineapi.RolePrefill && s.room(decodeEnd) {
-		b.whole.offer(s.index, s.far+s.decode()+float64(s.work.KVTokens)/kvTokenRate, turn)
+		b.whole.offer(s.index, s.far+s.decode()+s.importTime(), turn)
 	}
 }
 
@@ -116,6 +116,14 @@
 	}
 }
 
+// importTime is how long the KV cache takes to get there, in seconds.
+func (s *scored) importTime() float64 {
+	if s.work.Pace.MoveRate > 0 {
+		return moveTime(s.work, s.held)
+	}
+	return float64(s.work.KVTokens) / kvTokenRate
+}
+
 func (s *scored) room(p part) bool { return hasRoom(s.work, s.server, &s.load, s.slots, p) }
 
 func (s *scored) prefill() float64 { return prefillCost(s.work, s.server, s.load, s.held) }
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -34,6 +34,15 @@
 	PrefillAddress     string
 }
 
+// DecodeAt says where an attempt goes on that was prefilled elsewhere.
+type DecodeAt struct {
+	RequestID   string
+	Attempt     uint32
+	Server      string
+	Incarnation string
+	Address     string
+}
+
 // Refuse gives a request its final answer, at once.
 type Refuse struct {
 	RequestID string
@@ -94,6 +103,7 @@
 type Figure = decision.Figure
 
 func (Dispatch) isEffect()    {}
+func (DecodeAt) isEffect()    {}
 func (Refuse) isEffect()      {}
 func (Finish) isEffect()      {}
 func (Cancel) isEffect()      {}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -93,6 +93,14 @@
 	Tokens int
 }
 
+// Prefilled tells that the engine that prefills for an attempt has done so and
+// holds the KV cache. It is answered with a DecodeAt, or as if the attempt had
+// ended without being run.
+type Prefilled struct {
+	RequestID string
+	Attempt   uint32
+}
+
 // AttemptEnded tells how an attempt at a backend server ended.
 type AttemptEnded struct {
 	RequestID string
@@ -139,6 +147,7 @@
 func (Arrived) isEvent()         {}
 func (AttemptProgress) isEvent() {}
 func (AttemptEnded) isEvent()    {}
+func (Prefilled) isEvent()       {}
 func (CallerGone) isEvent()      {}
 func (TimeUp) isEvent()          {}
 func (Stop) isEvent()            {}
--- /dev/null
+++ b/internal/entry/prefilled.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"slices"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+)
+
+// prefilled chooses where a prefilled request decodes.
+//
+// The choice comes only now, since a prefill waits its turn for up to seconds:
+// the engine that looked best before may be full by then, or leave, and one that
+// leaves must get no new work two seconds after it has said so.
+func (r *Reducer) prefilled(ev Prefilled) {
+	q := r.requests[ev.RequestID]
+	if q == nil || q.attempt != ev.Attempt || q.prefill == nil {
+		return
+	}
+	planned := q.server
+	r.detach(q)
+	q.unread = 0
+	s := r.decoder(q, planned)
+	if s == nil {
+		r.log(LogWait, q, planned.pb.Id, "prefilled, but no engine decodes it", nil)
+		if !r.extra.Take(r.now, q.work.Service, len(r.view.entries)) {
+			r.refuse(q, refuseRepeats())
+			return
+		}
+		r.waitAgain(q)
+		r.startWaiting()
+		return
+	}
+	q.server = s
+	s.running = append(s.running, q.work.RequestID)
+	r.emit(DecodeAt{
+		RequestID: ev.RequestID, Attempt: ev.Attempt,
+		Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
+	})
+	r.log(LogRoute, q, s.pb.Id, "decodes what was prefilled", []decision.Figure{
+		{Name: "reported_running", Value: float64(s.load.Running)},
+		{Name: "reported_waiting", Value: float64(s.load.Queued)},
+	})
+	r.startWaiting()
+}
+
+// decoder gives the engine that decodes best now, the planned one if none has room
+// but it still takes work, nil for none.
+func (r *Reducer) decoder(q *request, planned *server) *server {
+	w := q.work
+	w.KVTokens = max(1, w.PromptTokens)
+	fleet := r.fleet(q)
+	if choice, ok := r.decide.picker.Pick(r.now, &w, &fleet); ok {
+		return r.servers.byID[choice.Server.ID]
+	}
+	if slices.Contains(r.servers.sorted, planned) && planned.mayTakeWork(r.now, r.stale()) {
+		return planned
+	}
+	return nil
+}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -121,6 +121,8 @@
 		r.progress(ev)
 	case AttemptEnded:
 		r.attemptEnded(ev)
+	case Prefilled:
+		r.prefilled(ev)
 	case CallerGone:
 		r.callerGone(ev)
 	case TimeUp:
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -88,6 +88,8 @@
 			l.snapshot.Store(e.Snapshot)
 		case entry.Dispatch:
 			l.deliver(e.RequestID, e)
+		case entry.DecodeAt:
+			l.deliver(e.RequestID, e)
 		case entry.Refuse:
 			l.deliver(e.RequestID, e)
 		case entry.Finish:
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -10,7 +10,6 @@
 	"github.com/joomcode/errorx"
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
-	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -29,6 +28,7 @@
 	arrived entry.Arrived
 	// whole is the answer that goes to the caller.
 	whole *wholeAnswer
+	box   <-chan entry.Effect
 	// failure is a server's own answer that is no success: the caller gets it if
 	// no other attempt does better.
 	failure *wholeAnswer
@@ -64,7 +64,7 @@
 // run drives the request until its final effect.
 func (j *job) run(ctx context.Context) {
 	key := j.arrived.Work.RequestID
-	box := j.s.host.Open(key)
+	j.box = j.s.host.Open(key)
 	defer j.s.host.Close(key)
 	ctx, cancel := context.WithTimeout(ctx, timeLeft(&j.arrived.Work))
 	defer cancel()
@@ -78,7 +78,7 @@
 				return
 			}
 			j.s.host.Post(entry.TimeUp{RequestID: key})
-		case e := <-box:
+		case e := <-j.box:
 			if j.take(ctx, e) {
 				return
 			}
@@ -103,10 +103,13 @@
 func (j *job) take(ctx context.Context, e entry.Effect) bool {
 	switch e := e.(type) {
 	case entry.Dispatch:
-		ended := j.attempt(ctx, e)
+		ended, next := j.attempt(ctx, e)
 		if j.gone(ctx) {
 			return true
 		}
+		if next != nil {
+			return j.take(ctx, next)
+		}
 		j.s.host.Post(ended)
 		return false
 	case entry.Refuse:
@@ -143,13 +146,20 @@
 	j.caller.Whole(&j.whole.head, j.whole.body)
 }
 
-// attempt sends the request to one server and tells how that ended.
-func (j *job) attempt(ctx context.Context, d entry.Dispatch) entry.AttemptEnded {
+// attempt sends the request to one server and tells how that ended. With another
+// effect in place of that the reducer has given the attempt up itself.
+func (j *job) attempt(ctx context.Context, d entry.Dispatch) (entry.AttemptEnded, entry.Effect) {
 	began := time.Now()
 	ended := entry.AttemptEnded{RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.NotRun}
 	j.log.sent(d)
 	events := j.events()
-	err := j.send(ctx, d, &ended, began)
+	cache, next, err := j.prefill(ctx, &d, &ended)
+	if next != nil {
+		return ended, next
+	}
+	if err == nil && !ended.AtPrefill {
+		err = j.send(ctx, d, cache, &ended, began)
+	}
 	ended.Took = time.Since(began)
 	ended.Tokens = j.events() - events
 	if ended.FirstToken > 0 {
@@ -159,7 +169,7 @@
 		j.failed(err, &ended)
 	}
 	j.log.attempted(d, &ended, err)
-	return ended
+	return ended, nil
 }
 
 func (j *job) events() int {
@@ -170,16 +180,15 @@
 }
 
 // failed notes how a connection failed. Only one that could not be opened has
-// sent nothing.
+// sent nothing; what was only to be prefilled has not run either way.
 func (j *job) failed(err error, ended *entry.AttemptEnded) {
 	ended.ServerDied = errorx.IsOfType(err, httpconn.Refused)
-	if !errorx.IsOfType(err, httpconn.NotSent) {
+	if !errorx.IsOfType(err, httpconn.NotSent) && !ended.AtPrefill {
 		ended.Outcome = outcome.Unknown
 	}
 }
 
-func (j *job) send(ctx context.Context, d entry.Dispatch, ended *entry.AttemptEnded, began time.Time) error {
-	cache := j.prefill(ctx, d)
+func (j *job) send(ctx context.Context, d entry.Dispatch, cache *Cache, ended *entry.AttemptEnded, began time.Time) error {
 	attempt := j.attemptAt(d.Address, d.Incarnation)
 	attempt.From = cache
 	a, err := j.s.backend.Send(ctx, attempt)
@@ -188,7 +197,7 @@
 		return err
 	}
 	defer a.Body.Close()
-	j.heard(d, a.Said)
+	j.heard(d.Server, d.Incarnation, a.Said)
 	success := a.Head.Status >= http.StatusOK && a.Head.Status < http.StatusMultipleChoices
 	switch {
 	case a.Said.NotRun:
@@ -213,17 +222,6 @@
 	}
 }
 
-// heard passes on what a server told of itself.
-func (j *job) heard(d entry.Dispatch, said Said) {
-	if !said.HasLoad || said.OtherLife {
-		return
-	}
-	j.s.host.Post(entry.ServerSaid{
-		Server: d.Server, Incarnation: d.Incarnation, State: engineapi.StateServing, HasLoad: true,
-		Load: engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)},
-	})
-}
-
 // readWhole takes an answer that is not a stream.
 func (j *job) readWhole(a *Answer, ended *entry.AttemptEnded, success bool) error {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWholeBytes+1))
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -12,29 +12,61 @@
 // itself after some seconds.
 const freeTimeout = time.Second
 
-// prefill lets another engine prefill when the placement chose a pair. It gives
-// nil when that failed: the decoding engine then prefills by itself, which is
-// slower and no reason to fail the request.
-func (j *job) prefill(ctx context.Context, d entry.Dispatch) *Cache {
+// prefill lets another engine prefill when the placement chose a pair, and asks the
+// reducer then which engine decodes; d names that one after it. Without a cache
+// ended tells that the prefill was not done. With another effect the reducer has
+// no engine for it.
+func (j *job) prefill(ctx context.Context, d *entry.Dispatch, ended *entry.AttemptEnded) (*Cache, entry.Effect, error) {
 	if d.PrefillServer == "" {
-		return nil
+		return nil, nil, nil
 	}
 	cache, said, err := j.s.backend.Prefill(ctx, j.attemptAt(d.PrefillAddress, d.PrefillIncarnation))
-	if said.HasLoad && !said.OtherLife {
-		j.s.host.Post(entry.ServerSaid{
-			Server: d.PrefillServer, Incarnation: d.PrefillIncarnation, State: engineapi.StateServing, HasLoad: true,
-			Load: engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)},
-		})
-	}
+	j.heard(d.PrefillServer, d.PrefillIncarnation, said)
 	if cache == nil {
-		j.log.notPrefilled(d, err)
-		return nil
+		j.log.notPrefilled(*d, err)
+		ended.AtPrefill, ended.ServerDied = true, said.OtherLife
+		return nil, nil, err
 	}
 	j.log.prefilled()
-	return cache
+	next, err := j.decodeAt(ctx, d, ended)
+	if next != nil || err != nil {
+		j.free(cache)
+		return nil, next, err
+	}
+	return cache, nil, nil
+}
+
+// decodeAt puts the engine that decodes into d, or gives what the reducer decided
+// in its place.
+func (j *job) decodeAt(ctx context.Context, d *entry.Dispatch, ended *entry.AttemptEnded) (entry.Effect, error) {
+	j.s.host.Post(entry.Prefilled{RequestID: d.RequestID, Attempt: d.Attempt})
+	select {
+	case e := <-j.box:
+		at, ok := e.(entry.DecodeAt)
+		if !ok {
+			return e, nil
+		}
+		d.Server, d.Incarnation, d.Address = at.Server, at.Incarnation, at.Address
+		j.log.server = at.Server
+		return nil, nil
+	case <-ctx.Done():
+		ended.AtPrefill = true
+		return nil, ctx.Err()
+	}
+}
+
+// heard passes on what a server told of itself.
+func (j *job) heard(server, incarnation string, said Said) {
+	if !said.HasLoad || said.OtherLife {
+		return
+	}
+	j.s.host.Post(entry.ServerSaid{
+		Server: server, Incarnation: incarnation, State: engineapi.StateServing, HasLoad: true,
+		Load: engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)},
+	})
 }
 
-// free drops a KV cache that the decoding engine did not take over.
+// free drops a KV cache that no engine took over.
 func (j *job) free(c *Cache) {
 	if c == nil {
 		return
