Let the control group mend itself

A replica with an empty folder asks to join; the leader adds it when a voter is lost, and takes the lost one off the list once the new one votes.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -4,15 +4,18 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime/debug"
 
+	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
 
 	"goldcrestseam.dev/goldcrestseam/internal/cli"
 	"goldcrestseam.dev/goldcrestseam/internal/control/runner"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
+	"goldcrestseam.dev/goldcrestseam/internal/store"
 	"goldcrestseam.dev/goldcrestseam/platform"
 )
 
@@ -53,19 +56,36 @@
 	defer out.Close()
 	log := obs.NewLogger(out, s.Name, s.Log)
 	ctx := cli.Stopped(cmd.Context())
-	var drivers runner.Drivers
-	if s.RegistryAddress != "" {
-		drivers.Calls = []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, log)}
-		drivers.Orders = platform.Orders{}
-	}
-	r, err := runner.New(s, log, drivers)
-	if err != nil {
-		return err
-	}
 	go cli.WatchFile(ctx, file, log, func() {
 		log.Info("settings changed; they count from the next start on", "settings", file)
 	})
-	return r.Run(ctx)
+	for {
+		r, err := runner.New(s, log, drivers(s, log))
+		if err != nil {
+			return err
+		}
+		err = r.Run(ctx)
+		if !errorx.IsOfType(err, runner.Removed) || !s.GroupFromControl {
+			return err
+		}
+		// The group took another replica in this one's place while it was away. It
+		// comes back as a new one, from an empty folder.
+		if err := store.Discard(s.DataDir); err != nil {
+			return err
+		}
+		log.Warn("removed from the group; asking to join anew", "cause", err.Error())
+		s.Join, s.ReplicaID, s.Bootstrap = true, 0, nil
+	}
+}
+
+func drivers(s *settings.Control, log *slog.Logger) runner.Drivers {
+	if s.RegistryAddress == "" {
+		return runner.Drivers{}
+	}
+	return runner.Drivers{
+		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, log)},
+		Orders: platform.Orders{},
+	}
 }
 
 func newCheck() *cobra.Command {
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -57,6 +57,8 @@
 		r.readCall(id, func() proto.Message { return r.replicas() })
 	case *pb.ChangeReplicaRequest:
 		r.onChangeReplica(id, q)
+	case *pb.JoinRequest:
+		r.onJoin(id, q)
 	default:
 		r.reply(id, nil, invalid("unknown call"))
 	}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -48,6 +48,11 @@
 	demand        demandWindow
 	plans         map[string]*modelPlan
 
+	// joiners wait to be added, by address; mending is true while a change of the
+	// member list is on its way.
+	joiners map[string]*joiner
+	mending bool
+
 	// heardAt is when any entry was last heard, sweptAt when leases were last
 	// looked at.
 	heardAt time.Duration
@@ -102,6 +107,7 @@
 		deliveries: make(map[string]*delivery),
 		demand:     newDemandWindow(now),
 		plans:      make(map[string]*modelPlan),
+		joiners:    make(map[string]*joiner),
 	}
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.told.GetId()] = &serverWatch{until: now + serverLease, incarnation: sv.told.GetIncarnation()}
@@ -130,6 +136,7 @@
 	r.driveOrders()
 	r.driveRoles()
 	r.driveExpiry()
+	r.mend()
 }
 
 // regrace gives every server a full lease again after the leader was deaf.
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -31,6 +31,9 @@
 	ID uint64
 	// Sender names this process and its incarnation in orders.
 	Sender string
+	// Voters is how many voters a group that mends itself is to have; 0: operators
+	// change the member list.
+	Voters int
 	// OrderPause is the longest pause of a control process that is stated for
 	// engines that ignore fencing tokens.
 	OrderPause time.Duration
--- /dev/null
+++ b/internal/control/runner/join.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/ctl"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// joinEvery is how often a replica that waits asks to be added.
+	joinEvery = 500 * time.Millisecond
+	// joinTry bounds one asking, over all replicas.
+	joinTry = 2 * time.Second
+)
+
+// join asks the group to add this replica as long as it is not on the member list.
+func (r *Runner) join(ctx context.Context) {
+	if !r.cfg.GroupFromControl {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinEvery):
+		}
+		if r.listed() {
+			continue
+		}
+		if err := r.askToJoin(ctx); err != nil {
+			r.log.Info("not added to the group yet", "error", err.Error())
+		}
+	}
+}
+
+func (r *Runner) listed() bool {
+	id := r.store.Identity().GetId()
+	return slices.ContainsFunc(r.loop.view().members.GetMembers(), func(m *pb.ReplicaMember) bool {
+		return m.GetIdentity().GetId() == id
+	})
+}
+
+func (r *Runner) askToJoin(ctx context.Context) error {
+	others := slices.DeleteFunc(slices.Clone(r.cfg.Control), func(a string) bool { return a == r.cfg.Address })
+	if len(others) == 0 {
+		return Failed.New("no other replica's address is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTry)
+	defer cancel()
+	identity := r.store.Identity()
+	return ctl.NewClient(r.cfg.Cluster, others, r.auth).Call(ctx, func(ctx context.Context, c pb.Operator) error {
+		_, err := c.Join(ctx, &pb.JoinRequest{ClusterId: r.cfg.Cluster, Member: &pb.ReplicaMember{
+			Identity: &pb.ReplicaIdentity{Id: identity.GetId(), Incarnation: identity.GetIncarnation()},
+			Address:  r.cfg.Address, DataCentre: r.cfg.DataCentre, Region: r.cfg.Region,
+		}})
+		return err
+	})
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -85,6 +85,7 @@
 		Cluster: cfg.Cluster, ID: id,
 		Sender:     cfg.Name + "/" + uuid.NewString(),
 		OrderPause: cfg.OrderPause,
+		Voters:     cfg.Voters(),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
 	r.net = newTransport(cfg, auth, st, r.loop)
@@ -146,16 +147,17 @@
 		Handler: r.handler(), ReadHeaderTimeout: callTimeout,
 		ErrorLog: slog.NewLogLogger(r.log.Handler(), slog.LevelWarn),
 	}
+	serving, endServing := context.WithCancel(context.Background())
+	defer endServing()
 	var wg conc.WaitGroup
 	wg.Go(r.loop.run)
 	wg.Go(r.loop.disk.run)
+	wg.Go(func() { r.join(serving) })
 	wg.Go(func() {
 		if err := r.server.Serve(listener); err != http.ErrServerClosed {
 			r.loop.fail(Failed.Wrap(err, "serve"))
 		}
 	})
-	serving, endServing := context.WithCancel(context.Background())
-	defer endServing()
 	if r.cfg.MetricsAddress != "" {
 		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
 	}
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -158,6 +158,11 @@
 	return answer[*pb.ListReplicasResponse](s.loop.call(ctx, q))
 }
 
+// Join implements pb.Operator.
+func (s *services) Join(ctx context.Context, q *pb.JoinRequest) (*pb.JoinResponse, error) {
+	return answer[*pb.JoinResponse](s.loop.call(ctx, q))
+}
+
 // ChangeReplica implements pb.Operator.
 func (s *services) ChangeReplica(ctx context.Context, q *pb.ChangeReplicaRequest) (*pb.ChangeReplicaResponse, error) {
 	return answer[*pb.ChangeReplicaResponse](s.loop.call(ctx, q))
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -37,10 +37,18 @@
 	reads    []uint64
 	// tells is given out with the next Tick.
 	tells []consensus.Effect
+	// replicas is what Status tells of the others.
+	replicas []consensus.ReplicaStatus
+	// changes are the changes of the member list that were proposed.
+	changes []consensus.MembershipChange
+	// stuck keeps what is proposed from committing.
+	stuck bool
 }
 
 func (n *fakeNode) LeaseUntil() time.Duration             { return n.leaseUntil }
-func (n *fakeNode) Status() consensus.Status              { return consensus.Status{Term: n.term} }
+func (n *fakeNode) Status() consensus.Status {
+	return consensus.Status{Term: n.term, Replicas: n.replicas}
+}
 func (n *fakeNode) IsRemoved(id *pb.ReplicaIdentity) bool { return false }
 
 func (n *fakeNode) Step(_ time.Duration, ev consensus.Event) []consensus.Effect {
@@ -50,11 +58,16 @@
 			return []consensus.Effect{consensus.ProposalRefused{ID: e.ID, Reason: consensus.NotLeader}}
 		}
 		n.index++
+		if n.stuck {
+			return []consensus.Effect{consensus.ProposalAppended{ID: e.ID, Index: n.index, Term: n.term}}
+		}
 		entry := &pb.LogEntry{Term: n.term, Index: n.index, Data: e.Data}
 		return []consensus.Effect{
 			consensus.ProposalAppended{ID: e.ID, Index: n.index, Term: n.term},
 			consensus.Apply{Entries: []*pb.LogEntry{entry}},
 		}
+	case consensus.ProposeMembership:
+		n.changes = append(n.changes, e.Change)
 	case consensus.ReadIndex:
 		if n.confirms {
 			return []consensus.Effect{consensus.ReadReady{ID: e.ID, Index: n.index}}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,6 +163,10 @@
 	// id made from that address. Any other one, and one whose folder is lost,
 	// draws an id and waits to be added. Default false.
 	GroupFromControl bool `yaml:"group_from_control"`
+	// BearLosses is how many replicas may be lost at once. With it the group mends
+	// itself: it keeps twice as many voters and one more, and puts replicas that
+	// wait in the place of lost ones. Default 0: operators change the group.
+	BearLosses int `yaml:"bear_losses"`
 	// FirstStart is true only while the whole deployment starts for the first time.
 	FirstStart bool `yaml:"first_start"`
 	// RegistryAddress is where backend servers announce themselves to control
@@ -274,6 +278,9 @@
 	if s.ReplicaID == 0 && !s.GroupFromControl {
 		file.Add("replica_id", "must be at least 1")
 	}
+	if s.BearLosses < 0 {
+		file.Add("bear_losses", "is less than 0")
+	}
 	if s.RegistryAddress != "" {
 		checkAddress(file, "registry_address", s.RegistryAddress)
 	}
@@ -366,6 +373,14 @@
 	}
 }
 
+// Voters is how many voters the group is to have; 0: as operators say.
+func (s *Control) Voters() int {
+	if s.BearLosses == 0 {
+		return 0
+	}
+	return 2*s.BearLosses + 1
+}
+
 // formGroup makes the bootstrap list that GroupFromControl stands for.
 func (s *Control) formGroup() {
 	if !s.GroupFromControl {
--- a/internal/store/setaside.go
+++ b/internal/store/setaside.go
@@ -43,3 +43,18 @@
 		}
 	}
 }
+
+// Discard removes what a replica that its group has removed has left in its
+// folder, so that it can begin anew. Errors: Failed.
+func Discard(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return Failed.Wrap(err, "data folder")
+	}
+	for _, e := range entries {
+		if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
+			return Failed.Wrap(err, "discard")
+		}
+	}
+	return syncDir(dir)
+}
