--- a/internal/control/runner/join.go
+++ b/internal/control/runner/join.go
@@ -51,11 +51,17 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTry)
 	defer cancel()
 	identity := r.store.Identity()
-	return ctl.NewClient(r.cfg.Cluster, others, r.auth).Call(ctx, func(ctx context.Context, c pb.Operator) error {
+	client := ctl.NewClient(r.cfg.Cluster, others, r.auth)
+	err := client.Call(ctx, func(ctx context.Context, c pb.Operator) error {
 		_, err := c.Join(ctx, &pb.JoinRequest{ClusterId: r.cfg.Cluster, Member: &pb.ReplicaMember{
 			Identity: &pb.ReplicaIdentity{Id: identity.GetId(), Incarnation: identity.GetIncarnation()},
 			Address:  r.cfg.Address, DataCentre: r.cfg.DataCentre, Region: r.cfg.Region,
 		}})
 		return err
 	})
+	if err == nil {
+		leader := client.Leader()
+		r.loop.waitsFor.Store(&leader)
+	}
+	return err
 }
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -53,6 +53,9 @@
 	done   chan struct{}
 	failed chan error
 	group  atomic.Pointer[group]
+	// waitsFor is the address of the leader that this replica has asked to be added;
+	// nil if none.
+	waitsFor atomic.Pointer[string]
 
 	nextCall atomic.Uint64
 	mu       sync.Mutex
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -65,5 +65,11 @@
 // empty if it knows none, and whether that is this one.
 func (p *Port) Leader() (address string, self bool) {
 	g := p.loop.view()
-	return addressOf(g.members, g.leader), g.leads
+	if address = addressOf(g.members, g.leader); address != "" {
+		return address, g.leads
+	}
+	if asked := p.loop.waitsFor.Load(); asked != nil {
+		return *asked, false
+	}
+	return "", false
 }
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -45,7 +45,7 @@
 	stuck bool
 }
 
-func (n *fakeNode) LeaseUntil() time.Duration             { return n.leaseUntil }
+func (n *fakeNode) LeaseUntil() time.Duration { return n.leaseUntil }
 func (n *fakeNode) Status() consensus.Status {
 	return consensus.Status{Term: n.term, Replicas: n.replicas}
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// Leader is the address that answered last as the leader.
+func (c *Client) Leader() string { return c.next }
+
 // Cluster is the cluster id that calls must carry.
 func (c *Client) Cluster() string { return c.cluster }
 
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -18,6 +18,10 @@
 	// retryPause holds a retry back when the profile's budget is used up.
 	// Accepted model work is never cut off for the budget: it waits.
 	retryPause = time.Second
+	// maxUnrun bounds the sends of a request with EndsInTime that servers don't run:
+	// after so many full servers its caller does better to come back than to wait
+	// on here, unheard.
+	maxUnrun = 3
 	// refusedPause keeps work off a server that has just said "not started".
 	refusedPause = 100 * time.Millisecond
 )
@@ -33,10 +37,7 @@
 	if ev.AtPrefill && q.prefill != nil {
 		s = q.prefill
 	}
-	if ev.Outcome != outcome.NotRun {
-		q.mayHaveRun = true
-		q.runs++
-	}
+	q.count(ev, s)
 	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
 		q.reached = q.reached || ev.Took >= longAnswerless || s.aliveAt > q.sentAt
 	}
@@ -55,6 +56,19 @@
 	r.startWaiting()
 }
 
+// count notes whether an attempt may have run, and which server failed it.
+func (q *request) count(ev AttemptEnded, s *server) {
+	if ev.Outcome == outcome.NotRun {
+		q.unrun++
+		return
+	}
+	q.mayHaveRun = true
+	q.runs++
+	if !ev.Whole {
+		q.tried = append(q.tried, s)
+	}
+}
+
 func (r *Reducer) settle(q *request, s *server, ev AttemptEnded) {
 	switch {
 	case ev.Whole:
@@ -64,7 +78,11 @@
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
 	case q.endsInTime && r.now >= q.work.FinishBy:
-		r.refuse(q, refuseTimeout())
+		r.refuse(q, refuseTimeout(q))
+	case q.endsInTime && !r.anyLeft(q):
+		r.refuse(q, refuseNoServer())
+	case q.endsInTime && q.unrun >= maxUnrun:
+		r.refuse(q, refuseNotTaken())
 	case r.quarantined(q):
 		r.refuse(q, refuseQuarantined())
 	case q.attempts >= maxAttempts:
@@ -78,7 +96,7 @@
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
 	case q.repeat == RepeatAllowed:
-		r.retryCall(q, s)
+		r.retryCall(q, s, ev)
 	default:
 		r.goOn(q, s, ev)
 	}
@@ -95,8 +113,13 @@
 // retryCall sends an idempotent call again while the profile's budget lasts.
 // Without the budget a slow service would get its load doubled by retries just
 // when it is slow.
-func (r *Reducer) retryCall(q *request, s *server) {
-	s.fail(r.now)
+//
+// A server that answered, if only with a failure of its own, is alive and takes
+// other requests.
+func (r *Reducer) retryCall(q *request, s *server, ev AttemptEnded) {
+	if ev.Outcome != outcome.Ran {
+		s.fail(r.now)
+	}
 	if q.attempts >= maxCallAttempts || !r.decide.admission.Retry(q.work.Profile) {
 		r.refuse(q, refuseFailed())
 		return
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -80,13 +80,31 @@
 	}
 }
 
-func refuseTimeout() *outcome.Refusal {
+// refuseTimeout: what has not run by its time may still be sent again.
+func refuseTimeout(q *request) *outcome.Refusal {
+	if !q.mayHaveRun {
+		return refuseLate()
+	}
 	return &outcome.Refusal{
 		Status: http.StatusGatewayTimeout, Code: outcome.CodeDeadline,
 		Message: "no whole answer came within the time that the request may take",
 	}
 }
 
+func refuseNoServer() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeNoServer,
+		Message: "no backend server is left that runs it", RetryAfter: soon,
+	}
+}
+
+func refuseNotTaken() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusServiceUnavailable, Code: outcome.CodeOverloaded,
+		Message: "the backend servers that were tried did not run it", RetryAfter: soon,
+	}
+}
+
 func refuseRepeats() *outcome.Refusal {
 	return &outcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeOverloaded,
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -34,6 +34,10 @@
 	// runs is how many attempts may have run; maxRuns bounds them, 0: no bound.
 	runs    int
 	maxRuns int
+	// unrun counts sends that servers did not run.
+	unrun int
+	// tried are the servers that have failed it.
+	tried []*server
 	// endsInTime: the final answer is due at work.FinishBy.
 	endsInTime bool
 	// server is where the attempt runs; nil while the request waits. prefill
@@ -264,7 +268,7 @@
 // timeUp gives a request whose time has run out its final answer, wherever it is.
 func (r *Reducer) timeUp(ev TimeUp) {
 	if q := r.requests[ev.RequestID]; q != nil {
-		r.refuse(q, refuseTimeout())
+		r.refuse(q, refuseTimeout(q))
 		r.startWaiting()
 	}
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -255,8 +255,9 @@
 	}
 }
 
-// fleet gives the servers as the decisions see them, for one request. While
-// there are no suspects it is the same for all and made once per step and
+// fleet gives the servers as the decisions see them, for one request: one that a
+// server has failed goes to others while there are any. While there are no suspects
+// it is the same for all and made once per step and
 // dispatch: with thousands of servers and a full queue it is the largest cost
 // of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
@@ -265,6 +266,11 @@
 		r.suspects.spread(r, q, &f)
 		return f
 	}
+	if len(q.tried) > 0 {
+		if f := r.newFleet(func(s *server) bool { return !slices.Contains(q.tried, s) }); anyServes(&f, &q.work) {
+			return f
+		}
+	}
 	if r.sharedFleet == nil {
 		f := r.newFleet(func(*server) bool { return true })
 		r.sharedFleet = &f
@@ -272,6 +278,18 @@
 	return *r.sharedFleet
 }
 
+// anyLeft tells whether a server is there that could run the request now or after
+// it has cooled.
+func (r *Reducer) anyLeft(q *request) bool {
+	return slices.ContainsFunc(r.servers.sorted, func(s *server) bool {
+		if s.leaving || s.died || s.pb.Drained || s.pb.State == pb.ServerState_SERVER_STATE_GONE {
+			return false
+		}
+		d := r.decisionServer(s, true)
+		return d.Serves(&q.work)
+	})
+}
+
 func (r *Reducer) newFleet(allowed func(*server) bool) decision.Fleet {
 	f := decision.Fleet{DataCentre: r.cfg.Identity.DataCentre, Entries: max(1, len(r.view.entries))}
 	f.Servers = make([]decision.Server, 0, len(r.servers.sorted))
--- a/internal/httpconn/answer.go
+++ b/internal/httpconn/answer.go
@@ -44,7 +44,11 @@
 		if call.Mine == nil || call.Mine(&a.Header) {
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, a); err != nil || !a.keepable() {
+		// Only on a connection that was used before can it be a late one.
+		if !a.conn.used.IsZero() {
+			_, err = io.Copy(io.Discard, a)
+		}
+		if a.conn.used.IsZero() || err != nil || !a.goesOn() {
 			return Mixed.New("the answer is to another request")
 		}
 	}
@@ -124,12 +128,15 @@
 	return io.EOF
 }
 
-// keepable tells whether the connection can carry another request.
-func (a *Answer) keepable() bool {
-	return a.whole && a.Header.ContentLength() != lengthToEnd && !a.Header.ConnectionClose() &&
-		a.conn.r.Buffered() == 0
+// goesOn tells whether another answer may follow on the connection.
+func (a *Answer) goesOn() bool {
+	return a.whole && a.Header.ContentLength() != lengthToEnd && !a.Header.ConnectionClose()
 }
 
+// keepable tells whether the connection can carry another request: nothing has
+// come on it that was not asked for.
+func (a *Answer) keepable() bool { return a.goesOn() && a.conn.r.Buffered() == 0 }
+
 // Close gives the connection back if the body has been read to its end, and
 // closes it otherwise: the server then stops its work.
 func (a *Answer) Close() {
