--- /dev/null
+++ b/internal/decision/placement/home_test.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+func countingEngine(i int, role engineapi.Role) decision.Server {
+	return decision.Server{
+		ID: fmt.Sprint("engine-", i), Kind: declaration.KindModel, Model: "m", Role: role, Usable: true, Slots: 64,
+		CountsOnly: true, Load: engineapi.Load{PrefillRate: 30000, DecodeRate: 5000, KVTokens: 460000},
+	}
+}
+
+// sharedWork is a dossier whose first part is of that kind.
+func sharedWork(n, kind int) *decision.Work {
+	return &decision.Work{
+		RequestID: fmt.Sprint("r", n), Kind: declaration.KindModel, Model: "m", Class: declaration.ClassBulk,
+		PromptTokens: 17000, OutputTokens: 80, Prefix: []uint64{uint64(1000 + kind), uint64(100000 + n)},
+		PartTokens: []int{13300, 3700}, Shared: 1,
+	}
+}
+
+// 68 kinds of dossiers are asked for at nine entries, a few a minute each. Every
+// entry alone sees hardly any kind twice; together they read each kind at one
+// engine. Without homes each of nine entries reads it where it likes: 3 to 6 times
+// as many tokens.
+func TestEntriesReadASharedPartAtOneEngine(t *testing.T) {
+	const entries, kinds, rounds = 9, 68, 6
+	pickers := make([]*Picker, entries)
+	for i := range pickers {
+		pickers[i] = New()
+	}
+	fleet := &decision.Fleet{Entries: entries}
+	for i := range 6 {
+		fleet.Servers = append(fleet.Servers, countingEngine(i, engineapi.RoleMixed))
+	}
+	readAt := make(map[string]map[int]bool)
+	n := 0
+	for round := range rounds {
+		for kind := range kinds {
+			n++
+			p := pickers[(round*7+kind)%entries]
+			w := sharedWork(n, kind)
+			choice, ok := p.Pick(time.Duration(n)*time.Second, w, fleet)
+			if !ok {
+				t.Fatal("no engine")
+			}
+			p.Sent(time.Duration(n)*time.Second, w, choice)
+			if readAt[choice.Server.ID] == nil {
+				readAt[choice.Server.ID] = make(map[int]bool)
+			}
+			readAt[choice.Server.ID][kind] = true
+		}
+	}
+	reads := 0
+	for _, kinds := range readAt {
+		reads += len(kinds)
+	}
+	if reads > kinds*5/4 {
+		t.Fatalf("%d kinds were read %d times", kinds, reads)
+	}
+	if len(readAt) < 5 {
+		t.Fatalf("all kinds are at %d of 6 engines", len(readAt))
+	}
+}
+
+// A home has a queue of more than the reading elsewhere takes: the request goes
+// elsewhere.
+func TestBusyHomeIsPassedBy(t *testing.T) {
+	fleet := &decision.Fleet{Entries: 9, Servers: []decision.Server{
+		countingEngine(0, engineapi.RoleMixed), countingEngine(1, engineapi.RoleMixed), countingEngine(2, engineapi.RoleMixed),
+	}}
+	w := sharedWork(1, 1)
+	home, ok := New().Pick(time.Second, w, fleet)
+	if !ok {
+		t.Fatal("no engine")
+	}
+	busy := home.Server
+	busy.OthersWaiting, busy.UsualUnread = 20, 4000
+	again, ok := New().Pick(time.Second, w, fleet)
+	if !ok || again.Server.ID == busy.ID {
+		t.Fatalf("went to the engine with 80,000 tokens before it: %+v", again)
+	}
+}
--- /dev/null
+++ b/internal/decision/roles/keep_test.go
@@ -0,0 +1,52 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+)
+
+func observed(prefill, whole, away int) *Observation {
+	o := &Observation{Bounds: Bounds{MaxAway: 9}}
+	add := func(n int, role engineapi.Role, usable bool) {
+		for range n {
+			o.Engines = append(o.Engines, Engine{
+				ID: fmt.Sprint(len(o.Engines)), Role: role, Target: role, Usable: usable,
+			})
+		}
+	}
+	add(prefill, engineapi.RolePrefill, true)
+	add(whole, engineapi.RoleMixed, true)
+	add(away, engineapi.RolePrefill, false)
+	return o
+}
+
+// Engines start in roles by chance. The split is set once, and left alone then.
+func TestShareIsKept(t *testing.T) {
+	for _, c := range []struct {
+		prefill, whole, away int
+		share                float64
+		changes              int
+		to                   engineapi.Role
+	}{
+		{4, 5, 0, 0.67, 2, engineapi.RolePrefill},
+		{6, 3, 0, 0.67, 0, ""},
+		{8, 1, 0, 0.67, 2, engineapi.RoleMixed},
+		{0, 2, 0, 0.67, 1, engineapi.RolePrefill},
+		{1, 0, 0, 0.67, 0, ""},
+		{2, 0, 0, 1, 1, engineapi.RoleMixed},
+		{5, 3, 1, 0.67, 0, ""},
+	} {
+		changes := Keep(observed(c.prefill, c.whole, c.away), c.share)
+		if len(changes) != c.changes {
+			t.Errorf("%+v: %d changes %+v", c, len(changes), changes)
+			continue
+		}
+		for _, change := range changes {
+			if change.To != c.to {
+				t.Errorf("%+v: change %+v", c, change)
+			}
+		}
+	}
+}
