--- /dev/null
+++ b/internal/entry/relayed_test.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// relayedWorld is an entry whose servers end a request with its connection.
+func relayedWorld(t fataler) *world {
+	w := newWorld(t)
+	w.r.cfg.BreakEnds = true
+	w.r.cfg.Engines = decision.Pace{PrefillRate: 25000, TokenTime: 9 * time.Millisecond}
+	w.r.extra = admission.NewExtra(&admission.ExtraLimit{Ratio: 0.2, Constant: 20, Window: 10 * second})
+	return w
+}
+
+// relayed is a request with a final time.
+func (w *world) relayed(id string, change func(*Arrived)) []Effect {
+	a := w.arrival(id, "")
+	a.EndsInTime, a.MaxRuns = true, 2
+	a.Work.FinishBy, a.Work.LateIsOfUse = w.now+4*second, true
+	if change != nil {
+		change(&a)
+	}
+	return w.step(a)
+}
+
+// prefillers are n engines that only prefill, after as many that do whole requests.
+func prefillers(whole, n int) []*pb.BackendServer {
+	list := serving(whole)
+	for i := whole; i < whole+n; i++ {
+		s := testServer(i, pb.ServerState_SERVER_STATE_SERVING)
+		s.Role = pb.EngineRole_ENGINE_ROLE_PREFILL
+		list = append(list, s)
+	}
+	return list
+}
+
+// pairOf sends a long request that is prefilled apart.
+func (w *world) pairOf(id string) Dispatch {
+	w.t.Helper()
+	w.relayed(id, func(a *Arrived) {
+		a.Work.PromptTokens = 17000
+		a.Work.Pace.MoveRate = 2e6
+	})
+	d := w.dispatched()
+	if d.PrefillServer == "" {
+		w.t.Fatalf("not prefilled apart: %+v", d)
+	}
+	return d
+}
+
+// A request waits 2 s for its prefill. The engine that was to decode has said
+// meanwhile that it leaves: the request must not reach it.
+func TestPrefilledWorkDoesNotGoToALeavingEngine(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(prefillers(2, 1)...)
+	d := w.pairOf("r1")
+	w.after(2 * second)
+	w.step(ServerSaid{Server: d.Server, Incarnation: "life-1", State: engineapi.StateLeaving})
+	w.renew()
+	w.step(Prefilled{RequestID: "r1", Attempt: d.Attempt})
+	at := pick[DecodeAt](w.effects)
+	if len(at) != 1 || at[0].Server == d.Server {
+		t.Fatalf("planned at %s, decodes at %+v", d.Server, at)
+	}
+}
+
+// No engine decodes any more when the prompt is read: the caller is told at once
+// that its request has not run.
+func TestPrefilledWorkWithoutADecoderIsRefused(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(prefillers(1, 1)...)
+	d := w.pairOf("r1")
+	w.step(ServerSaid{Server: d.Server, Incarnation: "life-1", State: engineapi.StateLeaving})
+	w.step(Prefilled{RequestID: "r1", Attempt: d.Attempt})
+	if len(pick[DecodeAt](w.effects)) != 0 {
+		t.Fatalf("effects %v", w.effects)
+	}
+	w.after(4 * second)
+	w.step(TimeUp{RequestID: "r1"})
+	if r := w.refused(); r.Outcome != outcome.NotRun || r.Status != http.StatusServiceUnavailable || r.RetryAfter == 0 {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// The time of a request runs out at an engine that is silent. Its final answer comes
+// then and does not say that it has not run.
+func TestTimeUpIsTheFinalAnswer(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(1)...)
+	w.relayed("r1", nil)
+	d := w.dispatched()
+	w.step(AttemptProgress{RequestID: "r1", Attempt: d.Attempt})
+	w.after(4 * second)
+	w.step(TimeUp{RequestID: "r1"})
+	if r := w.refused(); r.Outcome != outcome.Unknown || r.Status != http.StatusGatewayTimeout {
+		t.Fatalf("refusal %+v", r)
+	}
+	w.ended(d, func(ev *AttemptEnded) {})
+	if len(pick[Dispatch](w.effects)) != 0 {
+		t.Fatal("sent again after its final answer")
+	}
+}
+
+// Two servers may run the request, and both fail it: it is not sent a third time.
+func TestRunsAreBounded(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(3)...)
+	w.relayed("r1", func(a *Arrived) { a.Repeat = RepeatAllowed })
+	first := w.dispatched()
+	w.ended(first, func(ev *AttemptEnded) { ev.Outcome = outcome.Ran })
+	second := w.dispatched()
+	if second.Server == first.Server {
+		t.Fatalf("sent again to the server that failed it")
+	}
+	w.ended(second, func(ev *AttemptEnded) { ev.Outcome = outcome.Ran })
+	if r := w.refused(); r.Outcome != outcome.Unknown {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// Servers are full one after the other. The caller is told to come back after a
+// few, and may believe that its request has not run.
+func TestFullServersAreNotAskedForEver(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(8)...)
+	w.relayed("r1", nil)
+	sends := 1
+	for d := w.dispatched(); ; sends++ {
+		w.ended(d, func(ev *AttemptEnded) { ev.Outcome = outcome.NotRun })
+		if len(pick[Refuse](w.effects)) > 0 {
+			break
+		}
+		d = w.dispatched()
+	}
+	if r := w.refused(); r.Outcome != outcome.NotRun || r.Status != http.StatusServiceUnavailable || r.RetryAfter == 0 {
+		t.Fatalf("refusal %+v", r)
+	}
+	if sends != maxUnrun {
+		t.Fatalf("%d sends", sends)
+	}
+}
+
+// The only server of a request is gone. Waiting can't help: it is refused at once.
+func TestNothingWaitsForAServerThatIsGone(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(1)...)
+	w.relayed("r1", nil)
+	w.ended(w.dispatched(), func(ev *AttemptEnded) { ev.Outcome, ev.ServerDied = outcome.NotRun, true })
+	if r := w.refused(); r.Code != outcome.CodeNoServer || r.Outcome != outcome.NotRun {
+		t.Fatalf("refusal %+v", r)
+	}
+}
