Let what an engine has to read count more than the request's own wait

Cause: each request went where it alone was read first and read 13,000 shared tokens anew to pass by a short queue; in bursts a third did, and the engines had no time for anything else. An engine that was never heard counts as the usual one of its role, not as empty.

--- a/internal/decision/others.go
+++ b/internal/decision/others.go
@@ -35,7 +35,7 @@
 
 // Reported takes in a report; own is how many of the requests in it are this
 // entry's.
-func (o *Others) Reported(now time.Duration, running, waiting, own int) {
+func (o *Others) Reported(now time.Duration, running, waiting, own int, fleet *Usual) {
 	// Which of the own ones wait is not told: they count in proportion.
 	total := float64(running + waiting)
 	part := 0.0
@@ -44,19 +44,39 @@
 	}
 	o.running, o.waiting, o.at = part*float64(running), part*float64(waiting), now
 	o.reports++
+	fleet.add(o.running, o.waiting)
 	weight := max(othersWeight, 1/float64(o.reports))
 	o.usualRunning += weight * (o.running - o.usualRunning)
 	o.usualWaiting += weight * (o.waiting - o.usualWaiting)
 }
 
+// Usual is what servers of one role have on average, by the reports of all of
+// them: what is taken of one that has told nothing lately.
+type Usual struct{ running, waiting float64 }
+
+// add takes in a report; each of some hundred counts alike.
+func (u *Usual) add(running, waiting float64) {
+	u.running += fleetWeight * (running - u.running)
+	u.waiting += fleetWeight * (waiting - u.waiting)
+}
+
+// fleetWeight is the weight of a report in the average of all servers.
+const fleetWeight = 0.02
+
 // Estimate is how many of the others' requests run and wait there now.
 //
-// What is usual fades too. A server that looked full gets nothing from this entry,
-// so that no answer tells it of the server's recovery: without the fading it
-// would look full for ever.
-func (o *Others) Estimate(now time.Duration) (running, waiting float64) {
+// What is usual for the server fades to what is usual for all. A server that looked
+// full gets nothing from this entry, so that no answer tells it of the server's
+// recovery: without the fading it would look full for ever. And one that was never
+// heard must not look empty: it is as full as the others.
+func (o *Others) Estimate(now time.Duration, fleet Usual) (running, waiting float64) {
 	age := max(0, (now - o.at).Seconds())
 	fresh := math.Exp(-age / othersTime.Seconds())
-	usual := (1 - fresh) * math.Exp(-age/usualTime.Seconds())
-	return fresh*o.running + usual*o.usualRunning, fresh*o.waiting + usual*o.usualWaiting
+	known := (1 - fresh) * math.Exp(-age/usualTime.Seconds())
+	if o.reports == 0 {
+		fresh, known = 0, 0
+	}
+	rest := 1 - fresh - known
+	return fresh*o.running + known*o.usualRunning + rest*fleet.running,
+		fresh*o.waiting + known*o.usualWaiting + rest*fleet.waiting
 }
--- a/internal/decision/others_test.go
+++ b/internal/decision/others_test.go
@@ -10,14 +10,15 @@
 // Once it kept its last count for half a minute and one engine got all the work.
 func TestFullServerIsTriedAgain(t *testing.T) {
 	var o Others
+	var fleet Usual
 	for i := range 200 {
-		o.Reported(time.Duration(i)*10*time.Millisecond, 28, 64, 2)
+		o.Reported(time.Duration(i)*10*time.Millisecond, 28, 64, 2, &fleet)
 	}
 	full := 2 * time.Second
-	if running, waiting := o.Estimate(full); running+waiting < 80 {
+	if running, waiting := o.Estimate(full, Usual{}); running+waiting < 80 {
 		t.Fatalf("just reported 92, estimated %.1f", running+waiting)
 	}
-	if running, waiting := o.Estimate(full + 10*time.Second); running+waiting > 2 {
+	if running, waiting := o.Estimate(full+10*time.Second, Usual{}); running+waiting > 2 {
 		t.Fatalf("ten seconds later still %.1f", running+waiting)
 	}
 }
@@ -25,12 +26,13 @@
 // A report counts what is the entry's own, too: only the rest is of others.
 func TestOwnRequestsAreNotOthers(t *testing.T) {
 	var o Others
-	o.Reported(0, 6, 2, 4)
-	if running, waiting := o.Estimate(0); running != 3 || waiting != 1 {
+	var fleet Usual
+	o.Reported(0, 6, 2, 4, &fleet)
+	if running, waiting := o.Estimate(0, Usual{}); running != 3 || waiting != 1 {
 		t.Fatalf("others %.1f running, %.1f waiting; want 3 and 1", running, waiting)
 	}
-	o.Reported(0, 1, 0, 3)
-	if running, waiting := o.Estimate(0); running != 0 || waiting != 0 {
+	o.Reported(0, 1, 0, 3, &fleet)
+	if running, waiting := o.Estimate(0, Usual{}); running != 0 || waiting != 0 {
 		t.Fatalf("more own than reported: others %.1f, %.1f", running, waiting)
 	}
 }
@@ -39,13 +41,28 @@
 // count of a busy moment must not keep all entries away.
 func TestOldReportGivesWayToTheUsual(t *testing.T) {
 	var o Others
+	var fleet Usual
 	for i := range 1000 {
-		o.Reported(time.Duration(i)*10*time.Millisecond, 2, 0, 0)
+		o.Reported(time.Duration(i)*10*time.Millisecond, 2, 0, 0, &fleet)
 	}
 	now := 10 * time.Second
-	o.Reported(now, 40, 0, 0)
-	late, _ := o.Estimate(now + time.Second)
+	o.Reported(now, 40, 0, 0, &fleet)
+	late, _ := o.Estimate(now+time.Second, Usual{})
 	if late > 6 {
 		t.Fatalf("a second after a busy moment still %.1f", late)
 	}
 }
+
+// An engine that was never heard must not look empty beside full ones: with
+// hundreds of engines there is always one, and all entries would choose it.
+func TestUnheardServerIsAsFullAsTheOthers(t *testing.T) {
+	var o, unheard Others
+	var fleet Usual
+	for i := range 500 {
+		o.Reported(time.Duration(i)*time.Millisecond, 3, 5, 0, &fleet)
+	}
+	running, waiting := unheard.Estimate(time.Minute, fleet)
+	if running < 2.5 || waiting < 4.5 {
+		t.Fatalf("an engine that was never heard: %.1f running, %.1f waiting; the others have 3 and 5", running, waiting)
+	}
+}
--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -44,6 +44,12 @@
 	return time * (1 + l.requests/float64(max(1, server.Slots)))
 }
 
+// readingPrice is how much more an own token to read counts than one that is read
+// before it: all that come after wait for it. Without it each request takes the
+// engine where it alone is done first, and reads 13,000 shared tokens anew to save
+// itself a queue of less; in bursts the engines then have no time for anything else.
+const readingPrice = 6
+
 // besideReading is how much more reading costs for each stream beside it, at an
 // engine that reads between the tokens of its streams: all of them stand still
 // for that long. Without it dossiers are read beside twenty streams while
@@ -61,6 +67,9 @@
 		wait = l.urgent / rate
 	}
 	reading := float64(unread(w, held)) / rate
+	if server.CountsOnly {
+		reading *= readingPrice
+	}
 	if server.CountsOnly && server.Role == engineapi.RoleMixed {
 		reading *= 1 + besideReading*l.requests
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -46,6 +46,8 @@
 	// to read and hold there.
 	others decision.Others
 	usual  usualWork
+	// usualOfRole is shared by all servers of the role.
+	usualOfRole *decision.Usual
 	// since sums what was sent after the load was measured.
 	since []sentWork
 }
@@ -55,16 +57,42 @@
 	tokens decision.Tokens
 }
 
+// roleKey names servers that do the same work.
+type roleKey struct {
+	role pb.EngineRole
+	pool string
+}
+
+func roleOf(p *pb.BackendServer) roleKey {
+	key := roleKey{role: p.Role, pool: p.Model}
+	if len(p.Services) > 0 {
+		key.pool = p.Services[0]
+	}
+	return key
+}
+
+func (t *serverTable) usualOf(p *pb.BackendServer) *decision.Usual {
+	key := roleOf(p)
+	if t.usual[key] == nil {
+		t.usual[key] = &decision.Usual{}
+	}
+	return t.usual[key]
+}
+
 type serverTable struct {
 	byID map[string]*server
 	// sorted holds them in order of id.
 	sorted []*server
+	// usual is what servers have on average, by role and pool.
+	usual map[roleKey]*decision.Usual
 	// early keeps the own word of servers that the view does not name yet.
 	early map[string]engineapi.Announcement
 }
 
 func newServerTable() serverTable {
-	return serverTable{byID: make(map[string]*server), early: make(map[string]engineapi.Announcement)}
+	return serverTable{
+		byID: make(map[string]*server), usual: make(map[roleKey]*decision.Usual), early: make(map[string]engineapi.Announcement),
+	}
 }
 
 // applyView takes the servers of the view and gives the ids whose life is over.
@@ -80,7 +108,7 @@
 			s = t.newServer(p, now)
 			over = append(over, p.Id)
 		}
-		s.pb = p
+		s.pb, s.usualOfRole = p, t.usualOf(p)
 		t.byID[p.Id] = s
 	}
 	for _, id := range resp.RemovedServers {
@@ -92,7 +120,7 @@
 }
 
 func (t *serverTable) newServer(p *pb.BackendServer, now time.Duration) *server {
-	s := &server{pb: p}
+	s := &server{pb: p, usualOfRole: t.usualOf(p)}
 	if a, ok := t.early[p.Id]; ok && a.Incarnation == p.Incarnation {
 		s.hear(a.State, now)
 		s.setLoad(a.Load, now)
@@ -139,7 +167,7 @@
 	}
 	s.load, s.reportedAt = load, at
 	s.forgetSent(at)
-	s.others.Reported(now, int(load.Running), int(load.Queued), len(s.running))
+	s.others.Reported(now, int(load.Running), int(load.Queued), len(s.running), s.usualOfRole)
 }
 
 // usualWork averages what this entry's requests had to do at a server.
@@ -302,7 +330,7 @@
 }
 
 func (r *Reducer) decisionServer(s *server, usable bool) decision.Server {
-	running, waiting := s.others.Estimate(r.now)
+	running, waiting := s.others.Estimate(r.now, *s.usualOfRole)
 	return decision.Server{
 		ID: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
 		DataCentre: s.pb.DataCentre, Kind: wire.Kind(s.pb.Kind), Services: s.pb.Services,
