Make room for begun work that small new work starves

Cause, found by reading and shown by TestBegunWorkIsNotStarvedBySmallNewWork, which failed first: work that goes on elsewhere after an engine's death waits in the queue for as much memory as it has tokens, and new questions take each bit that gets free.

--- a/internal/decision/queue/flow.go
+++ b/internal/decision/queue/flow.go
@@ -17,6 +17,9 @@
 	flow        *flow
 	flowIndex   int
 	expiryIndex int
+	// since is when begun work was first at the head of those that wait, if seen.
+	since time.Duration
+	seen  bool
 }
 
 // mustStart tells whether the work has to start now to be in time. What is too
--- a/internal/decision/queue/pool.go
+++ b/internal/decision/queue/pool.go
@@ -12,6 +12,8 @@
 type pool struct {
 	profiles []*profileQueue
 	byName   map[string]*profileQueue
+	// begun is work that callers hold a part of, the longest waiting first.
+	begun []*item
 	// virtual is the pass of the profile served last.
 	virtual float64
 }
@@ -52,6 +54,12 @@
 			pq.drain.begin(now)
 		}
 	}
+	if it := p.starved(now); it != nil {
+		if !try(it, fits, tries) {
+			return nil
+		}
+		return p.take(now, p.byName[it.work.Profile], it)
+	}
 	for _, pq := range p.profiles {
 		if it := pq.critical(now, fits, tries); it != nil {
 			it.flow.deficit -= it.work.Cost()
--- a/internal/decision/queue/queue.go
+++ b/internal/decision/queue/queue.go
@@ -61,6 +61,9 @@
 	p.push(it)
 	q.summary.drains[profileKey(&w)] = p.byName[w.Profile].drain
 	heap.Push(&q.expiry, it)
+	if w.Resumed {
+		p.begun = append(p.begun, it)
+	}
 	q.summary.add(&it.work, 1)
 }
 
@@ -105,6 +108,9 @@
 // drop forgets an item that its flow has let go.
 func (q *Queue) drop(it *item) {
 	heap.Remove(&q.expiry, it.expiryIndex)
+	if it.work.Resumed {
+		q.pool(&it.work).forget(it)
+	}
 	delete(q.items, it.work.RequestID)
 	q.summary.add(&it.work, -1)
 }
