--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
@@ -17,6 +19,17 @@
 // parts.
 func unread(w *decision.Work, held int) int { return max(0, w.PromptTokens-w.HeldTokens(held)) }
 
+// firstToken is the time until a server has read the prompt behind what it has to
+// read before, in seconds.
+func firstToken(now time.Duration, w *decision.Work, server *decision.Server, fleet *decision.Fleet, held int) float64 {
+	l := loadOf(now, server, fleet.Entries)
+	before := l.prefill
+	if w.Class != declaration.ClassBulk {
+		before = l.urgent
+	}
+	return (before + float64(unread(w, held))) / max(1, server.PrefillRate())
+}
+
 // moveTime is how long the KV cache takes from one engine to another that holds
 // the prompt's first parts, in seconds. Where parts are not told apart, all of it
 // moves.
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -32,7 +32,9 @@
 	Prefill *decision.Server
 	// Unread is how many tokens of the prompt are to be read there, as far as is
 	// known: the others are in the server's cache.
-	Unread  int
+	Unread int
+	// First is the time to the first token that is to be expected, in seconds.
+	First   float64
 	Reason  string
 	Figures []decision.Figure
 }
@@ -81,6 +83,7 @@
 		server := &fleet.Servers[pair.decode]
 		return Choice{
 			Server: server, Prefill: &fleet.Servers[pair.prefill], Unread: unread(w, held[pair.prefill]),
+			First:   firstToken(now, w, &fleet.Servers[pair.prefill], fleet, held[pair.prefill]),
 			Reason:  "lowest cost: prefill and decode apart",
 			Figures: p.figures(pair.cost, held[pair.prefill], pair.decode, server),
 		}, true
@@ -88,6 +91,7 @@
 		server := &fleet.Servers[b.whole.index]
 		return Choice{
 			Server: server, Reason: "lowest cost", Unread: unread(w, held[b.whole.index]),
+			First:   firstToken(now, w, server, fleet, held[b.whole.index]),
 			Figures: p.figures(b.whole.cost, held[b.whole.index], b.whole.index, server),
 		}, true
 	}
--- a/internal/entry/relayed_test.go
+++ b/internal/entry/relayed_test.go
@@ -7,6 +7,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -159,3 +160,36 @@
 		t.Fatalf("refusal %+v", r)
 	}
 }
+
+// A burst of dossiers fills the engines for seconds. What would be late is turned
+// away at once, with when to come back; when the burst is over it is taken. Questions
+// of people who wait are not turned away for it.
+func TestLongWorkThatWouldBeLateIsTurnedAway(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(1)...)
+	dossier := func(a *Arrived) {
+		a.Work.Class, a.Work.PromptTokens = declaration.ClassBulk, 17000
+		a.Work.FirstTokenBy = w.now + 800*time.Millisecond
+	}
+	busy := func(waiting uint32) {
+		w.step(ServerSaid{
+			Server: "engine-0", Incarnation: "life-1", State: engineapi.StateServing, HasLoad: true,
+			Load: engineapi.Load{Running: 1, Queued: waiting},
+		})
+	}
+	w.relayed("first", func(a *Arrived) { dossier(a); a.Work.PromptTokens = 10000 })
+	w.ended(w.dispatched(), func(ev *AttemptEnded) { ev.Whole, ev.Outcome = true, outcome.Ran })
+	busy(5)
+	w.relayed("late", dossier)
+	r := w.refused()
+	if r.Outcome != outcome.NotRun || r.RetryAfter < minShedRetry || r.RetryAfter > maxShedRetry {
+		t.Fatalf("refusal %+v", r)
+	}
+	w.relayed("question", nil)
+	w.dispatched()
+	w.after(3 * second)
+	w.renew()
+	busy(0)
+	w.relayed("back", func(a *Arrived) { dossier(a); a.Work.PromptTokens = 10000 })
+	w.dispatched()
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -166,6 +166,10 @@
 			return
 		}
 		q := r.requests[w.RequestID]
+		if refusal := r.shed(q, choice); refusal != nil {
+			r.refuse(q, refusal, append(choice.Figures, Figure{Name: "first_seconds", Value: choice.First})...)
+			continue
+		}
 		r.decide.picker.Sent(r.now, &w, choice)
 		r.dispatch(q, r.servers.byID[choice.Server.ID], choice, false)
 	}
