--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -123,7 +123,7 @@
 	}
 	r.decide.queue.Push(q.work)
 	r.startWaiting()
-	if q.server == nil {
+	if q.server == nil && r.requests[id] == q {
 		r.log(LogWait, q, "", "no server has room", []Figure{{Name: "waiting", Value: float64(r.decide.queue.Len())}})
 	}
 }
