--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -35,8 +35,9 @@
 	LeaveSpread = 2 * time.Second
 	// StopPoll is how often a stopping entry looks whether it is done.
 	StopPoll = 20 * time.Millisecond
-	// closeTimeout bounds the closing of the listeners.
-	closeTimeout = 2 * time.Second
+	// closeTimeout bounds the closing of the listeners, after all requests have
+	// ended: it is there for connections that idle.
+	closeTimeout = 800 * time.Millisecond
 	// readHeaderTimeout bounds how long another process of the system may take
 	// to send a call's head.
 	readHeaderTimeout = 5 * time.Second
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -201,6 +201,7 @@
 	success := a.Head.Status >= http.StatusOK && a.Head.Status < http.StatusMultipleChoices
 	switch {
 	case a.Said.NotRun:
+		j.free(cache)
 		ended.ServerDied = a.Said.OtherLife
 		return nil
 	case success && !a.Said.Proven:
