--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -23,25 +23,19 @@
 	return outcome.NotRun
 }
 
-func refuseNoView() *outcome.Refusal {
+// unavailable refuses what another entry, or the same one after a while, may do.
+func unavailable(code outcome.Code, message string, after time.Duration) *outcome.Refusal {
 	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView,
-		Message: "this entry has not learned its configuration yet; ask another", RetryAfter: soon,
+		Status: http.StatusServiceUnavailable, Code: code, Message: message, RetryAfter: after,
 	}
 }
 
 func refuseStale() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView,
-		Message: "this entry is cut off and no backend server confirmed itself; ask another", RetryAfter: soon,
-	}
+	return unavailable(outcome.CodeStaleView, "this entry is cut off and no backend server confirmed itself; ask another", soon)
 }
 
 func refuseLeaving() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeLeaving,
-		Message: "this entry stops; ask another", RetryAfter: soon,
-	}
+	return unavailable(outcome.CodeLeaving, "this entry stops; ask another", soon)
 }
 
 func refuseFull() *outcome.Refusal {
@@ -92,29 +86,17 @@
 }
 
 func refuseNoServer() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeNoServer,
-		Message: "no backend server is left that runs it", RetryAfter: soon,
-	}
+	return unavailable(outcome.CodeNoServer, "no backend server is left that runs it", soon)
 }
 
 func refuseNotTaken() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeOverloaded,
-		Message: "the backend servers that were tried did not run it", RetryAfter: soon,
-	}
+	return unavailable(outcome.CodeOverloaded, "the backend servers that were tried did not run it", soon)
 }
 
 func refuseRepeats() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeOverloaded,
-		Message: "too much is being sent again to send this once more", RetryAfter: soon,
-	}
+	return unavailable(outcome.CodeOverloaded, "too much is being sent again to send this once more", soon)
 }
 
 func refuseLate() *outcome.Refusal {
-	return &outcome.Refusal{
-		Status: http.StatusServiceUnavailable, Code: outcome.CodeDeadline,
-		Message: "it can't be answered before its deadline any more", RetryAfter: later,
-	}
+	return unavailable(outcome.CodeDeadline, "it can't be answered before its deadline any more", later)
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -133,7 +133,7 @@
 func (r *Reducer) turnAway(q *request) (*outcome.Refusal, []Figure) {
 	switch {
 	case r.view.declaration == nil:
-		return refuseNoView(), nil
+		return outcome.NoConfiguration(), nil
 	case r.closed():
 		return refuseLeaving(), nil
 	case r.quarantined(q):
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -3,6 +3,7 @@
 package outcome
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 )
@@ -74,6 +75,19 @@
 	RetryAfter time.Duration
 }
 
+// noConfigurationRetry is when to come back to an entry that is still to learn
+// its configuration: control tells it one within about a second.
+const noConfigurationRetry = time.Second
+
+// NoConfiguration refuses what reaches an entry before its first configuration.
+func NoConfiguration() *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Code: CodeStaleView, Outcome: NotRun,
+		Message:    "this entry has not learned its configuration yet; ask another",
+		RetryAfter: noConfigurationRetry,
+	}
+}
+
 // Error makes a Refusal an error.
 func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
 
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -47,7 +47,7 @@
 func (s *Server) Serve(ctx context.Context, req *Request, caller Caller) {
 	snap := s.host.Snapshot()
 	if !snap.Ready() {
-		s.refuse(req, caller, notReady())
+		s.refuse(req, caller, outcome.NoConfiguration())
 		return
 	}
 	route := snap.Routes.Find(req.Host, req.Path)
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -109,10 +109,7 @@
 		}
 	}
 	if !snap.Ready() {
-		return k, &outcome.Refusal{
-			Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView, Outcome: outcome.NotRun,
-			Message: "this entry has not learned its configuration yet; ask another", RetryAfter: time.Second,
-		}
+		return k, outcome.NoConfiguration()
 	}
 	token, ok := strings.CutPrefix(c.Get("Authorization"), "Bearer ")
 	if ok {
