Show in an attempt's line the status of that attempt only

Cause: the line "attempt failed" took its status from the last failure that the request holds for its caller, which an earlier attempt may have given. A second attempt whose connection broke so showed the first server's 500, and on call would have blamed the wrong server. Each attempt now notes the status of its own answer. TestAttemptsLineShowsItsOwnStatus failed before ("status 500 of another server").

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -197,6 +197,7 @@
 		return err
 	}
 	defer a.Body.Close()
+	j.log.status = a.Head.Status
 	j.heard(d.Server, d.Incarnation, a.Said)
 	success := a.Head.Status >= http.StatusOK && a.Head.Status < http.StatusMultipleChoices
 	switch {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -16,6 +16,8 @@
 	attempts int
 	// server ran the last attempt, prefiller did its prefill if another one did.
 	server, prefiller string
+	// status is what the last attempt was answered with, 0 while it has no answer.
+	status int
 	// sentAt, prefilledAt and firstAt are when the last attempt went out, when its
 	// prefill apart was done and when its first event came, since began.
 	sentAt, prefilledAt, firstAt time.Duration
@@ -32,7 +34,7 @@
 
 func (l *jobLog) sent(d entry.Dispatch) {
 	l.attempts++
-	l.server, l.prefiller = d.Server, d.PrefillServer
+	l.server, l.prefiller, l.status = d.Server, d.PrefillServer, 0
 	l.sentAt, l.prefilledAt, l.firstAt = time.Since(l.began), 0, 0
 }
 
@@ -52,8 +54,8 @@
 	if err != nil {
 		args = append(args, "error", err.Error())
 	}
-	if f := l.job.failure; f != nil {
-		args = append(args, "status", f.head.Status)
+	if l.status != 0 {
+		args = append(args, "status", l.status)
 	}
 	l.line("attempt failed", args...)
 }
--- /dev/null
+++ b/internal/relay/log_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
+)
+
+// On call reads the lines of a request that two servers failed: the first one
+// answered 500, the second one's connection broke. The line of the second attempt must
+// not show the status of the first, or the second server is blamed for an answer that
+// it never gave.
+func TestAttemptsLineShowsItsOwnStatus(t *testing.T) {
+	var out bytes.Buffer
+	s := &Server{host: &host.Host{Log: slog.New(slog.NewJSONHandler(&out, nil))}}
+	j := &job{s: s, req: &Request{ID: "r1"}, route: &declaration.HostRoute{Name: "lookups"}}
+	j.log = newJobLog(j)
+	first := entry.Dispatch{Server: "a", Attempt: 1}
+	j.log.sent(first)
+	j.log.status = 500
+	j.failure = &wholeAnswer{head: Head{Status: 500}}
+	j.log.attempted(first, &entry.AttemptEnded{Took: time.Millisecond}, nil)
+	second := entry.Dispatch{Server: "b", Attempt: 2}
+	j.log.sent(second)
+	j.log.attempted(second, &entry.AttemptEnded{Took: time.Millisecond}, httpconn.Broken.New("cut"))
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	if len(lines) != 2 {
+		t.Fatalf("%d lines: %s", len(lines), out.String())
+	}
+	status := func(line []byte) any {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatal(err)
+		}
+		return fields["status"]
+	}
+	if got := status(lines[0]); got != 500.0 {
+		t.Errorf("first attempt: status %v", got)
+	}
+	if got := status(lines[1]); got != nil {
+		t.Errorf("second attempt: status %v of another server", got)
+	}
+}
