Let a control replica listen elsewhere than where it is known

A forwarder can stand before a replica only if the address that others know it by is not the one that it binds. listen_address is that one; without it nothing changes. The forwarder can reset open connections, and the test bed starts any program.

--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -139,7 +140,7 @@
 // Run serves until ctx ends, then hands leadership on and stops. Errors: Failed,
 // Removed.
 func (r *Runner) Run(ctx context.Context) error {
-	listener, err := r.auth.Listen(ctx, r.cfg.Address)
+	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address))
 	if err != nil {
 		return Failed.Wrap(err, "listen")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,8 +148,11 @@
 	Common `yaml:"common"`
 	// ReplicaID is this replica's id, at least 1; a new VM takes a new id.
 	ReplicaID uint64 `yaml:"replica_id"`
-	// Address is where its services listen, host:port.
+	// Address is where other processes reach its services, host:port.
 	Address string `yaml:"address"`
+	// ListenAddress is where they listen, host:port, if that is not Address: where an
+	// address translation or a forwarder stands before the VM. Default: Address.
+	ListenAddress string `yaml:"listen_address"`
 	// DataDir is the data folder on the VM's disk.
 	DataDir string `yaml:"data_dir"`
 	// Bootstrap lists the replicas of a new cluster. It counts only while the
@@ -285,6 +288,9 @@
 		checkAddress(file, "registry_address", s.RegistryAddress)
 	}
 	checkAddress(file, "address", s.Address)
+	if s.ListenAddress != "" {
+		checkAddress(file, "listen_address", s.ListenAddress)
+	}
 	if s.DataDir == "" {
 		file.Add("data_dir", "is missing; name a folder on the VM's disk")
 	}
--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Reset breaks the connections that are open now, as a VM without power does once
+// it is back; new ones work.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for l := range f.links {
+		for _, c := range []net.Conn{l.client, l.server} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+		}
+		l.close()
+	}
+}
+
 // Close ends the forwarder and its connections.
 func (f *Forwarder) Close() {
 	_ = f.listener.Close()
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -38,6 +38,12 @@
 	unmeant int
 }
 
+// NewProcess gives a process of the program at path with its arguments; wg waits for
+// its lives' ends.
+func NewProcess(name, path string, args []string, logFile string, wg *conc.WaitGroup) *Process {
+	return &Process{Name: name, LogFile: logFile, binary: path, args: args, wg: wg}
+}
+
 // Start begins a life of the process. Errors: Failed.
 func (p *Process) Start() error {
 	p.mu.Lock()
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -43,10 +43,9 @@
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return nil, Failed.Wrap(err, "settings of %s", name)
 	}
-	return &Process{
-		Name: name, Address: address, DataCentre: dc, LogFile: b.path(name + ".log"),
-		binary: filepath.Join(b.options.Bin, binary), args: []string{"run", "--settings", file}, wg: &b.wg,
-	}, nil
+	p := NewProcess(name, filepath.Join(b.options.Bin, binary), []string{"run", "--settings", file}, b.path(name+".log"), &b.wg)
+	p.Address, p.DataCentre = address, dc
+	return p, nil
 }
 
 func (b *Bed) common(name, dc string) settings.Common {
