Hold requests for the first configuration of an entry

Load: the whole deployment restarts; for about a second all callers reach entries that know no route yet. Cause: each request was refused with "come back in 1 s", which used up its caller's retry and brought all of them back late and at once. An entry now holds a request until its configuration comes, at most a third of the caller's time and 1.5 s; the time that the server is given counts from the arrival.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -133,6 +133,21 @@
 // Snapshot is what the reducer published last; never nil.
 func (h *Host) Snapshot() *entry.Snapshot { return h.loop.snapshot.Load() }
 
+// Configured waits until the entry has learned a configuration, at most so long; false
+// if it has not, or ctx has ended.
+func (h *Host) Configured(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-h.loop.configured:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-h.loop.stopped:
+	}
+	return false
+}
+
 // PeerAddress is where other entries connect and metrics are served.
 func (h *Host) PeerAddress() string { return h.others.Addr().String() }
 
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -35,7 +35,9 @@
 	events   chan entry.Event
 	carryOut func(entry.Effect)
 	snapshot atomic.Pointer[entry.Snapshot]
-	stopped  chan struct{}
+	// configured is closed once a configuration has been learned.
+	configured chan struct{}
+	stopped    chan struct{}
 
 	mu        sync.Mutex
 	mailboxes map[string]chan entry.Effect
@@ -44,7 +46,7 @@
 func newLoop(r *entry.Reducer, carryOut func(entry.Effect)) *loop {
 	l := &loop{
 		reducer: r, events: make(chan entry.Event, eventBuffer), carryOut: carryOut,
-		stopped: make(chan struct{}), mailboxes: make(map[string]chan entry.Effect),
+		configured: make(chan struct{}), stopped: make(chan struct{}), mailboxes: make(map[string]chan entry.Effect),
 	}
 	l.snapshot.Store(&entry.Snapshot{})
 	return l
@@ -85,7 +87,7 @@
 	for _, e := range l.reducer.Step(clock.Boot(), ev) {
 		switch e := e.(type) {
 		case entry.Publish:
-			l.snapshot.Store(e.Snapshot)
+			l.publish(e.Snapshot)
 		case entry.Dispatch:
 			l.deliver(e.RequestID, e)
 		case entry.DecodeAt:
@@ -100,6 +102,14 @@
 	}
 }
 
+func (l *loop) publish(s *entry.Snapshot) {
+	first := s.Ready() && !l.snapshot.Load().Ready()
+	l.snapshot.Store(s)
+	if first {
+		close(l.configured)
+	}
+}
+
 // post hands an event to the reducer. After the end it does nothing.
 func (l *loop) post(ev entry.Event) {
 	select {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -9,6 +9,8 @@
 
 	"github.com/joomcode/errorx"
 
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
@@ -45,22 +47,40 @@
 // Serve relays one request; it returns when the caller has its final answer. ctx
 // ends when the caller is gone.
 func (s *Server) Serve(ctx context.Context, req *Request, caller Caller) {
-	snap := s.host.Snapshot()
-	if !snap.Ready() {
+	at := clock.Boot()
+	if !s.configured(ctx, req) {
 		s.refuse(req, caller, outcome.NoConfiguration())
 		return
 	}
+	snap := s.host.Snapshot()
 	route := snap.Routes.Find(req.Host, req.Path)
 	if route == nil {
 		s.refuse(req, caller, noRoute())
 		return
 	}
-	j := &job{s: s, req: req, route: route, caller: caller, arrived: s.arrived(req, route, snap)}
+	j := &job{s: s, req: req, route: route, caller: caller, arrived: s.arrived(req, at, route, snap)}
 	j.service = snap.Declaration.Service(j.arrived.Work.Service)
 	j.log = newJobLog(j)
 	j.run(ctx)
 }
 
+// configured tells whether the entry knows routes, and waits for that a while.
+func (s *Server) configured(ctx context.Context, req *Request) bool {
+	if s.host.Snapshot().Ready() {
+		return true
+	}
+	if s.waiting.Add(1) > int64(s.host.Settings.MaxStreams) {
+		s.waiting.Add(-1)
+		return false
+	}
+	defer s.waiting.Add(-1)
+	wait, began := admission.StartupWait(req.Patience), time.Now()
+	ok := s.host.Configured(ctx, wait)
+	s.host.Log.Info("waited for the first configuration", "request_id", req.ID, "configured", ok,
+		"ms", time.Since(began).Milliseconds(), "limit_ms", wait.Milliseconds(), "waiting", s.waiting.Load())
+	return ok
+}
+
 // run drives the request until its final effect.
 func (j *job) run(ctx context.Context) {
 	key := j.arrived.Work.RequestID
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
@@ -157,6 +158,8 @@
 type Server struct {
 	host    *host.Host
 	backend Backend
+	// waiting counts requests that wait for the first configuration.
+	waiting atomic.Int64
 }
 
 // New makes the relay of an entry.
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -22,11 +22,10 @@
 	return &admission.ExtraLimit{Ratio: r.Ratio, Constant: r.Extra, Window: r.Window}
 }
 
-// arrived describes the request to the reducer.
-func (s *Server) arrived(r *Request, route *declaration.HostRoute, snap *entry.Snapshot) entry.Arrived {
+// arrived describes the request, which came at that time since boot, to the reducer.
+func (s *Server) arrived(r *Request, at time.Duration, route *declaration.HostRoute, snap *entry.Snapshot) entry.Arrived {
 	service := snap.Declaration.Service(route.Target(r.ID))
 	profile := snap.Declaration.Profile(route.Profile)
-	now := clock.Boot()
 	limit := route.Timeout
 	if r.Patience > 0 {
 		limit = min(limit, r.Patience)
@@ -34,7 +33,7 @@
 	w := decision.Work{
 		RequestID: host.NewJobKey(r.ID), MemberWeight: 1, Service: service.Name, Profile: profile.Name,
 		ProfileShare: profile.Share, Class: profile.Class, Kind: service.Kind, Model: service.Model,
-		Arrived: now, FirstTokenBy: now + profile.FirstToken, FinishBy: now + limit,
+		Arrived: at, FirstTokenBy: at + profile.FirstToken, FinishBy: at + limit,
 		LateIsOfUse: true, Pace: pace(s.host.Settings),
 	}
 	w.Pace.MoveRate = service.MoveRate
