Name in an attempt's line the engine that broke it

Cause: when a prefill failed, the line "attempt failed" named the engine that was planned to decode, which had not been asked yet. TestAttemptsLineNamesTheEngineThatBrokeIt failed before.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -47,8 +47,12 @@
 	if ended.Whole {
 		return
 	}
+	server, incarnation := d.Server, d.Incarnation
+	if ended.AtPrefill {
+		server, incarnation = d.PrefillServer, d.PrefillIncarnation
+	}
 	args := []any{
-		"server", d.Server, "incarnation", d.Incarnation, "attempt", d.Attempt,
+		"server", server, "incarnation", incarnation, "at_prefill", ended.AtPrefill, "attempt", d.Attempt,
 		"outcome", ended.Outcome, "took_ms", ended.Took.Milliseconds(), "server_died", ended.ServerDied,
 	}
 	if err != nil {
--- a/internal/relay/log_test.go
+++ b/internal/relay/log_test.go
@@ -48,3 +48,22 @@
 		t.Errorf("second attempt: status %v of another server", got)
 	}
 }
+
+// A prefill broke at one engine while another one was planned to decode. The line of the
+// attempt must name the engine that broke it.
+func TestAttemptsLineNamesTheEngineThatBrokeIt(t *testing.T) {
+	var out bytes.Buffer
+	s := &Server{host: &host.Host{Log: slog.New(slog.NewJSONHandler(&out, nil))}}
+	j := &job{s: s, req: &Request{ID: "r1"}, route: &declaration.HostRoute{Name: "dossiers"}}
+	j.log = newJobLog(j)
+	d := entry.Dispatch{Server: "decodes", PrefillServer: "reads", PrefillIncarnation: "life-2", Attempt: 1}
+	j.log.sent(d)
+	j.log.attempted(d, &entry.AttemptEnded{AtPrefill: true}, httpconn.Broken.New("cut"))
+	var fields map[string]any
+	if err := json.Unmarshal(out.Bytes(), &fields); err != nil {
+		t.Fatal(err)
+	}
+	if fields["server"] != "reads" || fields["incarnation"] != "life-2" {
+		t.Fatalf("the line blames %v, %v", fields["server"], fields["incarnation"])
+	}
+}
