Keep new work off a server while a connection to it takes long

Load: a server's VM goes dark while callers go on. A dial that has taken 150 ms now says so; the server gets nothing new until that dial has ended, either way. No probe and no timer more.

--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -33,6 +33,14 @@
 	HasLoad     bool
 }
 
+// ServerReached tells that it takes long to open a connection to a server, or, not Slow,
+// that this attempt to do so has ended.
+type ServerReached struct {
+	Server      string
+	Incarnation string
+	Slow        bool
+}
+
 // ProbeFailed tells that a health probe got no answer.
 type ProbeFailed struct {
 	Server      string
@@ -141,6 +149,7 @@
 func (ViewReceived) isEvent()    {}
 func (Announced) isEvent()       {}
 func (ServerSaid) isEvent()      {}
+func (ServerReached) isEvent()   {}
 func (ProbeFailed) isEvent()     {}
 func (ReportTaken) isEvent()     {}
 func (ReportFailed) isEvent()    {}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -209,7 +209,7 @@
 }
 
 func (j *job) send(ctx context.Context, d entry.Dispatch, cache *Cache, ended *entry.AttemptEnded, began time.Time) error {
-	attempt := j.attemptAt(d.Address, d.Incarnation)
+	attempt := j.attemptAt(d.Server, d.Address, d.Incarnation)
 	attempt.From = cache
 	a, err := j.s.backend.Send(ctx, attempt)
 	if err != nil {
@@ -233,11 +233,14 @@
 	return j.readWhole(a, ended, success)
 }
 
-func (j *job) attemptAt(address, incarnation string) Attempt {
+func (j *job) attemptAt(server, address, incarnation string) Attempt {
 	return Attempt{
 		Target: Target{
 			Address: address, Incarnation: incarnation,
 			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
+			Slow: func(slow bool) {
+				j.s.host.Post(entry.ServerReached{Server: server, Incarnation: incarnation, Slow: slow})
+			},
 		},
 		Request: j.req, Left: timeLeft(&j.arrived.Work), Once: j.arrived.Repeat == entry.RepeatOnce,
 		Rank: j.route.Rank, After: j.after(),
