Count no send as a repeat that no server has got

With a dark engine the allowance was used up in a second, and requests that no server had seen were refused. Such an attempt now takes nothing; one after a prefill still does.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -91,7 +91,7 @@
 		r.refuse(q, refuseUnknown())
 	case q.maxRuns > 0 && q.runs >= q.maxRuns:
 		r.refuse(q, refuseFailed())
-	case !r.extra.Take(r.now, q.work.Service, len(r.view.entries)):
+	case !r.mayRepeat(q, ev):
 		r.refuse(q, refuseRepeats())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
@@ -102,6 +102,13 @@
 	}
 }
 
+// mayRepeat takes another send out of the deployment's allowance. What no server has got
+// is sent for the first time: counted as a repeat, it used up the allowance just when a
+// server is dark, and requests that no server had seen were refused for it.
+func (r *Reducer) mayRepeat(q *request, ev AttemptEnded) bool {
+	return ev.Unsent || r.extra.Take(r.now, q.work.Service, len(r.view.entries))
+}
+
 // elsewhere waits for another place after a server did not start the request.
 func (r *Reducer) elsewhere(q *request, s *server, ev AttemptEnded) {
 	if !ev.ServerDied {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -127,7 +127,9 @@
 	Invalid bool
 	// AtPrefill tells that all this is about the engine that was to prefill.
 	AtPrefill bool
-	Tokens    int
+	// Unsent tells that no server got any byte of this attempt.
+	Unsent bool
+	Tokens int
 	// FirstToken and Decode are the times to the first token and from it to
 	// the last; Took is the whole time.
 	FirstToken time.Duration
--- a/internal/entry/relayed_test.go
+++ b/internal/entry/relayed_test.go
@@ -219,3 +219,24 @@
 		t.Fatalf("%s was reached after all and has least to do; placed at %s", first.Server, d.Server)
 	}
 }
+
+// One of two servers is gone, and failures elsewhere have used up what the deployment may
+// send again. A request whose connection was refused has reached nobody: it goes to the
+// other server, and its clerk is not sent away.
+func TestUnsentRequestIsNoRepeat(t *testing.T) {
+	w := relayedWorld(t)
+	w.r.extra = admission.NewExtra(&admission.ExtraLimit{Window: 10 * second})
+	w.view(serving(2)...)
+	w.relayed("r1", nil)
+	first := w.dispatched()
+	w.ended(first, func(ev *AttemptEnded) { ev.Outcome, ev.ServerDied, ev.Unsent = outcome.NotRun, true, true })
+	if d := w.dispatched(); d.Server == first.Server {
+		t.Fatalf("again to %s", d.Server)
+	}
+	w.relayed("r2", nil)
+	second := w.dispatched()
+	w.ended(second, func(ev *AttemptEnded) { ev.Outcome = outcome.NotRun })
+	if r := w.refused(); r.Outcome != outcome.NotRun {
+		t.Fatalf("sent again without an allowance: %+v", w.effects)
+	}
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -186,7 +186,7 @@
 		ended.Decode = ended.Took - ended.FirstToken
 	}
 	if err != nil {
-		j.failed(err, &ended)
+		failed(err, &ended, cache != nil)
 	}
 	j.log.attempted(d, &ended, err)
 	return ended, nil
@@ -199,10 +199,11 @@
 	return j.stream.events
 }
 
-// failed notes how a connection failed. Only one that could not be opened has
-// sent nothing; what was only to be prefilled has not run either way.
-func (j *job) failed(err error, ended *entry.AttemptEnded) {
+// failed notes how a connection failed, after a prefill or not. Only one that could not
+// be opened has sent nothing; what was only to be prefilled has not run either way.
+func failed(err error, ended *entry.AttemptEnded, prefilled bool) {
 	ended.ServerDied = errorx.IsOfType(err, httpconn.Refused)
+	ended.Unsent = errorx.IsOfType(err, httpconn.NotSent) && !prefilled
 	if !errorx.IsOfType(err, httpconn.NotSent) && !ended.AtPrefill {
 		ended.Outcome = outcome.Unknown
 	}
