--- a/internal/host/decisionlog.go
+++ b/internal/host/decisionlog.go
@@ -19,7 +19,7 @@
 )
 
 // decisionLog hands lines from the control goroutine to the one that writes
-// them. Standard error can block for as long as its reader is paused; the
+// them. Standard output can block for as long as its reader is paused; the
 // control goroutine would stand still with it, and all callers. When the buffer
 // is full lines are dropped and counted.
 type decisionLog struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,7 +62,7 @@
 // TLS tells whether TLS is on.
 func (a Auth) TLS() bool { return a.CertFile != "" }
 
-// Log sets up logging: JSON lines on standard error.
+// Log sets up logging: JSON lines on standard output.
 type Log struct {
 	// Level is debug, info, warn or error. Default info.
 	Level string `yaml:"level"`
