Let goldcrestctl explain order a request's lines and name the deciding one

On call had to search the heap of all entries' logs for an id and read backwards. The command orders the lines of one request from standard input and names the failure and the end that followed it. Writers and reader share the messages' names (obs.Line...).

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -23,6 +23,8 @@
 	Refused = Namespace.NewType("refused")
 	// NoAnswer: no replica answered in time; the call may come about.
 	NoAnswer = Namespace.NewType("no_answer")
+	// NoLines: the input holds no lines of the request, or can't be read.
+	NoLines = Namespace.NewType("no_lines")
 )
 
 const (
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -23,7 +23,7 @@
 		newStatus(o), newEntries(o),
 		newDrain(o, "drain", "Take a backend server out: it gets no new work", true),
 		newDrain(o, "undrain", "Give a drained backend server work again", false),
-		newRoles(o), newReplica(o),
+		newRoles(o), newReplica(o), newExplain(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/obs/lines.go
@@ -0,0 +1,12 @@
+package obs
+
+// Messages of the lines that tell of one request, in the order of its life. Who writes
+// them and who reads them share the names.
+const (
+	LineDecision      = "decision"
+	LineWaited        = "waited for the first configuration"
+	LinePrefillFailed = "prefill apart failed"
+	LineAttemptFailed = "attempt failed"
+	LineAnswered      = "answered"
+	LineRefused       = "refused"
+)
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -14,6 +14,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -76,7 +77,7 @@
 	defer s.waiting.Add(-1)
 	wait, began := admission.StartupWait(req.Patience), time.Now()
 	ok := s.host.Configured(ctx, wait)
-	s.host.Log.Info("waited for the first configuration", "request_id", req.ID, "configured", ok,
+	s.host.Log.Info(obs.LineWaited, "request_id", req.ID, "configured", ok,
 		"ms", time.Since(began).Milliseconds(), "limit_ms", wait.Milliseconds(), "waiting", s.waiting.Load())
 	return ok
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -61,7 +62,7 @@
 	if l.status != 0 {
 		args = append(args, "status", l.status)
 	}
-	l.line("attempt failed", args...)
+	l.line(obs.LineAttemptFailed, args...)
 }
 
 // notPrefilled writes a line for a prefill that another engine did not do.
@@ -70,7 +71,7 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	l.line("prefill apart failed", "server", d.PrefillServer, "incarnation", d.PrefillIncarnation, "reason", reason)
+	l.line(obs.LinePrefillFailed, "server", d.PrefillServer, "incarnation", d.PrefillIncarnation, "reason", reason)
 }
 
 // end writes the line of the final answer and counts it.
@@ -85,7 +86,7 @@
 	if l.firstAt > 0 {
 		args = append(args, "first_ms", l.firstAt.Milliseconds())
 	}
-	l.line("answered", args...)
+	l.line(obs.LineAnswered, args...)
 }
 
 func (l *jobLog) refused(r *outcome.Refusal) {
@@ -94,7 +95,7 @@
 }
 
 func (s *Server) logRefused(id, route string, r *outcome.Refusal, attempts int) {
-	s.host.Log.LogAttrs(s.host.Background, slog.LevelInfo, "refused",
+	s.host.Log.LogAttrs(s.host.Background, slog.LevelInfo, obs.LineRefused,
 		slog.String("request_id", id), slog.String("route", route), slog.String("code", string(r.Code)),
 		slog.Int("status", r.Status), slog.String("outcome", string(r.Outcome)), slog.Int("attempts", attempts),
 		slog.Float64("retry_after_s", r.RetryAfter.Seconds()), slog.String("reason", r.Message))
