Take nothing that a stopping entry would have to cut

From 2.5 s after the stop began on, a request that may last beyond the stop's end is refused as not run, at once and with when to come back. What comes earlier is taken as before. TestStoppingEntryTakesNothingThatItWouldCut.

The forwarder of the tests breaks a connection that has lost bytes when it would be heard again.

--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -145,7 +145,12 @@
 
 // Stop begins the planned stop of the entry. Keep is how long callers may still
 // come that were told of it before.
-type Stop struct{ Keep time.Duration }
+type Stop struct {
+	Keep time.Duration
+	// ShortOnly is when only work is still taken that ends in time, Ends when the entry
+	// lets go of what still runs, both from now on; zero Ends: it waits or hands on.
+	ShortOnly, Ends time.Duration
+}
 
 func (Tick) isEvent()            {}
 func (ViewReceived) isEvent()    {}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -65,6 +65,8 @@
 	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
+	// shortOnlyAt is when it takes only work that is over by endsAt; zero endsAt: never.
+	shortOnlyAt, endsAt time.Duration
 	// sharedFleet is the fleet of this step, nil when it must be made anew.
 	sharedFleet *decision.Fleet
 	// dirty asks for a new snapshot at the end of the step.
@@ -170,7 +172,22 @@
 		return
 	}
 	r.leaving, r.dirty = true, true
-	r.closesAt = r.now + ev.Keep
+	r.closesAt, r.shortOnlyAt = r.now+ev.Keep, r.now+ev.ShortOnly
+	if ev.Ends > 0 {
+		r.endsAt = r.now + ev.Ends
+	}
 }
 
-func (r *Reducer) closed() bool { return r.leaving && r.now >= r.closesAt }
+// closed tells whether a leaving entry takes the request no more.
+//
+// Failure: a dossier of a caller with an old answer came 3.7 s after the stop began and
+// was cut 3.9 s later, in the middle of its stream, when the entry had to end. The
+// caller is told at once instead and has all of its time for another entry. Before
+// shortOnlyAt there is time enough for nearly all, and callers have no better answer yet.
+func (r *Reducer) closed(q *request) bool {
+	if !r.leaving {
+		return false
+	}
+	late := r.endsAt > 0 && q.endsInTime && r.now >= r.shortOnlyAt && q.work.FinishBy > r.endsAt
+	return late || r.now >= r.closesAt
+}
--- a/internal/entry/relayed_test.go
+++ b/internal/entry/relayed_test.go
@@ -240,3 +240,27 @@
 		t.Fatalf("sent again without an allowance: %+v", w.effects)
 	}
 }
+
+// An entry is stopped, and must end 6.8 s later. A dossier of a caller that uses an old
+// answer comes after 3.7 s and may take 8 s: taken, it was cut in the middle of its
+// stream. A lookup of the same moment is over in time and is served.
+func TestStoppingEntryTakesNothingThatItWouldCut(t *testing.T) {
+	w := relayedWorld(t)
+	w.view(serving(2)...)
+	w.step(Stop{Keep: 4 * second, ShortOnly: 2500 * time.Millisecond, Ends: 6800 * time.Millisecond})
+	lasting := func(d time.Duration) func(*Arrived) {
+		return func(a *Arrived) { a.Work.FinishBy = w.now + d }
+	}
+	w.after(second)
+	w.renew()
+	w.relayed("early", lasting(8*second))
+	w.dispatched()
+	w.after(2700 * time.Millisecond)
+	w.renew()
+	w.relayed("lookup", lasting(2500*time.Millisecond))
+	w.dispatched()
+	w.relayed("dossier", lasting(8*second))
+	if r := w.refused(); r.Code != outcome.CodeLeaving || r.Outcome != outcome.NotRun || r.RetryAfter == 0 {
+		t.Fatalf("refusal %+v", r)
+	}
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -134,7 +134,7 @@
 	switch {
 	case r.view.declaration == nil:
 		return outcome.NoConfiguration(), nil
-	case r.closed():
+	case r.closed(q):
 		return refuseLeaving(), nil
 	case r.quarantined(q):
 		return refuseQuarantined(), nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -33,6 +33,9 @@
 	// LeaveSpread is how long a leaving entry may still stand in other
 	// entries' address answers: a poll, a report and a view.
 	LeaveSpread = 2 * time.Second
+	// answerSlack is how long after the last answer with this entry has run out its callers
+	// may still come: a request and its connection are under way.
+	answerSlack = 500 * time.Millisecond
 	// StopPoll is how often a stopping entry looks whether it is done.
 	StopPoll = 20 * time.Millisecond
 	// closeTimeout bounds the closing of the listeners, after all requests have
@@ -214,7 +217,9 @@
 func (h *Host) leave(letGo func()) {
 	keep := h.Settings.AnswerKeep + LeaveSpread
 	h.Log.Info("entry leaves", "keep", keep.String(), "requests", h.OpenRequests())
-	h.Post(entry.Stop{Keep: keep})
+	h.Post(entry.Stop{
+		Keep: keep, ShortOnly: h.Settings.AnswerKeep + answerSlack, Ends: keep + h.Settings.StopTimeout,
+	})
 	time.Sleep(keep)
 	deadline := time.Now().Add(h.Settings.StopTimeout)
 	for h.OpenRequests() > 0 && time.Now().Before(deadline) {
--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	Delay time.Duration
 }
 
+func (m Mode) silent() bool { return m.SilentToServer || m.SilentToClient }
+
 // bufferBytes is how much is read at once.
 const bufferBytes = 32 << 10
 
@@ -40,6 +42,8 @@
 	client net.Conn
 	server net.Conn
 	mode   Mode
+	// lossy is set once bytes were swallowed.
+	lossy bool
 }
 
 // Forwarder passes connections on to one target.
@@ -68,14 +72,16 @@
 // Address is where it listens.
 func (f *Forwarder) Address() string { return f.listener.Addr().String() }
 
-// Set puts the mode in force for open and for new connections.
+// Set puts the mode in force for open and for new connections. A connection that has
+// lost bytes breaks when it would be heard again: no network delivers a later byte of a
+// connection without the earlier ones, and what reads it can't see the gap.
 func (f *Forwarder) Set(m Mode) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mode = m
 	for l := range f.links {
 		l.mode = m
-		if m.Refuse {
+		if m.Refuse || l.lossy && !m.silent() {
 			l.close()
 		}
 	}
@@ -176,6 +182,9 @@
 		n, err := from.Read(buf)
 		m := f.modeOf(l)
 		silent := m.SilentToServer && toServer || m.SilentToClient && !toServer
+		if n > 0 && silent {
+			f.loses(l)
+		}
 		if n > 0 && !silent {
 			time.Sleep(m.Delay)
 			if _, err := to.Write(buf[:n]); err != nil {
@@ -189,13 +198,19 @@
 	}
 }
 
+func (f *Forwarder) loses(l *link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l.lossy = true
+}
+
 // endSilently keeps the other end open when this direction is silent: the end
 // of a connection must not pass either. It waits until the mode changes.
 func (f *Forwarder) endSilently(l *link, silent bool) {
 	for silent {
 		time.Sleep(pollSilent)
 		m := f.modeOf(l)
-		silent = !m.Refuse && (m.SilentToServer || m.SilentToClient)
+		silent = !m.Refuse && m.silent()
 	}
 }
 
