--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -33,14 +33,6 @@
 	HasLoad     bool
 }
 
-// SlowDial tells that it takes long to open a connection to a server; Over, that this
-// attempt to do so has ended, either way.
-type SlowDial struct {
-	Server      string
-	Incarnation string
-	Over        bool
-}
-
 // ProbeFailed tells that a health probe got no answer.
 type ProbeFailed struct {
 	Server      string
@@ -156,7 +148,6 @@
 func (ViewReceived) isEvent()    {}
 func (Announced) isEvent()       {}
 func (ServerSaid) isEvent()      {}
-func (SlowDial) isEvent()        {}
 func (ProbeFailed) isEvent()     {}
 func (ReportTaken) isEvent()     {}
 func (ReportFailed) isEvent()    {}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -111,8 +111,6 @@
 		r.serverSaid(ev)
 	case CacheReported:
 		r.cacheReported(ev)
-	case SlowDial:
-		r.slowDial(ev)
 	case ProbeFailed:
 		r.probeFailed(ev)
 	case ReportFailed:
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -37,8 +37,6 @@
 	reportedAt time.Duration
 	failures   int
 	coolUntil  time.Duration
-	// slowDials counts connections under way that take long to open.
-	slowDials int
 	// died is set once this life was reported dead, until it shows otherwise.
 	died bool
 	// running holds the ids of the requests that this entry has there.
@@ -208,7 +206,7 @@
 	if s.leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
 		return false
 	}
-	if s.ownState == engineapi.StateChanging || now < s.coolUntil || s.slowDials > 0 {
+	if s.ownState == engineapi.StateChanging || now < s.coolUntil {
 		return false
 	}
 	if stale {
@@ -259,32 +257,6 @@
 	r.startWaiting()
 }
 
-// slowDial keeps new work off a server while a connection to it takes long to open.
-//
-// Failure: a VM goes dark or is cut off. Until the first connection attempt gives up,
-// 1.5 s later, each request that is placed there waits as long; one engine of nine so
-// held up 119 requests of nine entries in four seconds. The attempt that is under way
-// tells early, and once it has ended, either way, the server is judged by that.
-func (r *Reducer) slowDial(ev SlowDial) {
-	s := r.servers.life(ev.Server, ev.Incarnation)
-	if s == nil {
-		return
-	}
-	r.sharedFleet = nil
-	if ev.Over {
-		s.slowDials = max(0, s.slowDials-1)
-	} else {
-		s.slowDials++
-	}
-	switch {
-	case ev.Over && s.slowDials == 0:
-		r.logServer(s, "no attempt to reach it takes long any more")
-	case !ev.Over && s.slowDials == 1:
-		r.logServer(s, "takes long to reach")
-	}
-	r.startWaiting()
-}
-
 func (r *Reducer) probeFailed(ev ProbeFailed) {
 	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
 		s.fail(r.now)
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -75,9 +75,6 @@
 	// Mine tells whether an answer is to this request. A server may send a second
 	// answer to an earlier request where the answer to this one is due.
 	Mine func(*fasthttp.ResponseHeader) bool
-	// Slow is told true while the connection is opened and that takes long, and false
-	// once it has ended, either way; nil: nobody asks.
-	Slow func(slow bool)
 }
 
 // conn is one connection.
@@ -115,7 +112,7 @@
 	if !c.reserve(call.Address, call.MaxConns) {
 		return nil, &DialError{Cause: fasthttp.ErrNoFreeConns}
 	}
-	nc, err := c.dial(ctx, call)
+	nc, err := c.dialer.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		c.release(call.Address)
 		return nil, &DialError{Cause: err}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -211,7 +211,7 @@
 }
 
 func (j *job) send(ctx context.Context, d entry.Dispatch, cache *Cache, ended *entry.AttemptEnded, began time.Time) error {
-	attempt := j.attemptAt(d.Server, d.Address, d.Incarnation)
+	attempt := j.attemptAt(d.Address, d.Incarnation)
 	attempt.From = cache
 	a, err := j.s.backend.Send(ctx, attempt)
 	if err != nil {
@@ -235,14 +235,11 @@
 	return j.readWhole(a, ended, success)
 }
 
-func (j *job) attemptAt(server, address, incarnation string) Attempt {
+func (j *job) attemptAt(address, incarnation string) Attempt {
 	return Attempt{
 		Target: Target{
 			Address: address, Incarnation: incarnation,
 			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
-			Slow: func(slow bool) {
-				j.s.host.Post(entry.SlowDial{Server: server, Incarnation: incarnation, Over: !slow})
-			},
 		},
 		Request: j.req, Left: timeLeft(&j.arrived.Work), Once: j.arrived.Repeat == entry.RepeatOnce,
 		Rank: j.route.Rank, After: j.after(),
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -20,7 +20,7 @@
 	if d.PrefillServer == "" {
 		return nil, nil, nil
 	}
-	cache, said, err := j.s.backend.Prefill(ctx, j.attemptAt(d.PrefillServer, d.PrefillAddress, d.PrefillIncarnation))
+	cache, said, err := j.s.backend.Prefill(ctx, j.attemptAt(d.PrefillAddress, d.PrefillIncarnation))
 	j.heard(d.PrefillServer, d.PrefillIncarnation, said)
 	if cache == nil {
 		j.log.notPrefilled(*d, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,8 +83,6 @@
 	Incarnation string
 	// MaxConns bounds this entry's connections to it; 0: no bound.
 	MaxConns int
-	// Slow is told true while it takes long to reach the server, then false.
-	Slow func(slow bool)
 }
 
 // Attempt is one sending of a request.
