Tell in a request's final line its limit and its place on its connection

Cause of the change: the log can't tell an entry that takes no connections from one that takes them and leaves their requests unanswered.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -84,6 +84,7 @@
 	l.job.s.count(l.job.route.Profile, how, time.Since(l.began))
 	args = append([]any{
 		"how", how, "attempts", l.attempts, "server", l.server, "sent_ms", l.sentAt.Milliseconds(),
+		"limit_ms", l.limit().Milliseconds(), "on_connection", l.job.req.OnConnection,
 	}, args...)
 	if l.prefiller != "" {
 		args = append(args, "prefiller", l.prefiller, "prefilled_ms", l.prefilledAt.Milliseconds())
@@ -94,16 +95,26 @@
 	l.line(obs.LineAnswered, args...)
 }
 
+// limit is how long the request could take when it came.
+func (l *jobLog) limit() time.Duration {
+	return l.job.arrived.Work.FinishBy - l.job.arrived.Work.Arrived
+}
+
 func (l *jobLog) refused(r *outcome.Refusal) {
-	l.job.s.count(l.job.route.Profile, "refused", time.Since(l.began))
-	l.job.s.logRefused(l.job.req.ID, l.job.route.Name, r, l.attempts)
+	took := time.Since(l.began)
+	l.job.s.count(l.job.route.Profile, "refused", took)
+	l.job.s.logRefused(l.job.req, l.job.route.Name, r, slog.Int("attempts", l.attempts),
+		slog.Int64("ms", took.Milliseconds()), slog.Int64("limit_ms", l.limit().Milliseconds()))
 }
 
-func (s *Server) logRefused(id, route string, r *outcome.Refusal, attempts int) {
-	s.host.Log.LogAttrs(s.host.Background, slog.LevelInfo, obs.LineRefused,
-		slog.String("request_id", id), slog.String("route", route), slog.String("code", string(r.Code)),
-		slog.Int("status", r.Status), slog.String("outcome", string(r.Outcome)), slog.Int("attempts", attempts),
-		slog.Float64("retry_after_s", r.RetryAfter.Seconds()), slog.String("reason", r.Message))
+func (s *Server) logRefused(req *Request, route string, r *outcome.Refusal, figures ...slog.Attr) {
+	attrs := []slog.Attr{
+		slog.String("request_id", req.ID), slog.String("route", route), slog.String("code", string(r.Code)),
+		slog.Int("status", r.Status), slog.String("outcome", string(r.Outcome)),
+		slog.Float64("retry_after_s", r.RetryAfter.Seconds()), slog.String("reason", r.Message),
+		slog.Uint64("on_connection", req.OnConnection),
+	}
+	s.host.Log.LogAttrs(s.host.Background, slog.LevelInfo, obs.LineRefused, append(attrs, figures...)...)
 }
 
 // count keeps the figures that metrics show: profiles are few and declared, so
--- a/internal/relay/log_test.go
+++ b/internal/relay/log_test.go
@@ -11,6 +11,8 @@
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
 // On call reads the lines of a request that two servers failed: the first one
@@ -67,3 +69,26 @@
 		t.Fatalf("the line blames %v, %v", fields["server"], fields["incarnation"])
 	}
 }
+
+// On call reads the lines of an entry that callers call dead. A request that waited until
+// its caller left must show how long it could have taken and whether it was the first of
+// its connection: an entry that leaves one new connection after the other without an
+// answer looks, to them, like one that accepts none.
+func TestFinalLineTellsLimitAndConnection(t *testing.T) {
+	var out bytes.Buffer
+	h := &host.Host{Log: slog.New(slog.NewJSONHandler(&out, nil)), Metrics: obs.NewMetrics("test"), Background: t.Context()}
+	j := &job{s: &Server{host: h}, req: &Request{ID: "r1", OnConnection: 1}, route: &declaration.HostRoute{Name: "lookups"}}
+	j.arrived.Work.Arrived, j.arrived.Work.FinishBy = time.Second, 1600*time.Millisecond
+	j.log = newJobLog(j)
+	j.log.end("caller gone")
+	j.log.refused(&outcome.Refusal{Status: 503})
+	for _, line := range bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")) {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatal(err)
+		}
+		if fields["limit_ms"] != 600.0 || fields["on_connection"] != 1.0 {
+			t.Errorf("limit %v, on connection %v: %s", fields["limit_ms"], fields["on_connection"], line)
+		}
+	}
+}
--- a/internal/relay/refusals.go
+++ b/internal/relay/refusals.go
@@ -14,6 +14,6 @@
 }
 
 func (s *Server) refuse(req *Request, caller Caller, r *outcome.Refusal) {
-	s.logRefused(req.ID, "", r, 0)
+	s.logRefused(req, "", r)
 	caller.Refuse(r)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,6 +34,9 @@
 	Patience time.Duration
 	// Prompt is what a model is asked; nil for other requests.
 	Prompt *Prompt
+	// OnConnection counts the requests of its connection up to this one: 1 is the
+	// first on a new connection.
+	OnConnection uint64
 	// After is the last event of the stream that the caller has, empty for none.
 	After string
 }
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -12,7 +12,6 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"goldcrestseam.dev/goldcrestseam/internal/callerconn"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
@@ -92,7 +91,7 @@
 			func(ctx context.Context) { s.claims.runClaims(ctx, s.host.Spawn) },
 			s.claims.runSettlements,
 		},
-		Serve:    []func() error{func() error { return s.app.Listener(callerconn.Listener{Listener: s.callers}) }},
+		Serve:    []func() error{func() error { return s.app.Listener(s.host.CallerListener(s.callers)) }},
 		Peers:    pb.NewPeerServer(peerService{s}),
 		LetGo:    s.letGo,
 		Shutdown: func(ctx context.Context) { _ = s.app.ShutdownWithContext(ctx) },
