End with a lost listener, and say ready only while callers are taken

Cause of the change: readiness meant that a configuration is held, once and for good. An entry whose control goroutine or accept loop stands still would answer 200 for ever, and one whose listener's loop had panicked would live on without it and without a line: the panic was kept until the end of the process. Neither was seen; both are of the incident's first hypotheses, and nothing would have shown them.

An entry is not ready while one event, or the hand-over of one connection, takes over a second, and logs each change with both figures. A listener's loop that ends or panics ends the process, with a line. Three patches take the guards out; each test fails then.

Ruled out: ending the process when the control goroutine stands still; after a freeze that would end sound entries. The blocking send to a full mailbox stays as it is.

--- a/internal/decision/queue/deadline.go
+++ b/internal/decision/queue/deadline.go
@@ -67,9 +67,8 @@
 // idle engine. A bulk answer that is late for its first token is still of use;
 // nobody waits at the desk for an urgent one any more.
 //
-// Failure: work that expires at its deadline is refused when its caller has gone. An
-// entry in front of a full service then leaves one new connection after the other without
-// any answer. Refused refusalTime before, the caller still hears of it.
+// Refused at its deadline, work in front of a full service would get no answer at all: its
+// caller has gone by then. refusalTime before it, the caller still hears of it.
 func expiresAt(w *decision.Work) time.Duration {
 	if w.Resumed {
 		return w.FinishBy + neverExpires
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -63,6 +64,9 @@
 	peerReports *peerReports
 	tasks       conc.WaitGroup
 	others      net.Listener
+	// callers is the hand-over of callers' connections.
+	callers      busy
+	lastNotReady atomic.Pointer[NotReady]
 }
 
 // New makes the process of an entry that callers reach at callerAddress. It
@@ -185,12 +189,11 @@
 	for _, loop := range append([]func(context.Context){h.loop.run, h.writeDecisions, h.watch}, way.Loops...) {
 		loops.Go(func() { h.OrDie(func() { loop(work) }) })
 	}
-	for _, serve := range way.Serve {
-		loops.Go(func() { failed <- serve() })
+	for _, serve := range append(way.Serve, func() error { return others.Serve(h.others) }) {
+		loops.Go(func() { failed <- untilEnd(serve) })
 	}
-	loops.Go(func() { failed <- others.Serve(h.others) })
 	if h.Settings.MetricsAddress != "" {
-		loops.Go(func() { h.Metrics.Serve(work, h.Settings.MetricsAddress, h.Log) })
+		loops.Go(func() { h.OrDie(func() { h.Metrics.Serve(work, h.Settings.MetricsAddress, h.Log) }) })
 	}
 	h.Log.Info("entry serves", "callers", h.Identity.CallerAddress, "peers", h.PeerAddress(),
 		"incarnation", h.Identity.Incarnation)
@@ -199,6 +202,7 @@
 	case <-ctx.Done():
 		h.leave(way.LetGo)
 	case err = <-failed:
+		h.Log.Error("a listener ended; the entry ends", "error", err.Error())
 	}
 	h.letGo()
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -241,7 +245,7 @@
 	mux.Handle(pb.PeerLoadPathPrefix, h.Auth.Require(pb.NewPeerLoadServer(h.peerReports)))
 	mux.Handle("GET /metrics", h.Metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if !h.Snapshot().Ready() {
+		if h.NotReady() != "" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -38,6 +38,8 @@
 	// configured is closed once a configuration has been learned.
 	configured chan struct{}
 	stopped    chan struct{}
+	// busy is the step under way.
+	busy
 
 	mu        sync.Mutex
 	mailboxes map[string]chan entry.Effect
@@ -84,7 +86,10 @@
 }
 
 func (l *loop) step(ev entry.Event) {
-	for _, e := range l.reducer.Step(clock.Boot(), ev) {
+	now := clock.Boot()
+	l.begin(now)
+	defer l.end()
+	for _, e := range l.reducer.Step(now, ev) {
 		switch e := e.(type) {
 		case entry.Publish:
 			l.publish(e.Snapshot)
--- a/internal/obs/lines.go
+++ b/internal/obs/lines.go
@@ -11,4 +11,5 @@
 	LineAttemptFailed = "attempt failed"
 	LineAnswered      = "answered"
 	LineRefused       = "refused"
+	LineReadiness     = "readiness changed"
 )
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,6 +178,9 @@
 // Snapshot is what the entry knows.
 func (s *Server) Snapshot() *entry.Snapshot { return s.host.Snapshot() }
 
+// NotReady tells why the entry can't serve callers now, empty if it can.
+func (s *Server) NotReady() host.NotReady { return s.host.NotReady() }
+
 // Settings are the entry's.
 func (s *Server) Settings() *settings.Entry { return s.host.Settings }
 
