Give short shared parts a home in each group, and don't fetch them

Change: parts that are too short to be told of have a home among the engines to which the group sends first, and are not fetched.

The change stays for what it saves the short ones: a fetch takes as long as their reading.

--- a/internal/decision/peers.go
+++ b/internal/decision/peers.go
@@ -159,3 +159,13 @@
 		}
 	}
 }
+
+// minToldTokens is the least length of shared parts that entries tell each other of: less is
+// read in the time that a fetch takes beside its bytes.
+const minToldTokens = 512
+
+// PartsTold tells whether entries tell each other which servers have read the shared parts
+// of the work's prompt.
+func PartsTold(w *Work) bool {
+	return w.Shared > 0 && w.Shared <= len(w.Prefix) && w.HeldTokens(w.Shared) >= minToldTokens
+}
--- a/internal/decision/placement/fetch.go
+++ b/internal/decision/placement/fetch.go
@@ -23,7 +23,7 @@
 // that don't report to each other what was read, each knows of few copies: fetched from those,
 // parts were read again three times as often, since no home got all requests for them.
 func fetches(w *decision.Work, fleet *decision.Fleet) bool {
-	return fleet.PartsReported && w.Pace.MoveRate > 0 && w.Shared > 0 && w.Shared <= len(w.Prefix)
+	return fleet.PartsReported && w.Pace.MoveRate > 0 && decision.PartsTold(w)
 }
 
 // source gives the engine to fetch from; index -1 for none. Only engines that have been
--- a/internal/decision/placement/home.go
+++ b/internal/decision/placement/home.go
@@ -32,16 +32,17 @@
 // of a hash all entries send a part to the same engines without a word between
 // them; a home that does not hold it yet does so from the first request on. That
 // a home is chosen is still a matter of cost: one with a longer queue than the
-// reading elsewhere takes is passed by.
+// reading elsewhere takes is passed by. Parts that are too short to be told of have a home
+// in each group of entries: for them no prompt is worth a server that others send to first.
 func homesOf(w *decision.Work, fleet *decision.Fleet) homes {
 	if w.Shared == 0 || w.Shared > len(w.Prefix) {
 		return nil
 	}
 	var prefill, whole [homesPerPrefix]home
-	key := w.Prefix[w.Shared-1]
+	key, ownOnly := w.Prefix[w.Shared-1], !decision.PartsTold(w)
 	for i := range fleet.Servers {
 		s := &fleet.Servers[i]
-		if !s.Serves(w) {
+		if !s.Serves(w) || ownOnly && s.OthersFirst {
 			continue
 		}
 		h := home{index: i, score: mix(key, xxhash.Sum64String(s.ID)) | 1}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -63,20 +63,14 @@
 	reads []*pb.PartsRead
 }
 
-const (
-	// maxReads bounds the parts in one report: more than an entry's prompts of a second.
-	maxReads = 64
-	// minReadTokens is the least length of shared parts that others are told of: less is
-	// read in the time that a fetch takes beside its bytes.
-	minReadTokens = 512
-)
+// maxReads bounds the parts in one report: more than an entry's prompts of a second.
+const maxReads = 64
 
 // read notes that a server has read a prompt, for the next report.
 func (p *peerBacklogs) read(server string, w *decision.Work) {
-	if w.Shared == 0 || w.Shared > len(w.Prefix) || w.HeldTokens(w.Shared) < minReadTokens {
-		return
+	if decision.PartsTold(w) {
+		p.noteRead(&pb.PartsRead{Server: server, Chain: w.Prefix[:w.Shared]})
 	}
-	p.noteRead(&pb.PartsRead{Server: server, Chain: w.Prefix[:w.Shared]})
 }
 
 // noteRead keeps a part that was read for the next report and, at an aggregator, for its
