Tell news to many held calls in rounds

Cause: the starts of entries are changes of the view, and each change answered the held calls of all others at once.

Change: above 50 held calls news goes in rounds, a millisecond apart for each call and 0.3 s at most; first views are answered at once as before, few entries hear in the same step.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -41,7 +41,9 @@
 	entries map[string]*entryWatch
 	// watches are the held Watch calls, the oldest first.
 	watches []*heldWatch
-	views   viewCache
+	// newsAt is when the last round of news answered them.
+	newsAt time.Duration
+	views  viewCache
 	// registrations wait for the end of the step, to go in one command.
 	registrations []*pb.BackendServer
 	deliveries    map[string]*delivery
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -19,6 +19,14 @@
 	// maxHeldWatches bounds held calls; each entry has one, and one more while
 	// it connects again.
 	maxHeldWatches = 4096
+	// newsTime is the least time between two rounds of news for each call that a round
+	// answers, so that rounds leave the leader half of its time or more.
+	newsTime = time.Millisecond
+	// maxNewsPace bounds it, well within an entry's lease on its view.
+	maxNewsPace = 300 * time.Millisecond
+	// manyWatches is from how many calls on news go in rounds: for fewer they would be
+	// shorter than a tick.
+	manyWatches = 50
 )
 
 // heldWatch is a Watch that waits for news.
@@ -124,8 +132,23 @@
 	})
 }
 
-// answerWatches answers the held calls that the view has news for.
+// answerWatches answers the held calls that the view has news for, in rounds where there
+// are many calls.
+//
+// Failure: hundreds of entries start at once, after a power loss or when control comes back.
+// Each is a change of the view, and each change answered the calls of all the others: as many
+// answers as entries squared, which kept the leader from giving the first views for seconds
+// while callers waited at entries without one.
 func (r *Reducer) answerWatches() {
+	if r.now < r.lead.newsAt+newsPace(len(r.lead.watches)) {
+		return
+	}
+	held := len(r.lead.watches)
+	defer func() {
+		if len(r.lead.watches) < held {
+			r.lead.newsAt = r.now
+		}
+	}()
 	r.lead.watches = slices.DeleteFunc(r.lead.watches, func(w *heldWatch) bool {
 		if w.known == r.state.ViewVersion() {
 			return false
@@ -135,6 +158,14 @@
 	})
 }
 
+// newsPace is the shortest time between two rounds of news to so many calls.
+func newsPace(calls int) time.Duration {
+	if calls < manyWatches {
+		return 0
+	}
+	return min(maxNewsPace, time.Duration(calls)*newsTime)
+}
+
 // releaseWatches answers the held calls whose time has passed.
 func (r *Reducer) releaseWatches() {
 	r.lead.watches = slices.DeleteFunc(r.lead.watches, func(w *heldWatch) bool {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -89,6 +89,8 @@
 	clock   time.Duration
 	nextID  uint64
 	replies map[uint64]Reply
+	// watched counts the answers to Watch.
+	watched int
 	orders  []SendOrder
 	// announced are servers that go on announcing themselves each second.
 	announced []*pb.Announcement
@@ -141,6 +143,9 @@
 		switch e := eff.(type) {
 		case Reply:
 			w.replies[e.ID] = e
+			if _, ok := e.Response.(*pb.WatchResponse); ok {
+				w.watched++
+			}
 		case SendOrder:
 			w.orders = append(w.orders, e)
 		}
