--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -164,7 +164,7 @@
 	member, sums := worldsOf(t, manyEntries(191), serving(2)...)
 	member.relayed("r1", nil)
 	first := sums.r.cfg.Identity.PeerAddress
-	for i := range mostSilences {
+	for i := range 3 {
 		if at := member.r.peers.group.aggregatorAddress(member.now); at != first {
 			t.Fatalf("asks %q after %d silences", at, i)
 		}
