Pack the whole view once for all entries that ask for it

Each of 191 whole views was encoded and sent in full, to entries with links of 10 Mbit/s, and calls that ran out after 0.7 s came again.

Change: a leader compresses the whole view once a version, entries that can read it get it so.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -35,6 +35,8 @@
 	entry  string
 	known  uint64
 	until  time.Duration
+	// packed tells that the entry can read a packed answer.
+	packed bool
 }
 
 // onWatch renews the entry's lease and answers with news now or later.
@@ -55,7 +57,7 @@
 	}
 	r.renewEntry(w, req)
 	if req.GetKnownVersion() == 0 {
-		r.firstView(id, name)
+		r.firstView(&heldWatch{callID: id, entry: name, packed: req.GetTakesPacked()})
 		return
 	}
 	if len(r.lead.watches) >= maxHeldWatches {
@@ -122,13 +124,13 @@
 // knowing it, and gets an older declaration than one that was accepted. The
 // answer waits until a quorum has confirmed, after the request came, that this
 // replica leads.
-func (r *Reducer) firstView(id uint64, name string) {
+func (r *Reducer) firstView(w *heldWatch) {
 	r.read(func(ok bool) {
 		if !ok || r.lead == nil {
-			r.reply(id, nil, r.notLeader())
+			r.reply(w.callID, nil, r.notLeader())
 			return
 		}
-		r.answerWatch(&heldWatch{callID: id, entry: name})
+		r.answerWatch(w)
 	})
 }
 
@@ -184,13 +186,25 @@
 		r.reply(w.callID, nil, r.notLeader())
 		return
 	}
-	resp := r.lead.views.get(r.state, w.known, r.controlAddresses())
+	resp := r.viewFor(w)
 	if e := r.lead.entries[w.entry]; e != nil {
 		e.viewUntil = r.now + viewLease
 	}
 	r.reply(w.callID, resp, nil)
 }
 
+// viewFor gives the answer for what the call's entry knows.
+func (r *Reducer) viewFor(w *heldWatch) *pb.WatchResponse {
+	if w.known == 0 && w.packed {
+		packed, err := r.lead.views.whole(r.state, r.controlAddresses())
+		if err == nil {
+			return packed
+		}
+		r.log(slog.LevelError, "view not packed; it is sent as it is", Field{"error", err.Error()})
+	}
+	return r.lead.views.get(r.state, w.known, r.controlAddresses())
+}
+
 func (r *Reducer) controlAddresses() []string {
 	var list []string
 	for _, m := range r.members.GetMembers() {
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -6,6 +6,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -29,6 +30,9 @@
 			resp, err = c.Watch(ctx, h.watchRequest())
 			return err
 		})
+		if err == nil {
+			resp, err = rpc.UnpackView(resp)
+		}
 		if err != nil {
 			h.Log.Warn("watch failed", "error", err)
 			Pause(ctx, time.Second)
@@ -55,7 +59,7 @@
 	return &pb.WatchRequest{
 		ClusterId: h.Settings.Cluster, Entry: h.Identity, KnownVersion: snap.ViewVersion,
 		Revision: snap.Revision, Leaving: snap.Leaving, Load: snap.Load,
-		HoldMs: uint32(watchHold.Milliseconds()),
+		HoldMs: uint32(watchHold.Milliseconds()), TakesPacked: true,
 	}
 }
 
--- /dev/null
+++ b/internal/rpc/packed.go
@@ -0,0 +1,61 @@
+package rpc
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// maxUnpacked bounds the encoding of a whole view: some ten times that of the largest
+// deployment that is aimed at.
+const maxUnpacked = 64 << 20
+
+// Unreadable is the type of errors of a packed answer that can't be read.
+var Unreadable = Namespace.NewType("unreadable")
+
+// PackView gives an answer that holds another one compressed. It is encoded once for all
+// entries that ask for a whole view, and a leader's link and processor carry a part of the
+// bytes. Errors: those of encoding.
+func PackView(resp *pb.WatchResponse) (*pb.WatchResponse, error) {
+	data, err := proto.Marshal(resp)
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return &pb.WatchResponse{Packed: buf.Bytes()}, nil
+}
+
+// UnpackView gives the answer that a packed one holds, or the answer itself if it is not
+// packed. Errors: Unreadable.
+func UnpackView(resp *pb.WatchResponse) (*pb.WatchResponse, error) {
+	if len(resp.GetPacked()) == 0 {
+		return resp, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(resp.GetPacked()))
+	if err != nil {
+		return nil, Unreadable.Wrap(err, "packed view")
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
+	if err != nil {
+		return nil, Unreadable.Wrap(err, "packed view")
+	}
+	if len(data) > maxUnpacked {
+		return nil, Unreadable.New("packed view of more than %d bytes", maxUnpacked)
+	}
+	whole := &pb.WatchResponse{}
+	if err := proto.Unmarshal(data, whole); err != nil {
+		return nil, Unreadable.Wrap(err, "packed view")
+	}
+	return whole, nil
+}
