--- a/internal/entry/groups_test.go
+++ b/internal/entry/groups_test.go
@@ -228,7 +228,7 @@
 	for chain := range uint64(3 * maxReadLog) {
 		read(chain)
 	}
-	if all := sums.askedBy(member, 4); len(all.Reads) != maxReadsTold {
+	if all := sums.askedBy(member, 4); len(all.Reads) != maxReadLog {
 		t.Errorf("%d of many told", len(all.Reads))
 	}
 }
--- a/internal/entry/readlog.go
+++ b/internal/entry/readlog.go
@@ -12,13 +12,10 @@
 	reads []*pb.PartsRead
 }
 
-const (
-	// maxReadLog bounds it: some seconds of prompts that share long parts.
-	maxReadLog = 256
-	// maxReadsTold bounds those in one sum, so that an entry that asks for the first time
-	// costs its aggregator's link little more than others.
-	maxReadsTold = 64
-)
+// maxReadLog bounds it: about a second of prompts that share long parts. A sum holds no more,
+// so that an entry that asks for the first time costs its aggregator's link little more than
+// others.
+const maxReadLog = 64
 
 func (l *readLog) add(read *pb.PartsRead) {
 	l.last++
@@ -30,6 +27,6 @@
 
 // since gives those from a number on that are still kept, and the number after the last.
 func (l *readLog) since(from uint64) ([]*pb.PartsRead, uint64) {
-	count := min(uint64(len(l.reads)), maxReadsTold, l.last+1-min(from, l.last+1))
+	count := min(uint64(len(l.reads)), maxReadLog, l.last+1-min(from, l.last+1))
 	return slices.Clone(l.reads[uint64(len(l.reads))-count:]), l.last + 1
 }
