--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -185,8 +185,12 @@
 // probes tells whether this entry asks the server for its own word. Without groups each
 // entry asks all. In groups an aggregator asks those that were dealt to it and gave no word
 // lately; a member asks only while no aggregator tells it.
+//
+// All servers are dealt, also those that are not asked: another aggregator may not know that
+// one of them failed, and would deal those after it to others than this one does.
 func (r *Reducer) probes(s *server, deal *dealer) bool {
 	g := &r.peers.group
+	own := deal.groupOf(s.pb) == deal.own
 	switch {
 	case s.leaving:
 		return false
@@ -195,7 +199,7 @@
 	case !r.stale():
 		return false
 	case g.aggregates:
-		return deal.own == deal.groupOf(s.pb) && r.now-s.ownAt >= probeAfter
+		return own && r.now-s.ownAt >= probeAfter
 	case g.isMember():
 		return g.aggregator(r.now) == nil || r.now < g.pauseUntil
 	default:
--- a/internal/entry/liveness_test.go
+++ b/internal/entry/liveness_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,6 +79,50 @@
 	}
 }
 
+// Control is away and one aggregator has seen a server fail. It must still count it when the
+// servers are shared out: else those after it are asked by two aggregators or by none, and
+// one that nobody asks gets no work until control is back.
+func TestEachServerIsAskedByOneAggregator(t *testing.T) {
+	entries := manyEntries(191)
+	servers := serving(20)
+	asked := make(map[string]int)
+	for i := range entries {
+		w := groupWorld(t, entries, i, servers...)
+		if !w.r.peers.group.aggregates {
+			continue
+		}
+		failed := w.r.servers.byID[fmt.Sprint("engine-", i%len(servers))]
+		failed.failures = 1
+		w.after(maxLease)
+		for _, p := range pick[Probe](w.step(Tick{})) {
+			if p.Server != failed.pb.Id {
+				asked[p.Server]++
+			}
+		}
+		if own := w.r.peers.group.dealer(w.now); ownsServer(&own, servers, failed.pb.Id) {
+			asked[failed.pb.Id]++
+		}
+	}
+	for _, s := range servers {
+		if asked[s.Id] != 1 {
+			t.Errorf("%s is asked by %d aggregators", s.Id, asked[s.Id])
+		}
+	}
+}
+
+// ownsServer tells whether a server is dealt to the dealer's own group.
+func ownsServer(d *dealer, servers []*pb.BackendServer, id string) bool {
+	owns := false
+	list := slices.Clone(servers)
+	slices.SortFunc(list, func(a, b *pb.BackendServer) int { return cmp.Compare(a.Id, b.Id) })
+	for _, s := range list {
+		if d.groupOf(s) == d.own && s.Id == id {
+			owns = true
+		}
+	}
+	return owns
+}
+
 // A word that other entries pass on counts from when the server gave it: an old one must not
 // let work go to a server that may have left since. One of an earlier life counts for
 // nothing, and a server that said itself that it leaves is not brought back.
