Note once that a report is due, and the end of a round of news where it happens

Read once more: a request that was sent on set both flags of a due report though either one makes it due, and a deferred closure noted what a plain line after the loop can.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -146,11 +146,6 @@
 		return
 	}
 	held := len(r.lead.watches)
-	defer func() {
-		if len(r.lead.watches) < held {
-			r.lead.newsAt = r.now
-		}
-	}()
 	r.lead.watches = slices.DeleteFunc(r.lead.watches, func(w *heldWatch) bool {
 		if w.known == r.state.ViewVersion() {
 			return false
@@ -158,6 +153,9 @@
 		r.answerWatch(w)
 		return true
 	})
+	if len(r.lead.watches) < held {
+		r.lead.newsAt = r.now
+	}
 }
 
 // newsPace is the shortest time between two rounds of news to so many calls.
--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -69,7 +69,7 @@
 		}
 	}
 	p.live.deaths = append(p.live.deaths, death{server: server, hash: hash, at: at})
-	p.sent, p.changed = true, true
+	p.sent = true
 }
 
 // expireDeaths drops those that are told no more.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,8 +50,8 @@
 	// news is how much reading at engines has begun or ended for this entry since its last report;
 	// that a stream has ended can wait for the next report.
 	news time.Duration
-	// sent is set since a request was sent on, changed since anything was that peers know
-	// of, both by the last report.
+	// sent is set since a request was sent on or a death was seen, changed since anything
+	// else was that peers know of, both by the last report.
 	sent, changed bool
 	// anything is set while the last report named any server.
 	anything   bool
@@ -107,7 +107,7 @@
 // noteSent notes that a request was sent to a server, which the next choice must know of.
 func (r *Reducer) noteSent(s *server) {
 	if s.pb.Kind == pb.ServerKind_SERVER_KIND_MODEL {
-		r.peers.sent, r.peers.changed = true, true
+		r.peers.sent = true
 	}
 }
 
