Decide who may run at each sending, by the declaration in force

Cause: on the shifted deployment requests carry keys of teams; the system passed the key on, named no team, and asked nobody whether a key is known.

Change: members have several credentials (hashes; the operator's document stays whole) and a rank; host routes say whether they are for members only. The entry's reducer authorizes each sending: first, again, and the decoding of what another engine has read. 401 only by a declaration that says so; what may have run is never called not run. Keys and members' names that callers send go no further. Entries may be told to refuse callers while control does not reach them (credentials.strict, confirmed_within).

--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -146,7 +146,12 @@
 type Member struct {
 	Name string `yaml:"name" json:"name"`
 	// CredentialSHA256 is the hex SHA-256 of the member's bearer token.
-	CredentialSHA256 string `yaml:"credential_sha256" json:"credential_sha256"`
+	CredentialSHA256 string `yaml:"credential_sha256" json:"credential_sha256,omitempty"`
+	// CredentialsSHA256 are those of a member with several tokens, as while one takes
+	// another's place. An empty list shuts the member out.
+	CredentialsSHA256 []string `yaml:"credentials_sha256" json:"credentials_sha256,omitempty"`
+	// Rank takes the place of the rank of the member's routes; nil: theirs counts.
+	Rank *int `yaml:"rank" json:"rank,omitempty"`
 	// Weight is the member's fair share against others. Default 1.
 	Weight float64 `yaml:"weight" json:"weight"`
 	// Services lists the services it may call.
@@ -216,6 +221,14 @@
 	return false
 }
 
+// Credentials are the hashes of all tokens of the member.
+func (m *Member) Credentials() []string {
+	if m.CredentialSHA256 == "" {
+		return m.CredentialsSHA256
+	}
+	return append([]string{m.CredentialSHA256}, m.CredentialsSHA256...)
+}
+
 // Allows tells whether the member may call the service.
 func (m *Member) Allows(service string) bool {
 	for _, s := range m.Services {
--- a/internal/declaration/hostroute.go
+++ b/internal/declaration/hostroute.go
@@ -26,6 +26,9 @@
 	Timeout time.Duration `yaml:"timeout" json:"timeout"`
 	// MaxRuns is on how many backend servers one request may run. Default 1.
 	MaxRuns int `yaml:"max_runs" json:"max_runs"`
+	// MembersOnly tells that a request needs the credential of a member, and runs for
+	// that member.
+	MembersOnly bool `yaml:"members_only" json:"members_only,omitempty"`
 	// Rank orders work at one engine: a lower one goes first.
 	Rank int `yaml:"rank" json:"rank,omitempty"`
 	// Targets are the services that requests are split over.
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -253,17 +253,15 @@
 
 func (c *checker) members() {
 	names := newNames(c.file, "members")
-	credentials := make(map[string]string)
-	for i, m := range c.d.Members {
+	holders := make(map[string]string)
+	for i := range c.d.Members {
+		m := &c.d.Members[i]
 		path := names.add(i, m.Name)
-		if raw, err := hex.DecodeString(m.CredentialSHA256); err != nil || len(raw) != sha256HexLen/2 {
-			c.file.Add(path+".credential_sha256", "is not the hex SHA-256 of a token; a member without credential can't call")
-		}
-		if other, ok := credentials[m.CredentialSHA256]; ok && m.CredentialSHA256 != "" {
-			c.file.Add(path+".credential_sha256", "is member %s's too; each needs its own", other)
-		}
-		credentials[m.CredentialSHA256] = m.Name
+		c.credentials(path, m, holders)
 		c.between(path+".weight", m.Weight, 0.001, 1000)
+		if m.Rank != nil {
+			c.between(path+".rank", float64(*m.Rank), 0, maxRank)
+		}
 		for j, s := range m.Services {
 			if c.service(s) == nil {
 				c.file.Add(path+".services["+strconv.Itoa(j)+"]", "%q is not declared under services", s)
@@ -272,6 +270,31 @@
 	}
 }
 
+// maxRank bounds ranks, which order work of one engine.
+const maxRank = 1000
+
+// credentials checks those of one member; holders are the members of all seen before. No
+// finding names a credential.
+func (c *checker) credentials(path string, m *Member, holders map[string]string) {
+	if m.CredentialSHA256 == "" && m.CredentialsSHA256 == nil {
+		c.file.Add(path+".credential_sha256", "is missing; a member without credential can't call, say so with credentials_sha256: []")
+	}
+	for i, hash := range m.Credentials() {
+		at := path + ".credential_sha256"
+		if m.CredentialSHA256 == "" || i > 0 {
+			at = path + ".credentials_sha256"
+		}
+		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != sha256HexLen/2 {
+			c.file.Add(at, "is not the hex SHA-256 of a token")
+			continue
+		}
+		if other, ok := holders[hash]; ok && other != m.Name {
+			c.file.Add(at, "members %s and %s have the same one; each needs its own", other, m.Name)
+		}
+		holders[hash] = m.Name
+	}
+}
+
 func (c *checker) servers() {
 	seen := make(map[string]int)
 	for i, r := range c.d.BackendServers {
--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -19,7 +19,7 @@
 		r.report.offer(&ev.Work)
 	}
 	q := &request{
-		work: ev.Work, repeat: ev.Repeat, fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
+		work: ev.Work, repeat: ev.Repeat, caller: callerOf(&ev), fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
 		attempt: ev.Attempt, done: ev.Offset, waitsSince: r.now,
 		maxRuns: ev.MaxRuns, endsInTime: ev.EndsInTime,
 	}
@@ -61,6 +61,11 @@
 		return outcome.NoConfiguration(), nil
 	case r.closed(q):
 		return refuseLeaving(), nil
+	}
+	if refusal := r.authorize(q); refusal != nil {
+		return refusal, nil
+	}
+	switch {
 	case r.quarantined(q):
 		return refuseQuarantined(), nil
 	case len(r.requests) >= r.cfg.MaxStreams:
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,9 +30,13 @@
 	}
 }
 
-// start carries a choice out. Where the decoding engine is not chosen anew after the
-// prefill, it is the one of the choice.
+// start carries a choice out, if the request's caller may still make it. Where the decoding
+// engine is not chosen anew after the prefill, it is the one of the choice.
 func (r *Reducer) start(q *request, choice placement.Choice) {
+	if refusal := r.authorize(q); refusal != nil {
+		r.refuse(q, refusal)
+		return
+	}
 	r.decide.picker.Sent(r.now, &q.work, choice)
 	if !r.cfg.BreakEnds {
 		r.decide.picker.Holds(r.now, choice.Server.ID, &q.work)
@@ -74,6 +78,7 @@
 	d := Dispatch{
 		RequestID: q.work.RequestID, Attempt: q.attempt, EngineAttempt: q.engineAttempt, Server: s.pb.Id,
 		Incarnation: s.pb.Incarnation, Address: s.pb.Address, Reconnect: reconnect,
+		Member: q.work.Member, Rank: q.work.Rank,
 	}
 	if choice.Fetch != nil {
 		d.FetchAddress = choice.Fetch.Address
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -25,6 +25,9 @@
 	// Incarnation and Address name the life of the server that is meant.
 	Incarnation string
 	Address     string
+	// Member is for whom it runs, empty for none; Rank orders it at an engine.
+	Member string
+	Rank   int
 	// Reconnect is set when the server already runs the request: the attempt
 	// goes on with it there and does not start it anew.
 	Reconnect bool
@@ -44,6 +47,9 @@
 	Server      string
 	Incarnation string
 	Address     string
+	// Member and Rank are as in Dispatch, by what is declared now.
+	Member string
+	Rank   int
 }
 
 // Refuse gives a request its final answer, at once.
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -67,6 +67,11 @@
 type Arrived struct {
 	Work   decision.Work
 	Repeat Repeat
+	// Credential is the hash of what the caller showed for a member, empty for none.
+	Credential string
+	// MembersOnly tells that the request runs only for the member that holds Credential
+	// when it is sent on.
+	MembersOnly bool
 	// Fingerprint names the request's content under its member, for quarantine.
 	Fingerprint uint64
 	// RetryBudget is the profile's.
--- a/internal/entry/prefilled.go
+++ b/internal/entry/prefilled.go
@@ -20,6 +20,11 @@
 	r.hasRead(q)
 	r.detach(q)
 	q.unread = 0
+	if refusal := r.authorize(q); refusal != nil {
+		r.refuse(q, refusal)
+		r.startWaiting()
+		return
+	}
 	s := r.decoder(q, planned)
 	if s == nil {
 		r.log(LogWait, q, planned.pb.Id, "prefilled, but no engine decodes it", nil)
@@ -38,6 +43,7 @@
 	r.emit(DecodeAt{
 		RequestID: ev.RequestID, Attempt: ev.Attempt,
 		Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
+		Member: q.work.Member, Rank: q.work.Rank,
 	})
 	r.log(LogRoute, q, s.pb.Id, "decodes what was prefilled", []decision.Figure{
 		{Name: "reported_running", Value: float64(s.load.Running)},
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -45,6 +45,8 @@
 	// Extra bounds what is sent beyond the first send of each request, over all
 	// entries; nil: only the profiles' retry budgets count.
 	Extra *admission.ExtraLimit
+	// Credentials says how long callers' credentials count without control's word.
+	Credentials CredentialLimits
 }
 
 // Reducer decides for one entry. Not safe for concurrent use.
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -34,6 +34,18 @@
 	return unavailable(outcome.CodeStaleView, "this entry is cut off and no backend server confirmed itself; ask another", soon)
 }
 
+// refuseUnknownCredential: coming back with the same one won't help.
+func refuseUnknownCredential() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusUnauthorized, Code: outcome.CodeUnauthenticated,
+		Message: "no member has the credential that came with this request",
+	}
+}
+
+func refuseOutdatedCredentials() *outcome.Refusal {
+	return unavailable(outcome.CodeStaleView, "this entry is cut off and can't tell which credentials still count; ask another", soon)
+}
+
 func refuseLeaving() *outcome.Refusal {
 	return unavailable(outcome.CodeLeaving, "this entry stops; ask another", soon)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -21,6 +21,7 @@
 type request struct {
 	work        decision.Work
 	repeat      Repeat
+	caller      caller
 	fingerprint uint64
 	retryBudget float64
 	attempt     uint32
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -25,9 +25,11 @@
 
 // view is what control last told.
 type view struct {
-	version     uint64
-	revision    uint64
-	leaseUntil  time.Duration
+	version    uint64
+	revision   uint64
+	leaseUntil time.Duration
+	// confirmedAt is when the last answer was asked for that control gave.
+	confirmedAt time.Duration
 	objects     map[objectKey]*pb.Object
 	declaration *declaration.Declaration
 	members     map[string]*declaration.Member
@@ -72,6 +74,7 @@
 			return
 		}
 	}
+	v.confirmedAt = max(v.confirmedAt, ev.SentAt)
 	lease := min(time.Duration(resp.LeaseMs)*time.Millisecond, maxLease)
 	if until := ev.SentAt + lease; until > v.leaseUntil {
 		wasStale := r.stale()
@@ -143,7 +146,9 @@
 	}
 	members := make(map[string]*declaration.Member, len(d.Members))
 	for i := range d.Members {
-		members[d.Members[i].CredentialSHA256] = &d.Members[i]
+		for _, credential := range d.Members[i].Credentials() {
+			members[credential] = &d.Members[i]
+		}
 	}
 	v.cacheTokens = make(map[string]uint64)
 	for _, s := range d.Services {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -33,6 +33,9 @@
 	// whole is the answer that goes to the caller.
 	whole *wholeAnswer
 	box   <-chan entry.Effect
+	// member is for whom the attempt runs, rank its place at an engine.
+	member string
+	rank   int
 	// failure is a server's own answer that is no success: the caller gets it if
 	// no other attempt does better.
 	failure *wholeAnswer
@@ -192,6 +195,7 @@
 func (j *job) attempt(ctx context.Context, d entry.Dispatch) (entry.AttemptEnded, entry.Effect) {
 	began := time.Now()
 	ended := entry.AttemptEnded{RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.NotRun}
+	j.member, j.rank = d.Member, d.Rank
 	j.log.sent(d)
 	j.caller.sent = true
 	events := j.events()
@@ -266,7 +270,7 @@
 			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
 		},
 		Request: j.req, Left: j.timeForServer(), Once: j.arrived.Repeat == entry.RepeatOnce,
-		Rank: j.route.Rank, After: j.after(),
+		Member: j.member, Rank: j.rank, After: j.after(),
 	}
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -30,6 +30,9 @@
 	args = append([]any{
 		"request_id", l.job.req.ID, "route", l.job.route.Name, "ms", time.Since(l.began).Milliseconds(),
 	}, args...)
+	if l.job.member != "" {
+		args = append(args, "member", l.job.member)
+	}
 	l.job.s.host.Log.Info(message, args...)
 }
 
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -50,6 +50,7 @@
 			return e, nil
 		}
 		d.Server, d.Incarnation, d.Address = at.Server, at.Incarnation, at.Address
+		j.member, j.rank = at.Member, at.Rank
 		j.log.server = at.Server
 		return nil, nil
 	case <-ctx.Done():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,9 @@
 	// Header holds the fields that go on to servers.
 	Header []Field
 	Body   []byte
+	// Credential is what the caller shows for a member, empty for none. It goes no further
+	// than its hash, and into no line.
+	Credential string
 	// Patience is how long the caller waits; 0: not told.
 	Patience time.Duration
 	// Prompt is what a model is asked; nil for other requests.
@@ -97,6 +100,8 @@
 	// Once tells that the request must not run twice: it goes out on a
 	// connection that nothing can have happened to.
 	Once bool
+	// Member is for whom it runs, empty for none.
+	Member string
 	// Rank orders work at the server, a lower one first.
 	Rank int
 	// After asks a stream to go on after that event; empty: from its start.
@@ -171,7 +176,10 @@
 // New makes the relay of an entry.
 func New(h *host.Host, backend Backend) *Server {
 	s := &Server{host: h, backend: backend}
-	h.Start(entry.Config{BreakEnds: true, Engines: pace(h.Settings), Extra: extraLimit(h.Settings.Repeats)}, s.carryOut)
+	h.Start(entry.Config{
+		BreakEnds: true, Engines: pace(h.Settings), Extra: extraLimit(h.Settings.Repeats),
+		Credentials: credentialLimits(h.Settings.Credentials),
+	}, s.carryOut)
 	return s
 }
 
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -21,6 +21,10 @@
 	return &admission.ExtraLimit{Ratio: r.Ratio, Constant: r.Extra, Window: r.Window}
 }
 
+func credentialLimits(c settings.Credentials) entry.CredentialLimits {
+	return entry.CredentialLimits{Strict: c.Strict, ConfirmedWithin: c.ConfirmedWithin}
+}
+
 // arrived describes the request, which came at that time since boot, to the reducer.
 func (s *Server) arrived(r *Request, at time.Duration, route *declaration.HostRoute, snap *entry.Snapshot) entry.Arrived {
 	service := snap.Declaration.Service(route.Target(r.ID))
@@ -41,8 +45,15 @@
 	}
 	return entry.Arrived{
 		Work: w, Repeat: repeat(route), Fingerprint: fingerprint(r), RetryBudget: profile.RetryBudget,
-		MaxRuns: route.MaxRuns, EndsInTime: true,
+		MaxRuns: route.MaxRuns, EndsInTime: true, MembersOnly: route.MembersOnly, Credential: credentialHash(r),
+	}
+}
+
+func credentialHash(r *Request) string {
+	if r.Credential == "" {
+		return ""
 	}
+	return declaration.HashCredential(r.Credential)
 }
 
 func (p *Prompt) describe(w *decision.Work) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -19,6 +19,9 @@
 	Engines Engines `yaml:"engines"`
 	// Repeats bounds what is sent again, over all entries.
 	Repeats Repeats `yaml:"repeats"`
+	// Credentials says how long callers' credentials count at an entry that control does
+	// not reach.
+	Credentials Credentials `yaml:"credentials"`
 	// PeerAddress is where other entries connect and metrics are served.
 	PeerAddress string `yaml:"peer_address"`
 	// MaxBodyBytes bounds a caller's body; a larger one is answered 413.
@@ -58,6 +61,15 @@
 	TokenTime time.Duration `yaml:"token_time"`
 }
 
+// Credentials says what becomes of callers while control does not reach the entry, so that
+// a credential that was taken away may still be known here.
+type Credentials struct {
+	// Strict refuses callers whose credentials are needed, as not run, once control's last
+	// word is older than ConfirmedWithin. Default false: they are served as was declared last.
+	Strict          bool          `yaml:"strict"`
+	ConfirmedWithin time.Duration `yaml:"confirmed_within"`
+}
+
 // Repeats bounds what a deployment's entries together send beyond the first send
 // of each request. Zero Window: only the profiles' retry budgets count.
 type Repeats struct {
@@ -100,6 +112,9 @@
 	if s.Repeats.Ratio < 0 || s.Repeats.Extra < 0 || s.Repeats.Window < 0 {
 		file.Add("repeats", "ratio, extra and window must not be less than 0")
 	}
+	if s.Credentials.Strict && s.Credentials.ConfirmedWithin <= 0 {
+		file.Add("credentials.confirmed_within", "must be more than 0 where credentials are strict")
+	}
 	if s.CallerAddress == s.PeerAddress {
 		file.Add("peer_address", "is the caller address too; use another port")
 	}
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -103,6 +103,7 @@
 			},
 			Repeat:      entry.RepeatResumable,
 			Fingerprint: fingerprint(k.member.Name, service.Name, req.Prompt),
+			Credential:  k.credential, MembersOnly: true,
 			RetryBudget: profile.RetryBudget,
 		},
 		engine: engineapi.CompletionRequest{
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -65,14 +65,16 @@
 // call is what is kept of a caller's request; nothing in it points into
 // fiber's buffers.
 type call struct {
-	snap      *entry.Snapshot
-	member    *declaration.Member
-	requestID string
-	method    string
-	path      string
-	query     string
-	headers   map[string]string
-	body      []byte
+	snap   *entry.Snapshot
+	member *declaration.Member
+	// credential is the hash of its token.
+	credential string
+	requestID  string
+	method     string
+	path       string
+	query      string
+	headers    map[string]string
+	body       []byte
 }
 
 // forwarded are the request headers that go on to plain services.
@@ -113,7 +115,8 @@
 	}
 	token, ok := strings.CutPrefix(c.Get("Authorization"), "Bearer ")
 	if ok {
-		k.member = snap.Members[declaration.HashCredential(token)]
+		k.credential = declaration.HashCredential(token)
+		k.member = snap.Members[k.credential]
 	}
 	if k.member == nil {
 		return k, &outcome.Refusal{
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -134,6 +134,7 @@
 			},
 			Repeat:      entry.RepeatAllowed,
 			Fingerprint: fingerprint(k.member.Name, service.Name, k.method, uri, string(k.body)),
+			Credential:  k.credential, MembersOnly: true,
 			RetryBudget: profile.RetryBudget,
 		},
 	}
