Take no place where a prompt is decoded while another engine reads it

Change: a request takes a place at its decoding engine once its prompt is read; and engines that rank get up to twice their places to decode, instead of waiting for word of a free one.

Ruled out: capacity to read (76.5M tokens in 35 s, a fifth of what the engines can), slow engines, a bisection (the lines show the cause).

--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -92,7 +92,7 @@
 }
 
 // decodeCost is the own decode at the server's fill. A step takes longer with
-// more streams, and with prefill beside it.
+// more streams, and with prefill beside it; beyond its places work waits for those before it.
 func (p *Picker) decodeCost(i int, w *decision.Work, server *decision.Server, l load) float64 {
 	slots := float64(max(1, server.Slots))
 	fill := min(1, max((l.requests+1)/slots, memoryFill(w, server, l)))
@@ -101,7 +101,8 @@
 	if server.Role == engineapi.RoleMixed {
 		slow *= interference
 	}
-	return float64(w.OutputTokens) * perToken * slow
+	turns := max(1, (l.requests+1)/slots)
+	return float64(w.OutputTokens) * perToken * slow * turns
 }
 
 // memoryFill is the part of the server's KV memory that is taken with the work;
--- a/internal/decision/placement/filter.go
+++ b/internal/decision/placement/filter.go
@@ -17,6 +17,10 @@
 	// rank, as those do that report counts only: a slot that falls free goes to urgent
 	// work first, and with 100 streams one falls free each 20 ms.
 	bulkSlotsRanked = 0.95
+	// queuedDecodes is how many times its places an engine that ranks may get to decode: it
+	// begins them by rank as places fall free. Held at the entries instead, work that is read
+	// already waits for word of a free place, and the place for the work.
+	queuedDecodes = 2
 	// bulkMemory is the part of the KV memory that bulk work may fill; a
 	// question takes a fiftieth of what a dossier does.
 	bulkMemory = 0.9
@@ -42,6 +46,9 @@
 	if bulk {
 		slots = max(1, slots*bulkSlotsOf(server))
 	}
+	if p == decodeEnd && server.CountsOnly {
+		slots *= queuedDecodes
+	}
 	if l.requests >= slots {
 		return false
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -50,6 +50,11 @@
 	return r.decide.picker.Pick(r.now, w, &fleet)
 }
 
+// dispatch sends an attempt to a server.
+//
+// Where another engine reads the prompt it takes no place at the one that is to decode it,
+// which is chosen anew once it is read. Counted at both, requests that were still being read
+// filled engines of few places by the count, and all others waited for a place that was free.
 func (r *Reducer) dispatch(q *request, s *server, choice placement.Choice, reconnect bool) {
 	r.sharedFleet = nil
 	q.attempt++
@@ -61,7 +66,9 @@
 		q.reached, q.sentAt = false, r.now
 	}
 	q.server = s
-	s.running = append(s.running, q.work.RequestID)
+	if choice.Prefill == nil {
+		s.running = append(s.running, q.work.RequestID)
+	}
 	s.cache.usedAt = r.now
 	context := q.work.PromptTokens + q.done
 	q.unread = context
