Let the pace of asking for sums follow how long answers take

Requests were sent on after 20 ms, the longest wait for an answer, and aggregators were passed by for silence 35 to 225 times in 3 s.

Change: a sum is used again for a while that doubles with each late answer and shrinks with each quick one, 5 to 200 ms.

Ruled out: smaller answers only (half of the bytes are names; saves a third).

--- a/internal/host/peer_sums.go
+++ b/internal/host/peer_sums.go
@@ -25,6 +25,7 @@
 type sumSource struct {
 	// askedAt is when the last answered question was sent.
 	askedAt time.Duration
+	pace    askPace
 	// asking is closed when the question under way has ended; nil for none.
 	asking chan struct{}
 	// aggregator and readsFrom tell which reads have been heard.
@@ -54,7 +55,7 @@
 // refresh asks for a sum, unless the last one is fresh or a question is under way.
 func (b *peerReports) refresh(ctx context.Context, address string, freshFor time.Duration) {
 	b.mu.Lock()
-	if clock.Boot()-b.sums.askedAt < freshFor {
+	if clock.Boot()-b.sums.askedAt < b.sums.pace.freshFor(freshFor) {
 		b.mu.Unlock()
 		return
 	}
@@ -86,6 +87,7 @@
 	b.host.Metrics.Scope.Tagged(map[string]string{"ok": okWord(err)}).Counter("peer_sums").Inc(1)
 	b.mu.Lock()
 	b.sums.asking = nil
+	b.sums.pace.ended(clock.Boot() - sent)
 	if err == nil {
 		b.sums.askedAt, b.sums.aggregator, b.sums.readsFrom = sent, sum.GetIncarnation(), sum.GetReadsNext()
 	}
