Take as many repeats as the next attempt has arrivals

Change: the entry keeps for each request whether a server may have got it to read and to run, and pays for what the choice will add. Without room for two repeats the decoding engine reads the prompt itself; without room for one the request is refused as before.

Ruled out: a smaller share of the allowance (refuses more and leaves the miscount).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -37,6 +37,10 @@
 		r.refuse(q, refusal)
 		return
 	}
+	if !r.payRepeats(q, &choice) {
+		r.refuse(q, refuseRepeats())
+		return
+	}
 	r.decide.picker.Sent(r.now, &q.work, choice)
 	if !r.cfg.BreakEnds {
 		r.decide.picker.Holds(r.now, choice.Server.ID, &q.work)
@@ -60,6 +64,7 @@
 	q.attempt++
 	q.attempts++
 	q.got = 0
+	q.arrivals.apart = choice.Prefill != nil
 	if !reconnect {
 		q.engineAttempt = q.attempt
 		q.here = 0
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -38,6 +38,7 @@
 		s = q.prefill
 	}
 	q.count(ev, s)
+	q.arrivals.ended(&ev)
 	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
 		q.reached = q.reached || ev.Took >= longAnswerless || s.aliveAt > q.sentAt
 	}
@@ -92,7 +93,7 @@
 		r.refuse(q, refuseUnknown())
 	case q.maxRuns > 0 && q.runs >= q.maxRuns:
 		r.refuse(q, refuseFailed())
-	case !r.mayRepeat(q, ev):
+	case !ev.Unsent && !r.takeRepeat(q):
 		r.refuse(q, refuseRepeats())
 	case ev.Outcome == outcome.NotRun:
 		r.elsewhere(q, s, ev)
@@ -103,13 +104,6 @@
 	}
 }
 
-// mayRepeat takes another send out of the deployment's allowance. What no server has got
-// is sent for the first time: counted as a repeat, it used up the allowance just when a
-// server is dark, and requests that no server had seen were refused for it.
-func (r *Reducer) mayRepeat(q *request, ev AttemptEnded) bool {
-	return ev.Unsent || r.extra.Take(r.now, q.work.Service, len(r.view.entries))
-}
-
 // elsewhere waits for another place after a server did not start the request.
 func (r *Reducer) elsewhere(q *request, s *server, ev AttemptEnded) {
 	if !ev.ServerDied {
--- a/internal/entry/prefilled.go
+++ b/internal/entry/prefilled.go
@@ -28,7 +28,8 @@
 	s := r.decoder(q, planned)
 	if s == nil {
 		r.log(LogWait, q, planned.pb.Id, "prefilled, but no engine decodes it", nil)
-		if !r.extra.Take(r.now, q.work.Service, len(r.view.entries)) {
+		q.arrivals.read = true
+		if !r.takeRepeat(q) {
 			r.refuse(q, refuseRepeats())
 			return
 		}
--- a/internal/entry/relayed_test.go
+++ b/internal/entry/relayed_test.go
@@ -239,3 +239,43 @@
 		t.Fatalf("refusal %+v", r)
 	}
 }
+
+// Guards against a request whose prompt is read apart again after it has run, and which so
+// reaches two engines for one repeat that was counted.
+func TestRepeatThatIsPrefilledApartCountsTwice(t *testing.T) {
+	w := relayedWorld(t)
+	// 0.8 of 4 is the allowance of the only entry, and 0.8 of 0.2 for the request.
+	w.r.extra = admission.NewExtra(&admission.ExtraLimit{Ratio: 0.2, Constant: 4, Window: 10 * second})
+	w.view(prefillers(3, 3)...)
+	w.relayed("r1", func(a *Arrived) {
+		a.Work.PromptTokens, a.Work.Pace.MoveRate, a.MaxRuns, a.Work.FinishBy = 17000, 2e6, 10, w.now+60*second
+	})
+	arrivals, beyond := 0, 0
+	for range 8 {
+		list := pick[Dispatch](w.effects)
+		if len(list) == 0 {
+			break
+		}
+		d := list[0]
+		if d.PrefillServer != "" {
+			arrivals++
+			if arrivals > 1 {
+				beyond++
+			}
+			w.step(Prefilled{RequestID: "r1", Attempt: d.Attempt})
+		}
+		w.ended(d, func(ev *AttemptEnded) {})
+		beyond++
+		w.after(4 * second / 10)
+		if len(pick[Dispatch](w.effects)) == 0 {
+			w.renew()
+		}
+	}
+	// The first call that reads and the first that runs are no repeats.
+	if beyond--; beyond > 3 {
+		t.Errorf("%d arrivals beyond the first, 3 are allowed", beyond)
+	}
+	if beyond < 2 {
+		t.Errorf("%d arrivals beyond the first: nothing was sent again", beyond)
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -30,8 +30,9 @@
 	engineAttempt uint32
 	attempts      int
 	// runs is how many attempts may have run; maxRuns bounds them, 0: no bound.
-	runs    int
-	maxRuns int
+	runs     int
+	maxRuns  int
+	arrivals arrivals
 	// unrun counts sends that servers did not run.
 	unrun int
 	// tried are the servers that have failed it.
