Account for members' usage, by one holder at a time

Change: entries count the requests of members that began to run, by window, as sums of their life, and tell them with their reports to control, and once after each window's end. The leader puts the content of a window into the log before the first call; only that content is ever sent, by whichever leader, until it is taken. A call is made inside the lease, with the term as token, and not before the last call of another holder is over. Windows go by the wall clock as it was when a process began.

Weighed for the holder: the leader with its term as token, as orders to engines do (one mechanism, takeover with the election plus the lease of 3 s), and a lease of its own in the replicated state (could move apart from leadership, costs a command for each renewal). The first was built.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -85,6 +85,7 @@
 	return runner.Drivers{
 		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, log)},
 		Orders: platform.Orders{},
+		Duties: platform.Duties{},
 	}
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -50,6 +50,9 @@
 	demand        demandWindow
 	plans         map[string]*modelPlan
 
+	usage  usageLead
+	duties dutyLead
+
 	// joiners wait to be added, by address; mending is true while a change of the
 	// member list is on its way.
 	joiners map[string]*joiner
@@ -114,6 +117,8 @@
 		plans:      make(map[string]*modelPlan),
 		joiners:    make(map[string]*joiner),
 		left:       make(map[string]time.Duration),
+		usage:      newUsageLead(),
+		duties:     newDutyLead(),
 	}
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.told.GetId()] = &serverWatch{until: now + serverLease, incarnation: sv.told.GetIncarnation()}
@@ -142,6 +147,7 @@
 	r.lead.sweepLeft(r.now)
 	r.driveOrders()
 	r.driveRoles()
+	r.driveUsage()
 	r.driveExpiry()
 	r.mend()
 }
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -37,6 +37,8 @@
 	// OrderPause is the longest pause of a control process that is stated for
 	// engines that ignore fencing tokens.
 	OrderPause time.Duration
+	// Duties says what is done outside of the deployment in its name.
+	Duties DutiesConfig
 }
 
 // Reducer is one control replica. It is not safe for concurrent use.
@@ -118,6 +120,8 @@
 		r.onOrderAnswered(e)
 	case OrderUnanswered:
 		r.onOrderUnanswered(e)
+	case DutyAnswered:
+		r.onDutyAnswered(e)
 	case AskRemoved:
 		r.reply(e.ID, &pb.StepResponse{Removed: r.node.IsRemoved(e.Identity)}, nil)
 	case Stop:
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -23,7 +23,8 @@
 	for _, a := range req.GetAnnouncements() {
 		r.onAnnouncement(req.GetEntry().GetName(), a)
 	}
-	resp := &pb.ReportResponse{TellInFull: r.onHeartbeats(req.GetHeartbeats())}
+	resp := &pb.ReportResponse{TellInFull: r.onHeartbeats(req.GetHeartbeats()), Term: r.term}
+	r.onUsage(req)
 	for _, d := range req.GetDemand() {
 		r.lead.demand.add(d)
 	}
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -46,6 +46,7 @@
 	disk    *disk
 	net     *transport
 	engines *engineSender
+	duties  *dutyCaller
 
 	events chan control.Event
 	stop   chan struct{}
@@ -137,6 +138,8 @@
 		l.reply(e)
 	case control.SendOrder:
 		l.engines.send(e)
+	case control.DutyCall:
+		l.duties.call(e)
 	case control.Members:
 		l.group.Store(&group{members: e.Committed, leader: e.Leader, leads: e.Leads})
 		l.net.setMembers(e.Membership)
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -23,6 +23,9 @@
 	Calls []Driver
 	// Orders speaks with engines; nil: the system's own protocol.
 	Orders OrderProtocol
+	// Duties speaks with those outside whom the deployment reports to; nil: the system's
+	// own protocol.
+	Duties DutyProtocol
 }
 
 // Port is what a Driver may ask of this replica. Errors are twirp errors: a
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -87,14 +87,27 @@
 		Sender:     cfg.Name + "/" + uuid.NewString(),
 		OrderPause: cfg.OrderPause,
 		Voters:     cfg.Voters(),
+		Duties:     dutiesConfig(cfg),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
 	r.net = newTransport(cfg, auth, st, r.loop)
 	r.engines = newEngineSender(r.loop, drivers.Orders)
+	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
 	return r, nil
 }
 
+// dutiesConfig gives the duties that the settings name; without an address there are none.
+func dutiesConfig(cfg *settings.Control) control.DutiesConfig {
+	d := cfg.Duties
+	if d.Address == "" {
+		return control.DutiesConfig{}
+	}
+	return control.DutiesConfig{
+		Usage: control.UsageConfig{Window: d.UsageWindow, Late: d.UsageLate}, Lease: d.Lease, Holder: cfg.Name,
+	}
+}
+
 func nodeConfig(id uint64, cfg *settings.Control) consensus.Config {
 	return consensus.Config{
 		ID: id, ElectionTimeout: cfg.ElectionTimeout,
@@ -217,6 +230,7 @@
 		_ = r.server.Close()
 	}
 	r.engines.wait()
+	r.loop.duties.wait()
 	close(r.loop.stop)
 	// Only the control goroutine gives the disk work, so its end comes first.
 	<-r.loop.done
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -29,6 +29,7 @@
 		Claims: s.claims.records(), ClaimsForgottenUnixMs: s.claims.forgottenMS,
 		Suspects: s.suspects.sorted(), Tombstones: s.changes.tombstones,
 		OldestDelta: s.changes.oldest, ViewVersion: s.changes.version, RoleChanges: s.roleChanges,
+		UsageDecided: s.usage.decided, UsagePending: s.usage.pending,
 	}
 	for _, id := range s.requests.ids {
 		snap.Requests = append(snap.Requests, s.requests.byID[id])
@@ -59,6 +60,7 @@
 	for _, sus := range snap.GetSuspects() {
 		s.suspects.byKey[suspectKey{sus.GetMember(), sus.GetFingerprint()}] = sus
 	}
+	s.usage = usage{decided: snap.GetUsageDecided(), pending: snap.GetUsagePending()}
 	s.changes = changes{
 		version: snap.GetViewVersion(), tombstones: snap.GetTombstones(), oldest: snap.GetOldestDelta(),
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -28,6 +28,7 @@
 	claims   claims
 	suspects suspects
 	changes  changes
+	usage    usage
 	// roleChanges counts role orders that were carried out.
 	roleChanges uint64
 }
@@ -111,6 +112,8 @@
 		s.applyDeaths(op.Quarantine)
 	case *pb.Command_Entry:
 		s.applyEntries(op.Entry)
+	case *pb.Command_Usage:
+		s.usage.apply(op.Usage)
 	case *pb.Command_Expire:
 		s.applyExpire()
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -189,6 +189,7 @@
 	q.mayHaveRun, q.reached = true, true
 	q.server.aliveAt = r.now
 	if ev.Tokens > q.got {
+		r.noteBegun(q)
 		r.hasRead(q)
 		q.got, q.reconnects = ev.Tokens, 0
 		if r.suspects.progressed(q) {
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -39,6 +39,7 @@
 	}
 	q.count(ev, s)
 	q.arrivals.ended(&ev)
+	r.noteEnded(q, ev)
 	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
 		q.reached = q.reached || ev.Took >= longAnswerless || s.aliveAt > q.sentAt
 	}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -47,6 +47,8 @@
 	Request *pb.ReportRequest
 	// TellInFull are servers that control must be told of in full again.
 	TellInFull []string
+	// Term is that of the leader that has answered.
+	Term uint64
 }
 
 // Repeat says how often a request may be sent.
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -45,6 +45,8 @@
 	// Extra bounds what is sent beyond the first send of each request, over all
 	// entries; nil: only the profiles' retry budgets count.
 	Extra *admission.ExtraLimit
+	// Usage says how members' requests are counted.
+	Usage UsageConfig
 	// Credentials says how long callers' credentials count without control's word.
 	Credentials CredentialLimits
 }
@@ -66,6 +68,7 @@
 	// extra is nil where Config.Extra is.
 	extra   *admission.Extra
 	report  reportBuffer
+	usage   usageBook
 	leaving bool
 	// closesAt is when a leaving entry takes no more requests.
 	closesAt time.Duration
@@ -98,6 +101,7 @@
 		peers:    newPeerBacklogs(),
 		suspects: newSuspectTable(),
 		report:   newReportBuffer(),
+		usage:    newUsageBook(cfg.Usage, cfg.Identity.GetName()),
 		extra:    admission.NewExtra(cfg.Extra),
 	}
 }
@@ -123,8 +127,10 @@
 		r.probeFailed(ev)
 	case ReportFailed:
 		r.report.failed(ev.Request)
+		r.usage.tellAgain()
 	case ReportTaken:
 		r.report.told.taken(ev.Request, ev.TellInFull)
+		r.usage.taken(ev.Term)
 	case Arrived:
 		r.arrived(ev)
 	case AttemptProgress:
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -114,7 +114,8 @@
 
 func (r *Reducer) sendReport() {
 	b := &r.report
-	if !b.due(r.now) || b.empty() {
+	usage := r.usage.due(r.now)
+	if !usage && (!b.due(r.now) || b.empty()) {
 		return
 	}
 	req := &pb.ReportRequest{ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity, Deaths: b.deaths}
@@ -124,6 +125,7 @@
 	if r.now-b.lastDemand >= reportEvery {
 		req.Demand = b.takeDemand(r.now)
 	}
+	r.usage.fill(r.now, req)
 	b.announcements = make(map[string]engineapi.Announcement)
 	b.deaths, b.urgent, b.changing, b.last = nil, false, false, r.now
 	r.emit(Report{Request: req})
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -62,6 +62,8 @@
 	sentAt  time.Duration
 	// mayHaveRun is set once a server may have begun it.
 	mayHaveRun bool
+	// counted is set once it stands in its member's usage.
+	counted bool
 	// notBefore holds a retry back; waitsSince is when it began to wait.
 	notBefore  time.Duration
 	waitsSince time.Duration
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
 
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
@@ -97,9 +98,13 @@
 // block.
 func (h *Host) Start(cfg entry.Config, carryOut func(entry.Effect)) {
 	cfg.Cluster, cfg.Identity, cfg.MaxStreams = h.Settings.Cluster, h.Identity, h.Settings.MaxStreams
+	cfg.Usage = entry.UsageConfig{Window: h.Settings.Usage.Window, Epoch: epoch()}
 	h.loop = newLoop(entry.New(cfg), func(e entry.Effect) { h.carryOut(e, carryOut) })
 }
 
+// epoch is how long after the start of 1970 the VM was booted, by its wall clock now.
+func epoch() time.Duration { return time.Duration(time.Now().UnixNano()) - clock.Boot() }
+
 func (h *Host) carryOut(e entry.Effect, rest func(entry.Effect)) {
 	switch e := e.(type) {
 	case entry.LogDecision:
@@ -130,7 +135,7 @@
 		h.Post(entry.ReportFailed{Request: req})
 		return
 	}
-	h.Post(entry.ReportTaken{Request: req, TellInFull: resp.GetTellInFull()})
+	h.Post(entry.ReportTaken{Request: req, TellInFull: resp.GetTellInFull(), Term: resp.GetTerm()})
 }
 
 // Post hands an event to the reducer. After the end it does nothing.
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -55,6 +55,8 @@
 	RegistryAddress string `yaml:"registry_address"`
 	// Roles bounds role changes where an operator's document says nothing of them.
 	Roles declaration.Roles `yaml:"roles"`
+	// Duties are calls outside of the deployment that one replica at a time makes.
+	Duties Duties `yaml:"duties"`
 	// ElectionTimeout: a follower that hears no leader for one to two times
 	// this long stands for election. Default 400ms.
 	ElectionTimeout time.Duration `yaml:"election_timeout"`
@@ -66,12 +68,38 @@
 	OrderPause time.Duration `yaml:"order_pause"`
 }
 
+// Duties are calls outside of the deployment that one replica at a time makes.
+type Duties struct {
+	// Address is where they go, host:port; empty: there are none.
+	Address string `yaml:"address"`
+	// Lease is how long a new caller waits for the last call of the one before. Default 3s.
+	Lease time.Duration `yaml:"lease"`
+	// UsageWindow is the length of the windows that members' usage is reported for, as
+	// Usage.Window of the entries; zero: usage is not reported.
+	UsageWindow time.Duration `yaml:"usage_window"`
+	// UsageLate is how long after its end a window's report is due. Default 10s.
+	UsageLate time.Duration `yaml:"usage_late"`
+}
+
+func (d *Duties) check(file *yamlfile.File) {
+	if d.Address == "" {
+		return
+	}
+	checkAddress(file, "duties.address", d.Address)
+	checkDuration(file, "duties.lease", d.Lease, 0, time.Minute)
+	if d.UsageWindow != 0 {
+		checkDuration(file, "duties.usage_window", d.UsageWindow, minUsageWindow, maxUsageWindow)
+	}
+	checkDuration(file, "duties.usage_late", d.UsageLate, 5*time.Second, maxUsageWindow)
+}
+
 // LoadControl reads and checks a settings file of goldcrest-control.
 func LoadControl(path string) (*Control, finding.List) {
 	s := &Control{
 		Common:          Common{Log: Log{Level: "info", SampleRouting: 1}},
 		ElectionTimeout: DefaultElectionTimeout, SnapshotEntries: DefaultSnapshotEntries,
 		OrderPause: DefaultOrderPause,
+		Duties:     Duties{Lease: DefaultDutyLease, UsageLate: DefaultUsageLate},
 	}
 	file := load(path, s)
 	if file == nil {
@@ -102,6 +130,7 @@
 		file.Add("data_dir", "is missing; name a folder on the VM's disk")
 	}
 	s.checkBootstrap(file)
+	s.Duties.check(file)
 	checkDuration(file, "election_timeout", s.ElectionTimeout, 50*time.Millisecond, time.Minute)
 	checkPositive(file, "snapshot_entries", s.SnapshotEntries)
 	checkDuration(file, "order_pause", s.OrderPause, time.Second, time.Hour)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,6 +22,8 @@
 	// Credentials says how long callers' credentials count at an entry that control does
 	// not reach.
 	Credentials Credentials `yaml:"credentials"`
+	// Usage says how members' requests are counted.
+	Usage Usage `yaml:"usage"`
 	// PeerAddress is where other entries connect and metrics are served.
 	PeerAddress string `yaml:"peer_address"`
 	// MaxBodyBytes bounds a caller's body; a larger one is answered 413.
@@ -37,6 +39,13 @@
 	StopTimeout time.Duration `yaml:"stop_timeout"`
 }
 
+// Bounds of the length of a usage window: reports come every two seconds, and an hour is
+// what invoices tell apart.
+const (
+	minUsageWindow = time.Second
+	maxUsageWindow = time.Hour
+)
+
 // Relay is where an entry serves callers whose requests are passed on as they
 // are, by the declaration's host routes.
 type Relay struct {
@@ -61,6 +70,13 @@
 	TokenTime time.Duration `yaml:"token_time"`
 }
 
+// Usage says how members' requests are counted for those who account for them.
+type Usage struct {
+	// Window is the length of the spans of time that are accounted for, each one counted
+	// from the start of 1970; zero: nothing is counted.
+	Window time.Duration `yaml:"window"`
+}
+
 // Credentials says what becomes of callers while control does not reach the entry, so that
 // a credential that was taken away may still be known here.
 type Credentials struct {
@@ -112,6 +128,9 @@
 	if s.Repeats.Ratio < 0 || s.Repeats.Extra < 0 || s.Repeats.Window < 0 {
 		file.Add("repeats", "ratio, extra and window must not be less than 0")
 	}
+	if s.Usage.Window != 0 {
+		checkDuration(file, "usage.window", s.Usage.Window, minUsageWindow, maxUsageWindow)
+	}
 	if s.Credentials.Strict && s.Credentials.ConfirmedWithin <= 0 {
 		file.Add("credentials.confirmed_within", "must be more than 0 where credentials are strict")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,8 @@
 	DefaultElectionTimeout = 400 * time.Millisecond
 	DefaultSnapshotEntries = 2000
 	DefaultOrderPause      = 10 * time.Second
+	DefaultDutyLease       = 3 * time.Second
+	DefaultUsageLate       = 10 * time.Second
 	// DefaultPrefillRate is the middle, in proportion, of the engines known: 5,000 to
 	// 112,000 tokens/s. Ten answers correct it by a factor of four (package speed).
 	DefaultPrefillRate = 30000
