Spread backend servers' heartbeats over all replicas; let no accept error end a process

Change: any replica takes a server's word. What is new goes to the leader and is answered when it has answered (leaving stays as it was: answered once committed); what the leader has already goes into one report each 500 ms, which renews the leases. A replica whose reports are not taken for 2 s answers no heartbeats. The leader names a living replica by a hash for each server's next words. Listeners of control hold a share of the descriptors (max_files), close the idlest connection for a new one, and go on after accept errors.

Ruled out: longer leases only (the leader keeps all connections), heartbeats at entries (an acknowledged leaving would need control all the same).

Comes along, off unless duties.order_servers is set: the plumbing for ordering servers of a service (declared bounds and prices, targets in the replicated state, internal/decision/ autoscaling, the call as a duty).

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -83,7 +83,7 @@
 		return runner.Drivers{}
 	}
 	return runner.Drivers{
-		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, log)},
+		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, s.MaxRegistryConnections(), log)},
 		Orders: platform.Orders{},
 		Duties: platform.Duties{},
 	}
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -22,13 +22,20 @@
 // Duty is a kind of call that one replica at a time may make.
 type Duty string
 
-// DutyUsage reports a window of usage.
-const DutyUsage Duty = "usage"
+// The duties.
+const (
+	// DutyUsage reports a window of usage.
+	DutyUsage Duty = "usage"
+	// DutyScale orders servers.
+	DutyScale Duty = "scale"
+)
 
 // DutiesConfig says what is done outside of the deployment in its name.
 type DutiesConfig struct {
 	// Usage is members' usage.
 	Usage UsageConfig
+	// Scale lets servers be ordered, of the services that are declared so.
+	Scale bool
 	// Lease is how long another holder may still be thought to act after its last call: a
 	// new one waits so long before its first.
 	Lease time.Duration
@@ -42,8 +49,9 @@
 	Duty Duty
 	// Subject tells calls of one duty apart that are about different things.
 	Subject string
-	// Usage is the window of a DutyUsage.
+	// Usage is the window of a DutyUsage, Scale the order of a DutyScale.
 	Usage *pb.UsageWindow
+	Scale ScaleOrder
 	// Holder and Token name the caller and order the callers; no two holders have the same
 	// token.
 	Holder string
@@ -62,6 +70,8 @@
 	DutyTaken DutyResult = "taken"
 	// DutyFenced: another holder has a higher token.
 	DutyFenced DutyResult = "fenced"
+	// DutyUnavailable: what was ordered is not to be had now.
+	DutyUnavailable DutyResult = "unavailable"
 	// DutyBusy: it was not taken and may be called again later.
 	DutyBusy DutyResult = "busy"
 	// DutyUnanswered: it is not known whether it was, or will be, carried out.
@@ -96,7 +106,7 @@
 	flying bool
 	tries  int
 	nextAt time.Duration
-	usage  *pb.UsageWindow
+	made   DutyCall
 }
 
 func newDutyLead() dutyLead { return dutyLead{calls: make(map[string]*dutyCall)} }
@@ -120,10 +130,10 @@
 	case call != nil && (call.flying || r.now < call.nextAt):
 		return
 	case call == nil:
-		call = &dutyCall{usage: c.Usage}
+		call = &dutyCall{}
 		d.calls[key] = call
 	}
-	call.flying = true
+	call.flying, call.made = true, c
 	d.flying++
 	c.Holder, c.Token, c.LeaseUntil, c.Timeout = r.cfg.Duties.Holder, r.term, r.node.LeaseUntil(), dutyTimeout
 	r.emit(c)
@@ -147,9 +157,10 @@
 	switch e.Result {
 	case DutyTaken:
 		delete(d.calls, key)
-		if e.Duty == DutyUsage {
-			r.usageTaken(call.usage.GetWindow())
-		}
+		r.dutyTaken(&call.made)
+	case DutyUnavailable:
+		delete(d.calls, key)
+		r.scaleUnavailable(&call.made)
 	case DutyFenced:
 		d.fenced = true
 	default:
@@ -158,6 +169,15 @@
 	}
 }
 
+func (r *Reducer) dutyTaken(c *DutyCall) {
+	switch c.Duty {
+	case DutyUsage:
+		r.usageTaken(c.Usage.GetWindow())
+	case DutyScale:
+		r.scaleTaken(c)
+	}
+}
+
 func (r *Reducer) logDuty(e DutyAnswered, call *dutyCall) {
 	level := slog.LevelInfo
 	if e.Result != DutyTaken {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -52,6 +52,7 @@
 
 	usage  usageLead
 	duties dutyLead
+	scale  scaleLead
 
 	// joiners wait to be added, by address; mending is true while a change of the
 	// member list is on its way.
@@ -119,6 +120,7 @@
 		left:       make(map[string]time.Duration),
 		usage:      newUsageLead(),
 		duties:     newDutyLead(),
+		scale:      newScaleLead(),
 	}
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.told.GetId()] = &serverWatch{until: now + serverLease, incarnation: sv.told.GetIncarnation()}
@@ -148,6 +150,7 @@
 	r.driveOrders()
 	r.driveRoles()
 	r.driveUsage()
+	r.driveScale()
 	r.driveExpiry()
 	r.mend()
 }
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -33,10 +33,15 @@
 type Port struct {
 	cluster string
 	loop    *loop
+	// words passes on what servers tell a replica that does not lead.
+	words *wordRelay
 }
 
 // Announce tells a backend server's own word; see control.Announce.
 func (p *Port) Announce(ctx context.Context, a *pb.Announcement, sequence uint64) error {
+	if leader, self := p.Leader(); !self && leader != "" {
+		return p.words.announce(ctx, leader, a, sequence)
+	}
 	_, err := p.loop.ask(ctx, func(id uint64) control.Event {
 		return control.Announce{ID: id, Announcement: a, Sequence: sequence}
 	})
@@ -76,3 +81,11 @@
 	}
 	return "", false
 }
+
+// ReplicaFor gives the address of the replica that is to take a server's next words, and
+// whether that is this one.
+func (p *Port) ReplicaFor(server string) (address string, self bool) {
+	_, leads := p.Leader()
+	address = p.words.replicaFor(server, leads)
+	return address, address == p.words.address
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -16,6 +16,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -53,6 +54,7 @@
 	net     *transport
 	engines *engineSender
 	server  *http.Server
+	words   *wordRelay
 	drivers Drivers
 }
 
@@ -90,6 +92,7 @@
 		Duties:     dutiesConfig(cfg),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
+	r.words = newWordRelay(cfg, auth, log)
 	r.net = newTransport(cfg, auth, st, r.loop)
 	r.engines = newEngineSender(r.loop, drivers.Orders)
 	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
@@ -105,6 +108,7 @@
 	}
 	return control.DutiesConfig{
 		Usage: control.UsageConfig{Window: d.UsageWindow, Late: d.UsageLate}, Lease: d.Lease, Holder: cfg.Name,
+		Scale: d.OrderServers,
 	}
 }
 
@@ -168,16 +172,20 @@
 	wg.Go(r.loop.disk.run)
 	wg.Go(func() { r.join(serving) })
 	wg.Go(func() {
-		if err := r.server.Serve(listener); err != http.ErrServerClosed {
+		if err := r.server.Serve(listen.Bound(listener, 0, r.log)); err != http.ErrServerClosed {
 			r.loop.fail(Failed.Wrap(err, "serve"))
 		}
 	})
 	if r.cfg.MetricsAddress != "" {
 		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
 	}
+	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, words: r.words}
+	if len(r.drivers.Calls) > 0 {
+		wg.Go(func() { r.words.run(serving, port.Leader) })
+	}
 	for _, d := range r.drivers.Calls {
 		wg.Go(func() {
-			if err := d.Serve(&Port{cluster: r.cfg.Cluster, loop: r.loop}); err != nil {
+			if err := d.Serve(port); err != nil {
 				r.loop.fail(Failed.Wrap(err, "serve"))
 			}
 		})
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -23,7 +23,7 @@
 // handler serves all of a replica's services on one listener. Metrics and health
 // need no key: they tell nothing that can change the system.
 func (r *Runner) handler() http.Handler {
-	s := &services{cluster: r.cfg.Cluster, loop: r.loop, store: r.store, net: r.net}
+	s := &services{cluster: r.cfg.Cluster, loop: r.loop, store: r.store, net: r.net, words: r.words}
 	s.refusals = rate.Sometimes{First: refusalsFirst, Interval: refusalsEvery}
 	protected := http.NewServeMux()
 	replica := pb.NewReplicaServer(s)
@@ -45,6 +45,7 @@
 	loop    *loop
 	store   *store.Store
 	net     *transport
+	words   *wordRelay
 	// refusals thins the log lines of refused replica messages: a replica that
 	// lost its disk sends ten a second until it is added again.
 	refusals rate.Sometimes
@@ -113,7 +114,21 @@
 
 // Report implements pb.Control.
 func (s *services) Report(ctx context.Context, q *pb.ReportRequest) (*pb.ReportResponse, error) {
-	return answer[*pb.ReportResponse](s.loop.call(ctx, q))
+	resp, err := answer[*pb.ReportResponse](s.loop.call(ctx, q))
+	if err == nil {
+		s.words.noteReporter(q.GetReplica())
+	}
+	return resp, err
+}
+
+// Announce implements pb.Control.
+func (s *services) Announce(ctx context.Context, q *pb.AnnounceRequest) (*pb.ReportResponse, error) {
+	if q.GetClusterId() != s.cluster {
+		return nil, twirp.InvalidArgumentError("cluster_id", "is not "+s.cluster)
+	}
+	return answer[*pb.ReportResponse](s.loop.ask(ctx, func(id uint64) control.Event {
+		return control.Announce{ID: id, Announcement: q.GetAnnouncement(), Sequence: q.GetSequence()}
+	}))
 }
 
 // Claim implements pb.Control.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -29,7 +29,7 @@
 		Claims: s.claims.records(), ClaimsForgottenUnixMs: s.claims.forgottenMS,
 		Suspects: s.suspects.sorted(), Tombstones: s.changes.tombstones,
 		OldestDelta: s.changes.oldest, ViewVersion: s.changes.version, RoleChanges: s.roleChanges,
-		UsageDecided: s.usage.decided, UsagePending: s.usage.pending,
+		UsageDecided: s.usage.decided, UsagePending: s.usage.pending, ScaleTargets: s.scale.sorted(),
 	}
 	for _, id := range s.requests.ids {
 		snap.Requests = append(snap.Requests, s.requests.byID[id])
@@ -61,6 +61,7 @@
 		s.suspects.byKey[suspectKey{sus.GetMember(), sus.GetFingerprint()}] = sus
 	}
 	s.usage = usage{decided: snap.GetUsageDecided(), pending: snap.GetUsagePending()}
+	s.scale.apply(&pb.ScaleUpdate{Targets: snap.GetScaleTargets()})
 	s.changes = changes{
 		version: snap.GetViewVersion(), tombstones: snap.GetTombstones(), oldest: snap.GetOldestDelta(),
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -29,6 +29,7 @@
 	suspects suspects
 	changes  changes
 	usage    usage
+	scale    scaleTargets
 	// roleChanges counts role orders that were carried out.
 	roleChanges uint64
 }
@@ -44,6 +45,7 @@
 		requests: newRequestLog(),
 		claims:   newClaims(),
 		suspects: newSuspects(),
+		scale:    make(scaleTargets),
 	}
 }
 
@@ -114,6 +116,8 @@
 		s.applyEntries(op.Entry)
 	case *pb.Command_Usage:
 		s.usage.apply(op.Usage)
+	case *pb.Command_Scale:
+		s.scale.apply(op.Scale)
 	case *pb.Command_Expire:
 		s.applyExpire()
 	}
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -119,11 +119,26 @@
 	HealthPath string `yaml:"health_path" json:"health_path,omitempty"`
 	// CacheTokens is the memory of one of its engines, in tokens; 0: not known.
 	CacheTokens uint64 `yaml:"cache_tokens" json:"cache_tokens,omitempty"`
+	// Scale says how many engines may be ordered for it; nil: none.
+	Scale *Scale `yaml:"scale" json:"scale,omitempty"`
 	// MoveRate is how many tokens' KV cache move between two of its engines a
 	// second; 0: not known.
 	MoveRate float64 `yaml:"move_rate" json:"move_rate,omitempty"`
 }
 
+// Scale says how many servers of a service may be ordered, and what they cost.
+type Scale struct {
+	// Min and Max bound the servers of one data centre, of both kinds together.
+	Min int `yaml:"min" json:"min"`
+	Max int `yaml:"max" json:"max"`
+	// Boot is how long after its order a server begins to serve.
+	Boot time.Duration `yaml:"boot" json:"boot"`
+	// SpotPrice is the price of a spot server as a part of another one's; 0: there are none.
+	SpotPrice float64 `yaml:"spot_price" json:"spot_price,omitempty"`
+	// Prices are those of the data centres, against each other.
+	Prices map[string]float64 `yaml:"prices" json:"prices,omitempty"`
+}
+
 // Route repeat rules.
 const (
 	// RepeatAllowed: idempotent, may be sent again after a failure.
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -195,6 +195,7 @@
 		if c.profile(s.Profile) == nil && !(s.Profile == "" && c.routed(s.Name)) {
 			c.file.Add(path+".profile", "%q is not declared under profiles", s.Profile)
 		}
+		c.scale(path+".scale", s.Scale)
 		switch s.Kind {
 		case KindModel:
 			c.modelService(path, s)
@@ -206,6 +207,19 @@
 	}
 }
 
+// maxScale bounds the servers of one data centre.
+const maxScale = 10_000
+
+func (c *checker) scale(path string, s *Scale) {
+	if s == nil {
+		return
+	}
+	c.between(path+".max", float64(s.Max), 1, maxScale)
+	c.between(path+".min", float64(s.Min), 0, float64(s.Max))
+	c.duration(path+".boot", s.Boot, 0, time.Hour)
+	c.between(path+".spot_price", s.SpotPrice, 0, 1000)
+}
+
 func (c *checker) modelService(path string, s Service) {
 	if c.d.Model(s.Model) == nil {
 		c.file.Add(path+".model", "%q is not declared under models", s.Model)
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -53,6 +53,9 @@
 	// RegistryAddress is where backend servers announce themselves to control
 	// and operators of a relayed deployment call, host:port; empty for none.
 	RegistryAddress string `yaml:"registry_address"`
+	// MaxFiles is how many file descriptors the process may have; the connections of backend
+	// servers take a part of them. Default 0: not known.
+	MaxFiles int `yaml:"max_files"`
 	// Roles bounds role changes where an operator's document says nothing of them.
 	Roles declaration.Roles `yaml:"roles"`
 	// Duties are calls outside of the deployment that one replica at a time makes.
@@ -74,6 +77,8 @@
 	Address string `yaml:"address"`
 	// Lease is how long a new caller waits for the last call of the one before. Default 3s.
 	Lease time.Duration `yaml:"lease"`
+	// OrderServers lets servers be ordered there, of the services that are declared so.
+	OrderServers bool `yaml:"order_servers"`
 	// UsageWindow is the length of the windows that members' usage is reported for, as
 	// Usage.Window of the entries; zero: usage is not reported.
 	UsageWindow time.Duration `yaml:"usage_window"`
@@ -119,6 +124,9 @@
 	if s.BearLosses < 0 {
 		file.Add("bear_losses", "is less than 0")
 	}
+	if s.MaxFiles < 0 {
+		file.Add("max_files", "is less than 0")
+	}
 	if s.RegistryAddress != "" {
 		checkAddress(file, "registry_address", s.RegistryAddress)
 	}
@@ -171,6 +179,13 @@
 	}
 }
 
+// registryPart is the part of the descriptors that connections of backend servers and operators
+// take: the rest is for other replicas, entries and the disk.
+const registryPart = 0.6
+
+// MaxRegistryConnections bounds those connections; 0: no bound.
+func (s *Control) MaxRegistryConnections() int { return int(registryPart * float64(s.MaxFiles)) }
+
 // Voters is how many voters the group is to have; 0: as operators say.
 func (s *Control) Voters() int {
 	if s.BearLosses == 0 {
