Let all engines change their role while no work is offered, the youngest first

And engines that hold prompts changed while others that had just begun could.

Change: roles.max_away bounds what may be away at all, roles.max_away_loaded takes its place for the system's own changes while work was offered in the last 3 s; of engines with as much to move the one whose life is the shortest changes.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -48,7 +48,9 @@
 	registrations []*pb.BackendServer
 	deliveries    map[string]*delivery
 	demand        demandWindow
-	plans         map[string]*modelPlan
+	// offeredAt is when work was last heard to be offered, or when this leader began.
+	offeredAt time.Duration
+	plans     map[string]*modelPlan
 
 	usage  usageLead
 	duties dutyLead
@@ -74,6 +76,8 @@
 type serverWatch struct {
 	until       time.Duration
 	incarnation string
+	// since is when this leader first knew of the life.
+	since time.Duration
 	// heard is set once this leader has a whole announcement of it.
 	heard bool
 	load  *pb.Load
@@ -110,7 +114,7 @@
 // nobody yet, which tells nothing of them.
 func newLeadership(now time.Duration, s *State) *leadership {
 	l := &leadership{
-		since: now, heardAt: now, sweptAt: now, expired: now,
+		since: now, heardAt: now, offeredAt: now, sweptAt: now, expired: now,
 		servers:    make(map[string]*serverWatch),
 		entries:    make(map[string]*entryWatch),
 		deliveries: make(map[string]*delivery),
@@ -123,7 +127,9 @@
 		scale:      newScaleLead(),
 	}
 	for _, sv := range s.sortedServers() {
-		l.servers[sv.told.GetId()] = &serverWatch{until: now + serverLease, incarnation: sv.told.GetIncarnation()}
+		l.servers[sv.told.GetId()] = &serverWatch{
+			until: now + serverLease, incarnation: sv.told.GetIncarnation(), since: now,
+		}
 	}
 	for _, e := range s.sortedEntries() {
 		l.entries[e.info.GetIdentity().GetName()] = &entryWatch{
--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -86,13 +86,17 @@
 			continue
 		}
 		id := sv.told.GetId()
-		load := &pb.Load{}
-		if w := r.lead.servers[id]; w != nil && w.load != nil {
-			load = w.load
+		load, age := &pb.Load{}, time.Duration(0)
+		if w := r.lead.servers[id]; w != nil {
+			age = r.now - w.since
+			if w.load != nil {
+				load = w.load
+			}
 		}
 		plan.note(sv.told.GetRole(), load)
 		e := roles.Engine{
 			ID: id, Role: wire.Role(sv.told.GetRole()), Target: wire.Role(sv.told.GetRole()),
+			Age:  age,
 			Busy: float64(load.GetQueuedPrefillTokens()) + decision.OutputCost*float64(load.GetRunningDecodeTokens()),
 		}
 		if o := r.state.unresolved(id); o != nil && sv.goneMS == 0 {
@@ -116,9 +120,17 @@
 	}
 }
 
+// idleAfter is how long no work must have been offered for engines to count as idle: a new
+// leader has heard all entries by then.
+const idleAfter = 3 * time.Second
+
 func (r *Reducer) roleBounds() roles.Bounds {
 	d := r.state.declared.parsed.Roles
-	return roles.Bounds{MaxAway: r.state.maxAway(), MinMixedShare: d.MinMixedShare, ChangeTime: d.ChangeTime}
+	away := r.state.maxAway()
+	if r.now < r.lead.offeredAt+idleAfter && d.MaxAwayLoaded > 0 {
+		away = min(away, d.MaxAwayLoaded)
+	}
+	return roles.Bounds{MaxAway: away, MinMixedShare: d.MinMixedShare, ChangeTime: d.ChangeTime}
 }
 
 // rolePrice weighs the profiles' prices of a change by their part of the work.
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -27,6 +27,9 @@
 	r.onUsage(req)
 	for _, d := range req.GetDemand() {
 		r.lead.demand.add(d)
+		if d.GetPrefillTokens()+d.GetDecodeTokens() > 0 {
+			r.lead.offeredAt = r.now
+		}
 	}
 	deaths := r.newDeaths(req.GetDeaths())
 	if len(deaths) == 0 {
@@ -109,7 +112,7 @@
 		if w != nil {
 			r.answerWaiting(w, true)
 		}
-		w = &serverWatch{incarnation: told.GetIncarnation()}
+		w = &serverWatch{incarnation: told.GetIncarnation(), since: r.now}
 		r.lead.servers[told.GetId()] = w
 	}
 	return w
--- a/internal/decision/roles/keep_test.go
+++ b/internal/decision/roles/keep_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 )
@@ -50,3 +51,17 @@
 		}
 	}
 }
+
+// Guards against engines that hold prompts and change their role while others that have just
+// begun could.
+func TestYoungestEnginesChangeFirst(t *testing.T) {
+	o := observed(0, 6, 0)
+	for i := range o.Engines {
+		o.Engines[i].Age = time.Duration(10-i) * time.Minute
+	}
+	for _, c := range Keep(o, 0.34) {
+		if c.Engine != "5" && c.Engine != "4" {
+			t.Errorf("engine %s changes", c.Engine)
+		}
+	}
+}
--- a/internal/decision/roles/plan.go
+++ b/internal/decision/roles/plan.go
@@ -124,7 +124,8 @@
 	return names[least], names[most], diff[least] < 0 && diff[most] > 0
 }
 
-// idlest gives the engine of that role with the least to move.
+// idlest gives the engine of that role with the least to move, of several the one that began
+// last: it holds the fewest prompts.
 func idlest(o *Observation, role engineapi.Role, taken []Change) *Engine {
 	var best *Engine
 	for i := range o.Engines {
@@ -132,7 +133,7 @@
 		if e.Changing || !e.Usable || !sameRole(e.Role, role) || isTaken(taken, e.ID) {
 			continue
 		}
-		if best == nil || e.Busy < best.Busy {
+		if best == nil || e.Busy < best.Busy || e.Busy == best.Busy && e.Age < best.Age {
 			best = e
 		}
 	}
--- a/internal/decision/roles/roles.go
+++ b/internal/decision/roles/roles.go
@@ -29,6 +29,9 @@
 	Changing bool
 	// Usable is false while it is leaving, gone or changing.
 	Usable bool
+	// Age is how long its life is known; of engines that are known as long as the planner all
+	// count alike.
+	Age time.Duration
 	// Busy is the tokens that it has to move or finish before it can change,
 	// as Work.Cost weighs them.
 	Busy float64
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -200,6 +200,9 @@
 	EnginesDrain bool `yaml:"engines_drain" json:"engines_drain,omitempty"`
 	// MaxAway is how many engines of one model may be away at once. Default 1.
 	MaxAway int `yaml:"max_away" json:"max_away"`
+	// MaxAwayLoaded takes its place for changes of the system's own while callers ask for
+	// work. Default: MaxAway.
+	MaxAwayLoaded int `yaml:"max_away_loaded" json:"max_away_loaded,omitempty"`
 	// MinMixedShare is the smallest share of mixed engines, 0 to 1. Default 0.34.
 	MinMixedShare float64 `yaml:"min_mixed_share" json:"min_mixed_share"`
 	// ChangeTime is how long a change takes an engine away. Default 5s.
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -80,6 +80,7 @@
 		setDefault(&d.Members[i].Weight, DefaultWeight)
 	}
 	setDefault(&d.Roles.MaxAway, DefaultMaxAway)
+	setDefault(&d.Roles.MaxAwayLoaded, d.Roles.MaxAway)
 	setDefault(&d.Roles.ChangeTime, DefaultChangeTime)
 	setDefault(&d.Roles.GoodputWeight, DefaultWeight)
 	setDefault(&d.Roles.ChangeWeight, DefaultWeight)
@@ -326,6 +327,7 @@
 func (c *checker) roles() {
 	r := c.d.Roles
 	c.between("roles.max_away", float64(r.MaxAway), 1, 1000)
+	c.between("roles.max_away_loaded", float64(r.MaxAwayLoaded), 1, float64(r.MaxAway))
 	c.between("roles.prefill_share", r.PrefillShare, 0, 1)
 	c.between("roles.min_mixed_share", r.MinMixedShare, 0, 1)
 	c.duration("roles.change_time", r.ChangeTime, 0, time.Hour)
