--- a/internal/control/scale.go
+++ b/internal/control/scale.go
@@ -15,8 +15,8 @@
 )
 
 // scaleSettle is how long the number of servers of a data centre must stand still for it to
-// count as the size that operators gave it: all have announced themselves by then.
-const scaleSettle = 2 * time.Second
+// count as the size that operators gave it: servers announce themselves about once a second.
+const scaleSettle = 1300 * time.Millisecond
 
 // ScaleOrder says how many servers of a service and kind a data centre is to have.
 type ScaleOrder struct {
--- /dev/null
+++ b/internal/control/scale_test.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// scaledWorld is a leader before engines of a service that may be ordered.
+func scaledWorld(t *testing.T, engines int, roles declaration.Roles) *world {
+	w := newWorld(t)
+	w.cfg.Duties = DutiesConfig{Scale: true, Lease: 3 * time.Second, Holder: "control-1"}
+	d := &declaration.Declaration{
+		Revision: 1, Profiles: []declaration.Profile{{Name: "p", Class: declaration.ClassUrgent}},
+		Models: []declaration.Model{{Name: "m", Version: declaration.AnyVersion}}, Roles: roles,
+		Services: []declaration.Service{{Name: "lm", Kind: declaration.KindModel, Model: "m", Scale: &declaration.Scale{
+			Min: 1, Max: 60, Boot: 4 * time.Second, SpotPrice: 0.25,
+		}}},
+	}
+	w.Reducer.state.applyDeclaration(d.ToProto(), true)
+	for i := range engines {
+		w.engine(fmt.Sprintf("engine-%02d", i))
+	}
+	return w
+}
+
+func (w *world) scaleOrders(d time.Duration) []ScaleOrder {
+	var list []ScaleOrder
+	for until := w.clock + d; w.clock < until; {
+		for _, c := range w.dutiesFor(200 * time.Millisecond) {
+			list = append(list, c.Scale)
+			w.dutyAnswered(c, DutyTaken)
+		}
+		w.poll()
+	}
+	return list
+}
+
+// Guards against a new leader that takes what a loss has left for the size that is aimed at.
+func TestNewLeaderKnowsTheSizeThatIsAimedAt(t *testing.T) {
+	w := scaledWorld(t, 10, declaration.Roles{MaxAway: 1})
+	w.advance(4 * time.Second)
+	if n := len(w.Reducer.state.scale); n != 1 {
+		t.Fatalf("%d sizes are known", n)
+	}
+	back, err := RestoreState(w.Reducer.state.Snapshot())
+	if err != nil || back.scale[scaleKey{"lm", ""}].GetEngines() != 10 {
+		t.Fatalf("restored %v, %v", back.scale, err)
+	}
+	w.announced = w.announced[:4]
+	w.advance(8 * time.Second)
+	w.follow(2)
+	w.lead(3)
+	most := 0
+	for _, o := range w.scaleOrders(6 * time.Second) {
+		if !o.Spot {
+			most = max(most, o.Servers)
+		}
+	}
+	if most != 10 {
+		t.Errorf("%d servers are ordered in the end, 10 are aimed at", most)
+	}
+}
+
+// Guards against a fleet that begins its day in roles by chance since few may change at once,
+// and against half of it being away while callers ask for work.
+func TestAllMayChangeTheirRoleBeforeLoad(t *testing.T) {
+	for _, loaded := range []bool{false, true} {
+		w := scaledWorld(t, 12, declaration.Roles{MaxAway: 100, MaxAwayLoaded: 2, PrefillShare: 0.67, EnginesDrain: true})
+		for range 8 {
+			if loaded {
+				w.send(&pb.ReportRequest{ClusterId: cluster, Entry: entryIdentity("e1", "1"), Demand: []*pb.Demand{{Model: "m", PrefillTokens: 1000}}})
+			}
+			w.advance(500 * time.Millisecond)
+		}
+		away := w.Reducer.state.away("m")
+		if loaded && away > 2 || !loaded && away != 8 {
+			t.Errorf("loaded %v: %d are away", loaded, away)
+		}
+	}
+}
--- a/internal/decision/autoscaling/autoscaling.go
+++ b/internal/decision/autoscaling/autoscaling.go
@@ -15,12 +15,17 @@
 )
 
 const (
-	// steadyShare is the part of the servers that are no spot servers: what is left while
-	// all spot servers of all data centres are gone and others boot.
-	steadyShare = 0.2
+	// steadyShare is how many servers that are no spot servers there are at least, as a part of
+	// the size that is aimed at: what is left while all spot servers of all data centres are
+	// gone and others boot.
+	steadyShare = 0.5
+	// spotShare is how many spot servers are ordered besides, as the same part. Together with
+	// steadyShare it is more than 1: the loss of one data centre's spot servers of three leaves
+	// the size that is aimed at.
+	spotShare = 0.84
 	// giveBackAfter is how long the servers that take their places must have served before
 	// servers are given back: a spot server that goes again at once has cost caches twice.
-	giveBackAfter = 2 * time.Second
+	giveBackAfter = time.Second
 	// scarceFor is how long no spot servers are ordered where none were to be had.
 	scarceFor = 5 * time.Second
 	// orderAgainAfter is how long beyond their boot the servers may differ from what was
@@ -116,34 +121,51 @@
 	return orders
 }
 
+// sizeOf is how many servers a data centre is to have.
+func sizeOf(b Bounds, d *DataCentre) int { return min(b.Max, max(b.Min, d.Target)) }
+
+// steadyFor is how many of them are no spot servers while there are spot servers enough.
+func steadyFor(b Bounds, d *DataCentre) int {
+	if !hasSpot(b) {
+		return sizeOf(b, d)
+	}
+	return part(steadyShare, sizeOf(b, d))
+}
+
+// hasSpot tells whether there are spot servers that cost less than others.
+func hasSpot(b Bounds) bool { return b.SpotPrice > 0 && b.SpotPrice < 1 }
+
+// planCentre gives the orders of a data centre: others stand in for spot servers that it lacks.
 func (p *Planner) planCentre(now time.Duration, b Bounds, d *DataCentre) []Order {
 	c := p.of(d.Name)
-	total := min(b.Max, max(b.Min, d.Target))
-	spot, scarce := spotFor(b, total), now < c.scarceUntil
-	steady := c.giveBack(now, d, total, spot)
+	size := sizeOf(b, d)
+	spot, scarce := spotFor(b, size), now < c.scarceUntil
+	steady := c.giveBack(now, d, max(steadyFor(b, d), size-d.Spot))
 	spot = min(spot, b.Max-max(steady, d.Steady))
 	var out []Order
 	if o, due := c.order(now, b, d.Name, Steady, steady, d.Steady); due {
 		out = append(out, o)
 	}
-	if o, due := c.order(now, b, d.Name, Spot, spot, d.Spot); due && !scarce && (spot > 0 || d.Spot > 0) {
+	if o, due := c.order(now, b, d.Name, Spot, spot, d.Spot); due && !scarce && spot+d.Spot > 0 {
 		out = append(out, o)
 	}
 	return out
 }
 
-// spotFor is how many of so many servers are spot servers.
+// spotFor is how many spot servers a data centre of so many servers has.
 func spotFor(b Bounds, total int) int {
-	if b.SpotPrice <= 0 || b.SpotPrice >= 1 {
+	if !hasSpot(b) {
 		return 0
 	}
-	return total - int(math.Ceil(steadyShare*float64(total)))
+	return part(spotShare, total)
 }
 
-// giveBack is how many servers that are no spot servers there should be: those that spot
-// servers don't stand in for. Fewer than there are only after giveBackAfter.
-func (c *centre) giveBack(now time.Duration, d *DataCentre, total, spot int) int {
-	steady := max(total-spot, total-d.Spot)
+// part is a part of so many servers, rounded up.
+func part(share float64, total int) int { return int(math.Ceil(share * float64(total))) }
+
+// giveBack is how many servers that are no spot servers there should be: fewer than there are
+// only after giveBackAfter.
+func (c *centre) giveBack(now time.Duration, d *DataCentre, steady int) int {
 	if steady >= d.Steady {
 		c.coveredAt = 0
 		return steady
