Keep what a leader holds of usage bounded; let replicas' reports alone not count as hearing

Read once more: counts of windows that lie far ahead (a VM's clock) and how far lives that are over had told were kept as long as the leader leads; and the reports of other replicas, which come also where no server is heard, kept a deaf leader from giving servers full leases again. Test: TestDeafLeaderKeepsTheServers has the case, and fails without the condition.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -100,6 +100,16 @@
 				}
 			}
 		},
+		"reports of other replicas only": func(w *world) {
+			w.lastTold = w.clock + 20*time.Second
+			for range 20 {
+				w.send(&pb.ReportRequest{ClusterId: cluster, Entry: entryIdentity("c2", ""), Replica: "10.0.0.2:1"})
+				w.advance(time.Second)
+				if w.state("a") != serving {
+					return
+				}
+			}
+		},
 		"stopped process": func(w *world) { w.clock += 20 * time.Second },
 		"new leader":      func(w *world) { w.follow(2); w.clock += 20 * time.Second; w.lead(3) },
 	} {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -19,7 +19,10 @@
 // onReport takes in what an entry has learned. Deaths are answered once they
 // are committed; all the rest comes again with the next report.
 func (r *Reducer) onReport(id uint64, req *pb.ReportRequest) {
-	r.lead.heardAt = r.now
+	if req.GetReplica() == "" || len(req.GetHeartbeats()) > 0 {
+		// Another replica is heard also where neither entries nor servers are.
+		r.lead.heardAt = r.now
+	}
 	for _, a := range req.GetAnnouncements() {
 		r.onAnnouncement(req.GetEntry().GetName(), a)
 	}
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -15,6 +15,8 @@
 	// maxUsagePending bounds the windows that are decided and not taken: an hour of windows
 	// of five seconds. The oldest is given up first.
 	maxUsagePending = 720
+	// maxUsageAhead is by how many windows an entry's clock may be ahead of the leader's.
+	maxUsageAhead = 12
 	// usageGather is how long a new leader lets entries tell it what the one before knew:
 	// more than the time between two of their reports.
 	usageGather = 2500 * time.Millisecond
@@ -79,11 +81,17 @@
 
 // onUsage takes an entry's counts. They are sums of its life, so that the larger one counts.
 func (r *Reducer) onUsage(req *pb.ReportRequest) {
-	if req.GetUsageComplete() == 0 {
+	if req.GetUsageComplete() == 0 || r.cfg.Duties.Usage.Window <= 0 {
 		return
 	}
 	l, life := &r.lead.usage, lifeOf(req.GetEntry())
+	ahead := r.usageWindow(r.wall()) + maxUsageAhead
 	for _, w := range req.GetUsage() {
+		if w.GetWindow() > ahead {
+			r.log(slog.LevelWarn, "usage of a window that is far ahead dropped",
+				Field{"entry", req.GetEntry().GetName()}, Field{"window", w.GetWindow()})
+			continue
+		}
 		if w.GetWindow() <= r.state.usage.decided {
 			r.logLateUsage(req.GetEntry().GetName(), w)
 			continue
@@ -159,7 +167,17 @@
 	}
 	if len(update.Decided) > 0 {
 		r.proposeUsage(update)
+		l.forgetGone(r.state)
+	}
+}
+
+// forgetGone forgets how far entries had told whose lives are over.
+func (l *usageLead) forgetGone(s *State) {
+	living := make(map[string]bool, len(s.entries))
+	for _, e := range s.entries {
+		living[lifeOf(e.info.GetIdentity())] = true
 	}
+	maps.DeleteFunc(l.complete, func(life string, _ int64) bool { return !living[life] })
 }
 
 func (r *Reducer) proposeUsage(update *pb.UsageUpdate) {
