--- a/internal/control/runner/duties.go
+++ b/internal/control/runner/duties.go
@@ -45,27 +45,24 @@
 	})
 }
 
-// deliver makes one call inside the lease, on a connection of its own, as deliver of orders.
+// deliver makes one call and gives how it was answered, with the reason for the log.
 func (d *dutyCaller) deliver(c control.DutyCall) (control.DutyResult, string) {
-	guard := &leaseGuard{until: c.LeaseUntil}
-	client := &fasthttp.HostClient{
-		Addr: d.address, Dial: guard.dialer(c.Timeout),
-		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: maxDutyAnswer,
-	}
-	defer client.CloseIdleConnections()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	if err := d.protocol.Write(req, d.address, c); err != nil {
+	var result control.DutyResult
+	var reason string
+	notSent, err := callOnce(leasedCall{address: d.address, until: c.LeaseUntil, timeout: c.Timeout, maxAnswer: maxDutyAnswer},
+		func(req *fasthttp.Request) error { return d.protocol.Write(req, d.address, c) },
+		func(resp *fasthttp.Response) error {
+			result, reason = d.protocol.Read(resp, c), http.StatusText(resp.StatusCode())
+			return nil
+		})
+	switch {
+	case err == nil:
+		return result, reason
+	case notSent:
 		return control.DutyBusy, err.Error()
-	}
-	if err := client.DoTimeout(req, resp, c.Timeout); err != nil {
-		if !guard.written() {
-			return control.DutyBusy, err.Error()
-		}
+	default:
 		return control.DutyUnanswered, err.Error()
 	}
-	return d.protocol.Read(resp, c), http.StatusText(resp.StatusCode())
 }
 
 // nativeDuties posts usage as JSON to whoever accounts for it.
--- a/internal/control/runner/engines.go
+++ b/internal/control/runner/engines.go
@@ -64,27 +64,46 @@
 }
 
 // deliver gives the engine's answer, or an error and whether no byte went out.
-// Each order has a connection of its own: none that has gone silent is used, and
-// closing it drops what of the order has not left yet.
 func deliver(p OrderProtocol, e control.SendOrder) (*engineapi.OrderAnswer, bool, error) {
-	guard := &leaseGuard{until: e.LeaseUntil}
+	var answer *engineapi.OrderAnswer
+	notSent, err := callOnce(leasedCall{address: e.Address, until: e.LeaseUntil, timeout: e.Timeout, maxAnswer: maxOrderAnswer},
+		func(req *fasthttp.Request) error { return p.Write(req, e) },
+		func(resp *fasthttp.Response) (err error) {
+			answer, err = p.Read(resp, e)
+			return err
+		})
+	return answer, notSent, err
+}
+
+// leasedCall is a call that is made inside a lease or not at all.
+type leasedCall struct {
+	address   string
+	until     time.Duration
+	timeout   time.Duration
+	maxAnswer int
+}
+
+// callOnce makes a call once and gives whether no byte of it went out, for errors.
+//
+// Each call has a connection of its own: none that has gone silent is used, and closing it
+// drops what of the call has not left yet.
+func callOnce(c leasedCall, write func(*fasthttp.Request) error, read func(*fasthttp.Response) error) (bool, error) {
+	guard := &leaseGuard{until: c.until}
 	client := &fasthttp.HostClient{
-		Addr: e.Address, Dial: guard.dialer(e.Timeout),
-		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry,
-		MaxResponseBodySize: maxOrderAnswer,
+		Addr: c.address, Dial: guard.dialer(c.timeout),
+		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: c.maxAnswer,
 	}
 	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	if err := p.Write(req, e); err != nil {
-		return nil, true, err
+	if err := write(req); err != nil {
+		return true, err
 	}
-	if err := client.DoTimeout(req, resp, e.Timeout); err != nil {
-		return nil, !guard.written(), err
+	if err := client.DoTimeout(req, resp, c.timeout); err != nil {
+		return !guard.written(), err
 	}
-	answer, err := p.Read(resp, e)
-	return answer, false, err
+	return false, read(resp)
 }
 
 func (nativeOrders) Write(req *fasthttp.Request, e control.SendOrder) error {
