--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -182,6 +182,7 @@
 	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, words: r.words}
 	if len(r.drivers.Calls) > 0 {
 		wg.Go(func() { r.words.run(serving, port.Leader) })
+		wg.Go(func() { r.words.sendWords(serving) })
 	}
 	for _, d := range r.drivers.Calls {
 		wg.Go(func() {
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
 	"github.com/twitchtv/twirp"
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
@@ -122,13 +124,30 @@
 }
 
 // Announce implements pb.Control.
-func (s *services) Announce(ctx context.Context, q *pb.AnnounceRequest) (*pb.ReportResponse, error) {
+func (s *services) Announce(ctx context.Context, q *pb.AnnounceRequest) (*pb.AnnounceResponse, error) {
 	if q.GetClusterId() != s.cluster {
 		return nil, twirp.InvalidArgumentError("cluster_id", "is not "+s.cluster)
 	}
-	return answer[*pb.ReportResponse](s.loop.ask(ctx, func(id uint64) control.Event {
-		return control.Announce{ID: id, Announcement: q.GetAnnouncement(), Sequence: q.GetSequence()}
-	}))
+	if !s.loop.view().leads {
+		return nil, twirp.Unavailable.Error("this replica does not lead")
+	}
+	resp := &pb.AnnounceResponse{Failed: make(map[string]string)}
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for _, word := range q.GetWords() {
+		wg.Go(func() {
+			_, err := s.loop.ask(ctx, func(id uint64) control.Event {
+				return control.Announce{ID: id, Announcement: word.GetAnnouncement(), Sequence: word.GetSequence()}
+			})
+			if err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				resp.Failed[word.GetAnnouncement().GetServer().GetId()] = err.Error()
+			}
+		})
+	}
+	wg.Wait()
+	return resp, nil
 }
 
 // Claim implements pb.Control.
--- a/internal/control/runner/words.go
+++ b/internal/control/runner/words.go
@@ -25,6 +25,8 @@
 	// wordsTrusted is how long after the leader last took such a report servers may rely on
 	// this replica: three reports may fail.
 	wordsTrusted = 2 * time.Second
+	// maxWords bounds the words of one call to the leader.
+	maxWords = 200
 	// wordTimeout bounds a call to the leader: the server moves on after a second.
 	wordTimeout = 900 * time.Millisecond
 	// maxRelayed bounds the servers that are remembered.
@@ -48,6 +50,10 @@
 
 	mu   sync.Mutex
 	told map[string]*toldWord
+	// waiting are words for the leader, the newest of each server, in order; wake is told of
+	// the first one.
+	waiting []*waitingWord
+	wake    chan struct{}
 	// leader is the one that has taken the words.
 	leader string
 	// reporters are the other replicas that report here, and when each last did.
@@ -57,6 +63,15 @@
 	trusted bool
 }
 
+// waitingWord is a server's word on its way to the leader.
+type waitingWord struct {
+	word     *pb.Announcement
+	sequence uint64
+	leader   string
+	// done gets the outcome; it has room for it.
+	done chan error
+}
+
 // toldWord is the last word of a server that the leader has taken.
 type toldWord struct {
 	word     *pb.Announcement
@@ -68,24 +83,96 @@
 func newWordRelay(cfg *settings.Control, auth *rpc.Auth, log *slog.Logger) *wordRelay {
 	return &wordRelay{
 		cluster: cfg.Cluster, name: cfg.Name, address: cfg.Address, auth: auth, http: auth.Client(), log: log, told: make(map[string]*toldWord),
-		reporters: make(map[string]time.Duration),
+		reporters: make(map[string]time.Duration), wake: make(chan struct{}, 1),
 	}
 }
 
-// announce takes a server's word for the leader at an address. Errors: twirp errors.
+// announce takes a server's word for the leader at an address, and returns when the leader has
+// taken it. Errors: twirp errors.
+//
+// Words that come while a call is under way go together in the next one. With a call each a
+// leader that is slow for a moment, as when thousands of servers turn to a new one, gets more
+// calls the slower it answers.
 func (w *wordRelay) announce(ctx context.Context, leader string, a *pb.Announcement, sequence uint64) error {
 	if w.knows(leader, a, sequence) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
 	defer cancel()
-	client := pb.NewControlProtobufClient(w.auth.URL(leader), w.http)
-	_, err := client.Announce(ctx, &pb.AnnounceRequest{ClusterId: w.cluster, Announcement: a, Sequence: sequence})
-	if err != nil {
+	waits := &waitingWord{word: a, sequence: sequence, leader: leader, done: make(chan error, 1)}
+	w.enqueue(waits)
+	select {
+	case err := <-waits.done:
 		return err
+	case <-ctx.Done():
+		return twirp.DeadlineExceeded.Error("the leader has not taken it in time")
+	}
+}
+
+// enqueue puts a word in the place of an older one of its server, or behind all others.
+func (w *wordRelay) enqueue(word *waitingWord) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, other := range w.waiting {
+		if other.word.GetServer().GetId() == word.word.GetServer().GetId() {
+			other.done <- twirp.Aborted.Error("a later word has come")
+			w.waiting[i] = word
+			return
+		}
+	}
+	w.waiting = append(w.waiting, word)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// sendWords sends words to the leader, one call after the other, until ctx ends.
+func (w *wordRelay) sendWords(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for list := w.nextWords(); len(list) > 0; list = w.nextWords() {
+			w.sendTogether(ctx, list)
+		}
+	}
+}
+
+// nextWords takes the words of the next call: all for one leader.
+func (w *wordRelay) nextWords() []*waitingWord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for n < len(w.waiting) && n < maxWords && w.waiting[n].leader == w.waiting[0].leader {
+		n++
+	}
+	list := slices.Clone(w.waiting[:n])
+	w.waiting = slices.Delete(w.waiting, 0, n)
+	return list
+}
+
+func (w *wordRelay) sendTogether(ctx context.Context, list []*waitingWord) {
+	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	req := &pb.AnnounceRequest{ClusterId: w.cluster}
+	for _, word := range list {
+		req.Words = append(req.Words, &pb.AnnouncedWord{Announcement: word.word, Sequence: word.sequence})
+	}
+	resp, err := pb.NewControlProtobufClient(w.auth.URL(list[0].leader), w.http).Announce(ctx, req)
+	for _, word := range list {
+		switch reason, failed := resp.GetFailed()[word.word.GetServer().GetId()]; {
+		case err != nil:
+			word.done <- err
+		case failed:
+			word.done <- twirp.Unavailable.Error(reason)
+		default:
+			w.taken(word.leader, word.word, word.sequence)
+			word.done <- nil
+		}
 	}
-	w.taken(leader, a, sequence)
-	return nil
 }
 
 // knows tells whether the leader has the word already, and notes that it came again.
--- a/internal/control/runner/words_test.go
+++ b/internal/control/runner/words_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -23,18 +24,25 @@
 	announced []string
 	heard     []string
 	deaf      bool
-	inFull    []string
+	// slow is how long a call of words takes, calls counts them.
+	slow   time.Duration
+	calls  int
+	inFull []string
 }
 
-func (l *leaderStandin) Announce(_ context.Context, q *pb.AnnounceRequest) (*pb.ReportResponse, error) {
+func (l *leaderStandin) Announce(_ context.Context, q *pb.AnnounceRequest) (*pb.AnnounceResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.deaf {
 		return nil, twirp.Unavailable.Error("this replica does not lead")
 	}
-	s := q.GetAnnouncement().GetServer()
-	l.announced = append(l.announced, s.GetId()+" "+s.GetState().String())
-	return &pb.ReportResponse{}, nil
+	time.Sleep(l.slow)
+	l.calls++
+	for _, word := range q.GetWords() {
+		s := word.GetAnnouncement().GetServer()
+		l.announced = append(l.announced, s.GetId()+" "+s.GetState().String())
+	}
+	return &pb.AnnounceResponse{}, nil
 }
 
 func (l *leaderStandin) Report(_ context.Context, q *pb.ReportRequest) (*pb.ReportResponse, error) {
@@ -61,7 +69,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newWordRelay(&settings.Control{Common: settings.Common{Cluster: "test", Name: "c2"}, Address: "10.0.0.2:1"}, auth, slog.New(slog.DiscardHandler))
+	w := newWordRelay(&settings.Control{Common: settings.Common{Cluster: "test", Name: "c2"}, Address: "10.0.0.2:1"}, auth, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.sendWords(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return w
 }
 
 func word(id string, state pb.ServerState) *pb.Announcement {
@@ -161,3 +180,29 @@
 		}
 	}
 }
+
+// Guards against a leader that gets a call for each server just when it is slow: thousands of
+// servers turn to it at once.
+func TestWordsForASlowLeaderGoTogether(t *testing.T) {
+	l, address := newLeaderStandin(t)
+	l.slow = 50 * time.Millisecond
+	w := newTestRelay(t)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	for i := range 600 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := w.announce(context.Background(), address, word(fmt.Sprint("s", i), serving), 1); err != nil {
+				mu.Lock()
+				failed++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	if failed > 0 || l.calls > 12 || len(l.announced) != 600 {
+		t.Errorf("%d of 600 words failed, %d reached the leader in %d calls", failed, len(l.announced), l.calls)
+	}
+}
