Bound role changes before load by the entries that are told of them

Each role change is told to all 299 entries several times.

Test: TestFewChangeTheirRoleBeforeHundredsOfEntries.

--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -124,11 +124,21 @@
 // leader has heard all entries by then.
 const idleAfter = 3 * time.Second
 
+// maxToldChanges bounds the engines that are away at once times the entries: each change is
+// told to all entries, several times.
+const maxToldChanges = 1700
+
+// roleBounds bound the system's own changes: few while work is offered, and before that as
+// many as all entries can be told of without harm to what else control tells them.
 func (r *Reducer) roleBounds() roles.Bounds {
 	d := r.state.declared.parsed.Roles
 	away := r.state.maxAway()
-	if r.now < r.lead.offeredAt+idleAfter && d.MaxAwayLoaded > 0 {
-		away = min(away, d.MaxAwayLoaded)
+	if loaded := d.MaxAwayLoaded; loaded > 0 {
+		idle := max(loaded, maxToldChanges/max(1, len(r.state.entries)))
+		if r.now < r.lead.offeredAt+idleAfter {
+			idle = loaded
+		}
+		away = min(away, idle)
 	}
 	return roles.Bounds{MaxAway: away, MinMixedShare: d.MinMixedShare, ChangeTime: d.ChangeTime}
 }
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -82,3 +82,17 @@
 		}
 	}
 }
+
+// Guards against role changes of thousands of engines that are each told to hundreds of entries,
+// before any load, so that control has no time for anything else.
+func TestFewChangeTheirRoleBeforeHundredsOfEntries(t *testing.T) {
+	w := scaledWorld(t, 60, declaration.Roles{MaxAway: 1000, MaxAwayLoaded: 2, PrefillShare: 0.67, EnginesDrain: true})
+	for i := range 200 {
+		name := fmt.Sprint("e", i)
+		w.Reducer.state.entries[name] = &entry{info: &pb.EntryInfo{Identity: entryIdentity(name, "1")}}
+	}
+	w.advance(5 * time.Second)
+	if away := w.Reducer.state.away("m"); away > maxToldChanges/200 {
+		t.Errorf("%d engines are away, %d entries are told of each", away, len(w.Reducer.state.entries))
+	}
+}
