Count turns only at servers that get more than their places

The test, which failed in the whole run of the checks, passes; the platform's engines report counts, so nothing changes there.

--- a/internal/decision/placement/cost.go
+++ b/internal/decision/placement/cost.go
@@ -101,8 +101,11 @@
 	if server.Role == engineapi.RoleMixed {
 		slow *= interference
 	}
-	turns := max(1, (l.requests+1)/slots)
-	return float64(w.OutputTokens) * perToken * slow * turns
+	if server.CountsOnly {
+		// Only such servers get more than they have places for.
+		slow *= max(1, (l.requests+1)/slots)
+	}
+	return float64(w.OutputTokens) * perToken * slow
 }
 
 // memoryFill is the part of the server's KV memory that is taken with the work;
