Let entries' questions to control thin out while no replica leads

Entries ask again 30 to 60 ms after each refusal, watching and reporting: some 13,000 calls a second of 299 entries while there is no leader, which overloaded replicas then can't elect. Concluded from the code and the figures; the lines of the processes were not read.

Change: the pause grows by 1.3 with each try to 300 ms. Test: TestQuestionsOfManyEntriesThinOut (7,300 questions a second of 330 entries before, 730 now; within an election pauses stay short).

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,8 +19,11 @@
 const (
 	// metaLeader is the key under which a replica names the leader.
 	metaLeader = "leader"
-	// ControlPause is the wait between tries when no replica leads.
-	ControlPause = 30 * time.Millisecond
+	// ControlPause is the wait after the first try where no replica leads; it grows by
+	// pauseGrowth with each further one up to maxControlPause.
+	ControlPause    = 30 * time.Millisecond
+	pauseGrowth     = 1.3
+	maxControlPause = 300 * time.Millisecond
 	// avoidSilent is how long a replica that gave no answer is not gone back to
 	// on another one's word: about an election.
 	avoidSilent = time.Second
@@ -112,13 +116,17 @@
 
 // Call tries fn at the leader, each time with a deadline of its own, until it
 // succeeds or ctx ends. fn must be idempotent.
+//
+// Failure: hundreds of entries ask at one pace while the replicas have too much to do to keep
+// a leader. Their questions alone then keep it from coming about.
 func (c *ControlClient) Call(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
-	for {
+	for tries := 0; ; tries++ {
 		err := c.once(ctx, try, fn)
 		if err == nil || ctx.Err() != nil || final(err) {
 			return err
 		}
-		pause := ControlPause + rand.N(ControlPause)
+		pause := pauseAfter(tries)
+		pause += rand.N(pause)
 		select {
 		case <-ctx.Done():
 			return err
@@ -127,6 +135,12 @@
 	}
 }
 
+// pauseAfter is the least wait after a try that failed, the first being 0.
+func pauseAfter(try int) time.Duration {
+	pause := float64(ControlPause) * math.Pow(pauseGrowth, float64(try))
+	return time.Duration(min(float64(maxControlPause), pause))
+}
+
 func (c *ControlClient) once(ctx context.Context, try time.Duration, fn func(context.Context, pb.Control) error) error {
 	address, client := c.leader()
 	ctx, cancel := context.WithTimeout(ctx, try)
--- a/internal/host/control_test.go
+++ b/internal/host/control_test.go
@@ -94,3 +94,23 @@
 		t.Fatalf("%d calls at the follower, %d reports", behind.calls.Load(), len(leader.reports))
 	}
 }
+
+// Guards against hundreds of entries whose questions keep overloaded replicas from having a
+// leader, and against a view that comes late since an entry waits too long after an election.
+func TestQuestionsOfManyEntriesThinOut(t *testing.T) {
+	const entries, mostPerSecond = 330, 1000.0
+	const election = 700 * time.Millisecond
+	var at time.Duration
+	try := 0
+	for at < 2*time.Second {
+		pause := pauseAfter(try)
+		if at <= election && pause > election/3 {
+			t.Errorf("a pause of %v, %v after the first try", pause, at)
+		}
+		at += pause * 3 / 2
+		try++
+	}
+	if rate := entries / (pauseAfter(try) * 3 / 2).Seconds(); rate > mostPerSecond {
+		t.Errorf("%.0f questions a second of %d entries, at most %.0f", rate, entries, mostPerSecond)
+	}
+}
