Let a test's entries poll in order of name

Where entry-2 came first, entry-1's call was answered, as it should be, and entry-1 polled again in the same round, so that the test looked at a call that is still held. The check is unchanged.

--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,8 +171,11 @@
 	}
 }
 
+// poll lets the entries poll in order of name: in an order by chance an entry might take the
+// answer that a test looks for, and poll again.
 func (w *world) poll() {
-	for _, e := range w.entries {
+	for _, name := range slices.Sorted(maps.Keys(w.entries)) {
+		e := w.entries[name]
 		if r, ok := w.replies[e.call]; ok && e.call != 0 {
 			delete(w.replies, e.call)
 			e.call = 0
