--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -41,8 +41,7 @@
 	w := newWorld(t)
 	e := w.addEntry("entry-1")
 	w.advance(time.Second)
-	w.addEntry("entry-2")
-	w.poll()
+	w.pollOne(w.addEntry("entry-2"))
 	if r, ok := w.replies[e.call]; !ok || r.Response.(*pb.WatchResponse).GetVersion() != w.Reducer.state.ViewVersion() {
 		t.Errorf("entry-1 has not heard of entry-2: %+v", r)
 	}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -3,8 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -171,24 +169,26 @@
 	}
 }
 
-// poll lets the entries poll in order of name: in an order by chance an entry might take the
-// answer that a test looks for, and poll again.
 func (w *world) poll() {
-	for _, name := range slices.Sorted(maps.Keys(w.entries)) {
-		e := w.entries[name]
-		if r, ok := w.replies[e.call]; ok && e.call != 0 {
-			delete(w.replies, e.call)
-			e.call = 0
-			if resp, is := r.Response.(*pb.WatchResponse); is && r.Err == nil {
-				e.known, e.revision = resp.GetVersion(), resp.GetRevision()
-			}
-		}
-		if e.call == 0 && !e.silent {
-			e.call = w.send(&pb.WatchRequest{
-				ClusterId: cluster, Entry: e.identity, KnownVersion: e.known, Revision: e.revision, HoldMs: 600,
-			})
+	for _, e := range w.entries {
+		w.pollOne(e)
+	}
+}
+
+// pollOne lets an entry take the answer that it has and ask again.
+func (w *world) pollOne(e *fakeEntry) {
+	if r, ok := w.replies[e.call]; ok && e.call != 0 {
+		delete(w.replies, e.call)
+		e.call = 0
+		if resp, is := r.Response.(*pb.WatchResponse); is && r.Err == nil {
+			e.known, e.revision = resp.GetVersion(), resp.GetRevision()
 		}
 	}
+	if e.call == 0 && !e.silent {
+		e.call = w.send(&pb.WatchRequest{
+			ClusterId: cluster, Entry: e.identity, KnownVersion: e.known, Revision: e.revision, HoldMs: 600,
+		})
+	}
 }
 
 func (w *world) addEntry(name string) *fakeEntry {
