--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -183,6 +183,12 @@
 	if e.Result != DutyTaken {
 		level = slog.LevelWarn
 	}
-	r.log(level, "duty called", Field{"duty", string(e.Duty)}, Field{"subject", e.Subject},
-		Field{"result", string(e.Result)}, Field{"token", r.term}, Field{"tries", call.tries}, Field{"reason", e.Reason})
+	fields := []Field{
+		{"duty", string(e.Duty)}, {"subject", e.Subject}, {"result", string(e.Result)},
+		{"token", r.term}, {"tries", call.tries}, {"reason", e.Reason},
+	}
+	if e.Duty == DutyScale {
+		fields = append(fields, Field{"servers", call.made.Scale.Servers}, Field{"ordered_because", call.made.Scale.Reason})
+	}
+	r.log(level, "duty called", fields...)
 }
--- a/internal/control/runner/words.go
+++ b/internal/control/runner/words.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -251,12 +252,7 @@
 			})
 		}
 	}
-	slices.SortFunc(heard, func(a, b *pb.Heartbeat) int {
-		if a.GetServer() < b.GetServer() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(heard, func(a, b *pb.Heartbeat) int { return cmp.Compare(a.GetServer(), b.GetServer()) })
 	return heard
 }
 
--- a/internal/control/scale.go
+++ b/internal/control/scale.go
@@ -23,6 +23,8 @@
 	Service, DataCentre string
 	Servers             int
 	Spot                bool
+	// Reason is for the log.
+	Reason string
 }
 
 type scaleKey struct{ service, dataCentre string }
@@ -104,7 +106,7 @@
 func scaleCall(service string, o autoscaling.Order) DutyCall {
 	return DutyCall{
 		Duty: DutyScale, Subject: service + "/" + o.DataCentre + "/" + strconv.FormatBool(bool(o.Kind)),
-		Scale: ScaleOrder{Service: service, DataCentre: o.DataCentre, Servers: o.Servers, Spot: bool(o.Kind)},
+		Scale: ScaleOrder{Service: service, DataCentre: o.DataCentre, Servers: o.Servers, Spot: bool(o.Kind), Reason: o.Reason},
 	}
 }
 
--- a/internal/decision/autoscaling/autoscaling.go
+++ b/internal/decision/autoscaling/autoscaling.go
@@ -26,7 +26,7 @@
 	// giveBackAfter is how long the servers that take their places must have served before
 	// servers are given back: a spot server that goes again at once has cost caches twice.
 	giveBackAfter = time.Second
-	// scarceFor is how long no spot servers are ordered where none were to be had.
+	// scarceFor is how long no servers of a kind are ordered where none were to be had.
 	scarceFor = 5 * time.Second
 	// orderAgainAfter is how long beyond their boot the servers may differ from what was
 	// ordered before that is ordered again: an older order may have been carried out late.
@@ -77,8 +77,8 @@
 	// coveredAt is since when the servers that serve are enough without those that would be
 	// given back; zero while they are not.
 	coveredAt time.Duration
-	// scarceUntil is until when no spot servers are ordered.
-	scarceUntil time.Duration
+	// scarceUntil is until when none of a kind are ordered.
+	scarceUntil map[Kind]time.Duration
 }
 
 // ordered is the last order of a kind.
@@ -94,7 +94,7 @@
 func (p *Planner) of(name string) *centre {
 	c := p.centres[name]
 	if c == nil {
-		c = &centre{orders: make(map[Kind]*ordered)}
+		c = &centre{orders: make(map[Kind]*ordered), scarceUntil: make(map[Kind]time.Duration)}
 		p.centres[name] = c
 	}
 	return c
@@ -105,10 +105,10 @@
 	p.of(o.DataCentre).orders[o.Kind] = &ordered{servers: o.Servers, since: now}
 }
 
-// Unavailable notes that there are no spot servers to be had for an order.
+// Unavailable notes that there are no servers to be had for an order.
 func (p *Planner) Unavailable(now time.Duration, o Order) {
 	c := p.of(o.DataCentre)
-	c.scarceUntil = now + scarceFor
+	c.scarceUntil[o.Kind] = now + scarceFor
 	delete(c.orders, o.Kind)
 }
 
@@ -139,14 +139,14 @@
 func (p *Planner) planCentre(now time.Duration, b Bounds, d *DataCentre) []Order {
 	c := p.of(d.Name)
 	size := sizeOf(b, d)
-	spot, scarce := spotFor(b, size), now < c.scarceUntil
+	spot := spotFor(b, size)
 	steady := c.giveBack(now, d, max(steadyFor(b, d), size-d.Spot))
 	spot = min(spot, b.Max-max(steady, d.Steady))
 	var out []Order
 	if o, due := c.order(now, b, d.Name, Steady, steady, d.Steady); due {
 		out = append(out, o)
 	}
-	if o, due := c.order(now, b, d.Name, Spot, spot, d.Spot); due && !scarce && spot+d.Spot > 0 {
+	if o, due := c.order(now, b, d.Name, Spot, spot, d.Spot); due && spot+d.Spot > 0 {
 		out = append(out, o)
 	}
 	return out
@@ -185,6 +185,8 @@
 	o := Order{DataCentre: name, Kind: kind, Servers: servers, Reason: "another number is needed"}
 	last := c.orders[kind]
 	switch {
+	case now < c.scarceUntil[kind]:
+		return o, false
 	case last == nil && servers == serve && kind == Steady:
 		return o, false
 	case last == nil || last.servers != servers:
--- a/internal/decision/autoscaling/autoscaling_test.go
+++ b/internal/decision/autoscaling/autoscaling_test.go
@@ -163,3 +163,26 @@
 		t.Errorf("in the end %v", m.serve)
 	}
 }
+
+// Guards against an order that is made again in each moment while what it asks for is not to be
+// had, whichever kind that is.
+func TestUnavailableServersAreNotAskedForAtOnceAgain(t *testing.T) {
+	b := Bounds{Min: 1, Max: 60, Boot: 4 * time.Second, SpotPrice: 0.25}
+	for _, kind := range []Kind{Steady, Spot} {
+		p, asked := NewPlanner(), 0
+		list := []DataCentre{{Name: "a", Target: 30, Steady: 1, Spot: 1}}
+		for now := time.Duration(0); now < 10*time.Second; now += 200 * time.Millisecond {
+			for _, o := range p.Plan(now, b, list) {
+				if o.Kind != kind {
+					p.Taken(now, o)
+					continue
+				}
+				asked++
+				p.Unavailable(now, o)
+			}
+		}
+		if most := int(10*time.Second/scarceFor) + 1; asked > most {
+			t.Errorf("spot %v: asked for %d times in 10 s, at most %d", kind, asked, most)
+		}
+	}
+}
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -135,8 +135,6 @@
 	Boot time.Duration `yaml:"boot" json:"boot"`
 	// SpotPrice is the price of a spot server as a part of another one's; 0: there are none.
 	SpotPrice float64 `yaml:"spot_price" json:"spot_price,omitempty"`
-	// Prices are those of the data centres, against each other.
-	Prices map[string]float64 `yaml:"prices" json:"prices,omitempty"`
 }
 
 // Route repeat rules.
