Count calls by name, and log rounds of news and polls without an answer

The lines of an entry that has an old configuration don't tell whether the answer never came, was cut off on its way or took long to be applied, and control's bytes are one sum for all calls.

Control counts calls and bytes by call (metrics rpc_call_*, a line 'calls answered' each 5 s) and logs each round of news to 50 entries or more; an entry logs a poll that brings no answer with how long it took, at most one a second after the first 20, and with each view how long ago it was asked for and how many objects came.

--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -14,6 +14,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -24,7 +25,8 @@
 	tickInterval = 50 * time.Millisecond
 	// eventQueue is how many events may wait; who posts more waits itself.
 	eventQueue = 1024
-	// gaugeInterval is how often the state's sizes are written to the metrics.
+	// gaugeInterval is how often the state's sizes are written to the metrics, and what was
+	// answered to the log.
 	gaugeInterval = 5 * time.Second
 	// callTimeout bounds every call but Watch, whose hold is shorter.
 	callTimeout = 5 * time.Second
@@ -48,6 +50,9 @@
 	engines *engineSender
 	duties  *dutyCaller
 
+	// answered counts the calls of other processes.
+	answered *rpc.CallCounters
+
 	events chan control.Event
 	stop   chan struct{}
 	// done is closed when the control goroutine has ended.
@@ -65,7 +70,7 @@
 
 func newLoop(reducer *control.Reducer, log *slog.Logger, scope tally.Scope) *loop {
 	l := &loop{
-		reducer: reducer, log: log, scope: scope,
+		reducer: reducer, log: log, scope: scope, answered: rpc.NewCallCounters(scope),
 		events: make(chan control.Event, eventQueue),
 		stop:   make(chan struct{}),
 		done:   make(chan struct{}),
@@ -102,10 +107,20 @@
 			l.step(control.Tick{WallMS: time.Now().UnixMilli()})
 		case <-gauges.C:
 			l.updateGauges()
+			l.logAnswered()
 		}
 	}
 }
 
+// logAnswered tells how many calls were answered since the last line, with their bytes.
+func (l *loop) logAnswered() {
+	var calls []any
+	for _, t := range l.answered.Take() {
+		calls = append(calls, slog.Group(t.Call, "calls", t.Calls, "bytes_sent", t.Sent, "bytes_received", t.Received))
+	}
+	l.log.Info("calls answered", slog.Group("by_call", calls...), "over_ms", gaugeInterval.Milliseconds())
+}
+
 func (l *loop) updateGauges() {
 	f := l.reducer.State().Figures()
 	for _, g := range []struct {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -153,11 +153,21 @@
 		r.answerWatch(w)
 		return true
 	})
-	if len(r.lead.watches) < held {
+	if told := held - len(r.lead.watches); told > 0 {
 		r.lead.newsAt = r.now
+		r.logNews(told, held)
 	}
 }
 
+// logNews tells of a round of news to many entries.
+func (r *Reducer) logNews(told, held int) {
+	if told < manyWatches {
+		return
+	}
+	r.log(slog.LevelInfo, "news", Field{"version", r.state.ViewVersion()}, Field{"revision", r.state.Revision()},
+		Field{"told", told}, Field{"held", held})
+}
+
 // newsPace is the shortest time between two rounds of news to so many calls.
 func newsPace(calls int) time.Duration {
 	if calls < manyWatches {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -66,11 +66,11 @@
 	older := resp.Version < v.version || resp.Revision < v.revision
 	gap := !resp.Full && resp.KnownVersion != v.version
 	if older || gap {
-		r.logView("dropped", resp)
+		r.logView("dropped", ev)
 		return
 	}
 	if resp.Version > v.version || resp.Full {
-		if !r.applyView(resp) {
+		if !r.applyView(ev) {
 			return
 		}
 	}
@@ -89,13 +89,13 @@
 
 // applyView gives false when the declaration in it can't be read; the view in
 // force stays then.
-func (r *Reducer) applyView(resp *pb.WatchResponse) bool {
-	v := &r.view
+func (r *Reducer) applyView(ev ViewReceived) bool {
+	v, resp := &r.view, ev.Response
 	if resp.Full || len(resp.Objects) > 0 || len(resp.RemovedObjects) > 0 {
 		objects := nextObjects(v.objects, resp)
 		d, err := declaration.FromObjects(resp.Revision, sortedObjects(objects))
 		if err != nil {
-			r.logView("unreadable", resp)
+			r.logView("unreadable", ev)
 			return false
 		}
 		v.setDeclaration(d, resp.Revision)
@@ -111,7 +111,7 @@
 		v.control = resp.Control
 	}
 	r.dirty = true
-	r.logView("applied", resp)
+	r.logView("applied", ev)
 	return true
 }
 
@@ -215,7 +215,8 @@
 	return list
 }
 
-func (r *Reducer) logView(reason string, resp *pb.WatchResponse) {
+func (r *Reducer) logView(reason string, ev ViewReceived) {
+	resp := ev.Response
 	r.emit(LogDecision{Kind: LogView, Reason: reason, Figures: []Figure{
 		{Name: "version", Value: float64(resp.Version)},
 		{Name: "known_version", Value: float64(resp.KnownVersion)},
@@ -223,5 +224,7 @@
 		{Name: "revision", Value: float64(resp.Revision)},
 		{Name: "servers", Value: float64(len(resp.Servers))},
 		{Name: "entries", Value: float64(len(resp.Entries))},
+		{Name: "objects", Value: float64(len(resp.Objects))},
+		{Name: "asked_ms_ago", Value: float64((r.now - ev.SentAt).Milliseconds())},
 	}})
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
@@ -47,6 +48,9 @@
 	// to send a call's head.
 	readHeaderTimeout = 5 * time.Second
 	reportTimeout     = time.Second
+	// watchFailuresFirst and watchFailuresEvery bound the lines of polls without an answer.
+	watchFailuresFirst = 20
+	watchFailuresEvery = time.Second
 )
 
 // Host is one entry's process around its reducer.
@@ -68,6 +72,8 @@
 	// callers is the hand-over of callers' connections.
 	callers      busy
 	lastNotReady atomic.Pointer[NotReady]
+	// watchFailures thins the lines of polls without an answer.
+	watchFailures rate.Sometimes
 }
 
 // New makes the process of an entry that callers reach at callerAddress. It
@@ -87,6 +93,7 @@
 		Name: set.Name, Incarnation: uuid.NewString(), Region: set.Region, DataCentre: set.DataCentre,
 		CallerAddress: callerAddress, PeerAddress: h.others.Addr().String(),
 	}
+	h.watchFailures = rate.Sometimes{First: watchFailuresFirst, Interval: watchFailuresEvery}
 	h.Control = NewControlClient(auth, set.Control)
 	h.decisions = newDecisionLog(h.Metrics.Scope)
 	h.peerReports = newPeerReports(h)
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
@@ -28,6 +31,7 @@
 			var err error
 			sent = clock.Boot()
 			resp, err = c.Watch(ctx, h.watchRequest())
+			h.logWatchFailed(sent, err)
 			return err
 		})
 		if err == nil {
@@ -44,6 +48,20 @@
 	}
 }
 
+// logWatchFailed tells of a poll that brought no answer; replicas that do not lead answer at
+// once and are not told of.
+func (h *Host) logWatchFailed(sent time.Duration, err error) {
+	var twerr twirp.Error
+	if err == nil || errors.As(err, &twerr) && twerr.Code() == twirp.Unavailable {
+		return
+	}
+	snap := h.Snapshot()
+	h.watchFailures.Do(func() {
+		h.Log.Warn("poll not answered", "error", err.Error(), "after_ms", (clock.Boot() - sent).Milliseconds(),
+			"known_version", snap.ViewVersion, "revision", snap.Revision)
+	})
+}
+
 // awaitVersion lets the reducer apply a view before the next poll names its
 // version, for a bounded time: the reducer may have dropped it.
 func (h *Host) awaitVersion(ctx context.Context, version uint64) {
