Give a final 'no such route, service or credential' only by a view in force

Cause of the final answer: an entry that misses a change gets no lease either, since lease and change come with the same answer, and its lease lasts 1.5 s from when it asked. So it knew that it may have missed something, and answered for good all the same. Class: a negative answer by a view whose lease has run out. Also found: 401 on unknown credentials (both protocols), 404 and 403 on services and routes of the native protocol.

Repair: relayed requests without a route wait a while for a view in force, as they do for a first configuration, and get 503 (not run) if none comes; the others get 503 at once.

Not mended by this: that the change comes late, and that a request on a route that has moved runs at the old service meanwhile.

--- a/internal/entry/authorize.go
+++ b/internal/entry/authorize.go
@@ -49,8 +49,10 @@
 	member := r.view.members[c.credential]
 	other := member != nil && c.member != "" && c.member != member.Name
 	switch {
-	case c.membersOnly && (c.credential == "" || member == nil || other):
+	case c.membersOnly && c.credential == "":
 		return refuseUnknownCredential()
+	case c.membersOnly && (member == nil || other):
+		return r.refuseCredential()
 	case c.credential == "" || member == nil:
 		q.work.Member, q.work.Rank = c.member, c.routeRank
 		return nil
@@ -62,6 +64,15 @@
 	return nil
 }
 
+// refuseCredential refuses one that no member has, for good only by a view in force: it may
+// have been declared meanwhile.
+func (r *Reducer) refuseCredential() *outcome.Refusal {
+	if r.stale() {
+		return refuseOutdatedCredentials()
+	}
+	return refuseUnknownCredential()
+}
+
 // credentialsOutdated tells whether a credential may have been taken away without word of it.
 func (r *Reducer) credentialsOutdated() bool {
 	limits := r.cfg.Credentials
--- a/internal/entry/authorize_test.go
+++ b/internal/entry/authorize_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a final "unknown credential" by an entry that may have missed the change that declared it.
+func TestUnknownCredentialIsNotFinalWithoutALease(t *testing.T) {
+	w := relayedWorld(t)
+	w.declares([]declaration.Member{holder("hotels", "key-1")}, serving(1)...)
+	w.now += 2 * time.Second
+	w.asks("r1", "key-2")
+	if r := w.refused(); r.Status != http.StatusServiceUnavailable || r.RetryAfter == 0 || r.Outcome != outcome.NotRun {
+		t.Errorf("without a lease: %+v", r)
+	}
+	w.asks("r2", "")
+	if r := w.refused(); r.Status != http.StatusUnauthorized {
+		t.Errorf("no credential: %+v", r)
+	}
+}
+
 // Guards against a request that waits for a place while its key is taken away, and runs.
 func TestWaitingRequestOfARevokedCredentialIsRefused(t *testing.T) {
 	w := relayedWorld(t)
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -14,6 +14,9 @@
 // Refuse or Finish.
 type Effect interface{ isEffect() }
 
+// LeaseRenewed tells until when the view that was published last counts, in time since boot.
+type LeaseRenewed struct{ Until time.Duration }
+
 // Dispatch sends an attempt of a request to a backend server.
 type Dispatch struct {
 	RequestID string
@@ -138,6 +141,7 @@
 // Figure is one number that a decision was taken on.
 type Figure = decision.Figure
 
+func (LeaseRenewed) isEffect()  {}
 func (Dispatch) isEffect()      {}
 func (DecodeAt) isEffect()      {}
 func (Refuse) isEffect()        {}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -77,7 +77,9 @@
 	// sharedFleet is the fleet of this step, nil when it must be made anew.
 	sharedFleet *decision.Fleet
 	// dirty asks for a new snapshot at the end of the step.
-	dirty     bool
+	dirty bool
+	// toldLease is the lease of the last LeaseRenewed.
+	toldLease time.Duration
 	lastProbe time.Duration
 	// nextProbe is the place of the server that is asked first next time.
 	nextProbe   int
@@ -156,9 +158,19 @@
 	}
 	r.reportToPeers()
 	r.publish()
+	r.tellLease()
 	return r.effects
 }
 
+// tellLease comes after the view that the lease is on was published: whoever sees the lease
+// must find that view.
+func (r *Reducer) tellLease() {
+	if r.view.leaseUntil != r.toldLease {
+		r.toldLease = r.view.leaseUntil
+		r.emit(LeaseRenewed{Until: r.toldLease})
+	}
+}
+
 func (r *Reducer) emit(e Effect) { r.effects = append(r.effects, e) }
 
 func (r *Reducer) tick() {
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -17,8 +17,6 @@
 	Entries     []EntryWeight
 	ViewVersion uint64
 	Revision    uint64
-	// LeaseUntil is when the view stops to count, since boot.
-	LeaseUntil time.Duration
 	// Drained holds the backend servers that operators drained.
 	Drained map[string]bool
 	// Servers is how many backend servers the view names.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -77,9 +77,8 @@
 	v.confirmedAt = max(v.confirmedAt, ev.SentAt)
 	lease := min(time.Duration(resp.LeaseMs)*time.Millisecond, maxLease)
 	if until := ev.SentAt + lease; until > v.leaseUntil {
-		wasStale := r.stale()
+		r.dirty = r.dirty || r.stale()
 		v.leaseUntil = until
-		r.dirty = r.dirty || wasStale
 	}
 	if len(resp.Quarantine) > 0 {
 		r.refuseQuarantined()
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -35,6 +35,7 @@
 	events   chan entry.Event
 	carryOut func(entry.Effect)
 	snapshot atomic.Pointer[entry.Snapshot]
+	lease    *viewLease
 	// configured is closed once a configuration has been learned.
 	configured chan struct{}
 	stopped    chan struct{}
@@ -47,7 +48,7 @@
 
 func newLoop(r *entry.Reducer, carryOut func(entry.Effect)) *loop {
 	l := &loop{
-		reducer: r, events: make(chan entry.Event, eventBuffer), carryOut: carryOut,
+		reducer: r, events: make(chan entry.Event, eventBuffer), carryOut: carryOut, lease: newViewLease(),
 		configured: make(chan struct{}), stopped: make(chan struct{}), mailboxes: make(map[string]chan entry.Effect),
 	}
 	l.snapshot.Store(&entry.Snapshot{})
@@ -93,6 +94,8 @@
 		switch e := e.(type) {
 		case entry.Publish:
 			l.publish(e.Snapshot)
+		case entry.LeaseRenewed:
+			l.lease.renew(e.Until)
 		case entry.Dispatch:
 			l.deliver(e.RequestID, e)
 		case entry.DecodeAt:
--- a/internal/obs/lines.go
+++ b/internal/obs/lines.go
@@ -4,7 +4,7 @@
 // them and who reads them share the names.
 const (
 	LineDecision      = "decision"
-	LineWaited        = "waited for the first configuration"
+	LineWaited        = "waited for a configuration"
 	LinePrefillFailed = "prefill apart failed"
 	LineDecodeDropped = "decoding engine named after the attempt had ended"
 	LineTaskPanicked  = "a task panicked"
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// OutdatedView refuses what the entry can't judge: it may have missed a change.
+func OutdatedView() *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Code: CodeStaleView, Outcome: NotRun,
+		Message:    "this entry is cut off and may have missed a change; ask another",
+		RetryAfter: noConfigurationRetry,
+	}
+}
+
 // Error makes a Refusal an error.
 func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
 
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -59,10 +59,9 @@
 		s.refuse(req, caller, outcome.NoConfiguration())
 		return
 	}
-	snap := s.host.Snapshot()
-	route := snap.Routes.Find(req.Host, req.Path)
-	if route == nil {
-		s.refuse(req, caller, noRoute())
+	snap, route, refusal := s.route(ctx, req)
+	if refusal != nil {
+		s.refuse(req, caller, refusal)
 		return
 	}
 	j := &job{s: s, req: req, route: route, caller: caller, arrived: s.arrived(req, at, route, snap)}
@@ -73,18 +72,42 @@
 
 // configured tells whether the entry knows routes, and waits for that a while.
 func (s *Server) configured(ctx context.Context, req *Request) bool {
-	if s.host.Snapshot().Ready() {
-		return true
+	return s.host.Snapshot().Ready() || s.await(ctx, req, "a configuration", s.host.Configured)
+}
+
+// route finds the request's route. Where there is none in a view that has run out, it waits a
+// while for one that is in force: the route may have been added meanwhile.
+func (s *Server) route(ctx context.Context, req *Request) (*entry.Snapshot, *declaration.HostRoute, *outcome.Refusal) {
+	inForce := s.host.ViewInForce()
+	snap := s.host.Snapshot()
+	route := snap.Routes.Find(req.Host, req.Path)
+	if route == nil && !inForce {
+		inForce = s.await(ctx, req, "a view in force", s.host.AwaitView)
+		snap = s.host.Snapshot()
+		route = snap.Routes.Find(req.Host, req.Path)
+	}
+	switch {
+	case route != nil:
+		return snap, route, nil
+	case !inForce:
+		return nil, nil, outcome.OutdatedView()
 	}
+	return nil, nil, noRoute()
+}
+
+// await waits a while for what the entry must know before it can answer the request.
+func (s *Server) await(
+	ctx context.Context, req *Request, what string, wait func(context.Context, time.Duration) bool,
+) bool {
 	if s.waiting.Add(1) > int64(s.host.Settings.MaxStreams) {
 		s.waiting.Add(-1)
 		return false
 	}
 	defer s.waiting.Add(-1)
-	wait, began := admission.StartupWait(req.Patience), time.Now()
-	ok := s.host.Configured(ctx, wait)
-	s.host.Log.Info(obs.LineWaited, "request_id", req.ID, "configured", ok,
-		"ms", time.Since(began).Milliseconds(), "limit_ms", wait.Milliseconds(), "waiting", s.waiting.Load())
+	limit, began := admission.StartupWait(req.Patience), time.Now()
+	ok := wait(ctx, limit)
+	s.host.Log.Info(obs.LineWaited, "request_id", req.ID, "for", what, "came", ok,
+		"ms", time.Since(began).Milliseconds(), "limit_ms", limit.Milliseconds(), "waiting", s.waiting.Load())
 	return ok
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,7 +169,7 @@
 type Server struct {
 	host    *host.Host
 	backend Backend
-	// waiting counts requests that wait for the first configuration.
+	// waiting counts requests that wait for a configuration.
 	waiting atomic.Int64
 }
 
--- a/internal/traffic/harness_test.go
+++ b/internal/traffic/harness_test.go
@@ -38,6 +38,8 @@
 	view    *pb.WatchResponse
 	claims  map[string]*fakeClaim
 	reports []*pb.ReportRequest
+	// silent control answers no poll.
+	silent bool
 	// loseClaims drops the answers of the first claims after granting them.
 	loseClaims int
 }
@@ -50,8 +52,12 @@
 
 func (f *fakeControl) Watch(ctx context.Context, req *pb.WatchRequest) (*pb.WatchResponse, error) {
 	f.mu.Lock()
-	view := f.view
+	view, silent := f.view, f.silent
 	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if req.KnownVersion == view.Version {
 		host.Pause(ctx, time.Duration(req.HoldMs)*time.Millisecond)
 		return &pb.WatchResponse{
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -65,8 +65,10 @@
 // call is what is kept of a caller's request; nothing in it points into
 // fiber's buffers.
 type call struct {
-	snap   *entry.Snapshot
-	member *declaration.Member
+	snap *entry.Snapshot
+	// inForce tells that the view that snap is of counted when the call came.
+	inForce bool
+	member  *declaration.Member
 	// credential is the hash of its token.
 	credential string
 	requestID  string
@@ -83,9 +85,10 @@
 // readCall copies the request and finds its member by the credential. The
 // member never comes from the body.
 func (s *Server) readCall(c *fiber.Ctx) (*call, *outcome.Refusal) {
+	inForce := s.host.ViewInForce()
 	snap := s.host.Snapshot()
 	k := &call{
-		snap: snap, method: strings.Clone(c.Method()), path: strings.Clone(c.Params("*")),
+		snap: snap, inForce: inForce, method: strings.Clone(c.Method()), path: strings.Clone(c.Params("*")),
 		query: string(c.Request().URI().QueryString()), body: bytes.Clone(c.Request().Body()),
 		headers: make(map[string]string),
 	}
@@ -119,28 +122,34 @@
 		k.member = snap.Members[k.credential]
 	}
 	if k.member == nil {
-		return k, &outcome.Refusal{
+		return k, k.byView(&outcome.Refusal{
 			Status: http.StatusUnauthorized, Code: outcome.CodeUnauthenticated, Outcome: outcome.NotRun,
 			Message: "the bearer token is missing or unknown",
-		}
+		})
 	}
 	return k, nil
 }
 
+// byView gives a refusal that is final by what the view does not hold, or, if the view may
+// have missed a change, one that says so.
+func (k *call) byView(final *outcome.Refusal) *outcome.Refusal {
+	if k.inForce {
+		return final
+	}
+	return outcome.OutdatedView()
+}
+
 // service gives the service that the member may call.
 func (k *call) service(name, kind string) (*declaration.Service, *outcome.Refusal) {
 	service := k.snap.Declaration.Service(name)
 	if service == nil || service.Kind != kind {
-		return nil, &outcome.Refusal{
-			Status: http.StatusNotFound, Code: outcome.CodeNotFound, Outcome: outcome.NotRun,
-			Message: "there is no such service",
-		}
+		return nil, k.byView(notFound("there is no such service"))
 	}
 	if !k.member.Allows(name) {
-		return nil, &outcome.Refusal{
+		return nil, k.byView(&outcome.Refusal{
 			Status: http.StatusForbidden, Code: outcome.CodeForbidden, Outcome: outcome.NotRun,
 			Message: "this member may not call the service",
-		}
+		})
 	}
 	return service, nil
 }
--- a/internal/traffic/http_test.go
+++ b/internal/traffic/http_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// Guards against a final "no such member, service or route" by an entry that may have missed their declaration.
+func TestNoFinalAnswerByAViewThatHasRunOut(t *testing.T) {
+	b := newBench(t, nil, plainOK(new(atomic.Int32), 0))
+	b.control.mu.Lock()
+	b.control.silent = true
+	b.control.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	for _, c := range []struct {
+		name, method, path string
+		h                  headers
+		body               string
+	}{
+		{"unknown credential", "POST", "/v1/completions", headers{"Authorization": "Bearer x"}, `{}`},
+		{"unknown service", "POST", "/v1/completions", as("hotels"), `{"model":"none","prompt":"x"}`},
+		{"forbidden service", "POST", "/v1/completions", as("hotels"), `{"model":"secret","prompt":"x"}`},
+		{"no route", "GET", "/svc/portal/other", as("hotels"), ""},
+	} {
+		a := b.do(c.method, c.path, c.h, c.body)
+		if a.status != http.StatusServiceUnavailable || a.outcome() != outcome.NotRun {
+			t.Errorf("%s: %d, outcome %q, %s", c.name, a.status, a.outcome(), a.body)
+		}
+	}
+}
+
 // A malformed announcement, or one of another cluster that reuses an address,
 // changes nothing.
 func TestBadAnnouncementChangesNothing(t *testing.T) {
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -74,7 +74,7 @@
 	}
 	route := findRoute(service, k.method, target)
 	if route == nil {
-		return notFound("the service has no such route")
+		return k.byView(notFound("the service has no such route"))
 	}
 	job := s.newPlainJob(k, service, target)
 	if route.Repeat == declaration.RepeatOnce {
