Bound a poll by how long nothing comes, not by how long its answer takes

Cause: a poll may take 0.7 s as a whole. edge-muscat-e-20 had 485 kB of some 520 in second 30 and no view, 491 kB more in seconds 32 and 33, then the view. All entries together took in 58 MB a second for three seconds, 164 MB for a change of 100 MB, and each try that was given up made the others later. Class: a bound on the whole of a transfer whose size nobody bounds.

Repair: a poll ends when no byte comes for 0.7 s (rpc.WithSilence), and after 5 s in any case.

--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -18,8 +18,10 @@
 	// of 1.5 s, which counts from when the poll was sent: one lost poll and a
 	// change of leader fit in between.
 	watchHold = 400 * time.Millisecond
-	// watchTry bounds one poll.
-	watchTry = watchHold + 300*time.Millisecond
+	// watchSilence bounds how long a poll may bring nothing.
+	watchSilence = watchHold + 300*time.Millisecond
+	// watchTry bounds one poll whose answer keeps coming.
+	watchTry = 5 * time.Second
 )
 
 // watch keeps the view up to date until ctx ends.
@@ -30,7 +32,7 @@
 		err := h.Control.Call(ctx, watchTry, func(ctx context.Context, c pb.Control) error {
 			var err error
 			sent = clock.Boot()
-			resp, err = c.Watch(ctx, h.watchRequest())
+			resp, err = c.Watch(rpc.WithSilence(ctx, watchSilence), h.watchRequest())
 			h.logWatchFailed(sent, err)
 			return err
 		})
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -141,10 +141,12 @@
 }
 
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if t.keyHash == "" {
-		return t.next.RoundTrip(r)
+	if t.keyHash != "" {
+		r = r.Clone(r.Context())
+		r.Header.Set(headerKey, t.keyHash)
+	}
+	if most, ok := r.Context().Value(silenceKey{}).(time.Duration); ok {
+		return bounded(t.next, r, most)
 	}
-	r = r.Clone(r.Context())
-	r.Header.Set(headerKey, t.keyHash)
 	return t.next.RoundTrip(r)
 }
