Pace rounds of news by the entries that poll, not by the calls that are held

What operators would see: a leader that has no time for first views while hundreds of entries start.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -19,12 +19,12 @@
 	// maxHeldWatches bounds held calls; each entry has one, and one more while
 	// it connects again.
 	maxHeldWatches = 4096
-	// newsTime is the least time between two rounds of news for each call that a round
+	// newsTime is the least time between two rounds of news for each entry that a round
 	// answers, so that rounds leave the leader half of its time or more.
 	newsTime = time.Millisecond
 	// maxNewsPace bounds it, well within an entry's lease on its view.
 	maxNewsPace = 300 * time.Millisecond
-	// manyWatches is from how many calls on news go in rounds: for fewer they would be
+	// manyWatches is from how many entries on news go in rounds: for fewer they would be
 	// shorter than a tick.
 	manyWatches = 50
 )
@@ -140,7 +140,7 @@
 // answers as entries squared, which kept the leader from giving the first views for seconds
 // while callers waited at entries without one.
 func (r *Reducer) answerWatches() {
-	if r.now < r.lead.newsAt+newsPace(len(r.lead.watches)) {
+	if r.now < r.lead.newsAt+newsPace(len(r.lead.entries)) {
 		return
 	}
 	held := len(r.lead.watches)
@@ -166,12 +166,13 @@
 		Field{"told", told}, Field{"held", held})
 }
 
-// newsPace is the shortest time between two rounds of news to so many calls.
-func newsPace(calls int) time.Duration {
-	if calls < manyWatches {
+// newsPace is the shortest time between two rounds of news to so many entries. Those are
+// counted that may poll, not the calls that are held: just after a round there are hardly any.
+func newsPace(entries int) time.Duration {
+	if entries < manyWatches {
 		return 0
 	}
-	return min(maxNewsPace, time.Duration(calls)*newsTime)
+	return min(maxNewsPace, time.Duration(entries)*newsTime)
 }
 
 // releaseWatches answers the held calls whose time has passed.
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,13 +15,25 @@
 // all the others, the leader gives twenty thousand answers and has no time for first views,
 // while callers wait at entries that have none. News may take a moment, and all must have it.
 func TestManyStartsAreToldInRounds(t *testing.T) {
+	t.Run("polls in any order", func(t *testing.T) { startMany(t, (*world).poll) })
+	t.Run("the newest polls last", func(t *testing.T) { startMany(t, (*world).pollInOrder) })
+}
+
+// pollInOrder lets the entries poll in order of name.
+func (w *world) pollInOrder() {
+	for _, name := range slices.Sorted(maps.Keys(w.entries)) {
+		w.pollOne(w.entries[name])
+	}
+}
+
+func startMany(t *testing.T, poll func(*world)) {
 	const entries, over = 200, 2 * time.Second
 	w := newWorld(t)
 	for i := range entries {
-		e := w.addEntry(fmt.Sprint("entry-", i))
+		e := w.addEntry(fmt.Sprintf("entry-%d", i))
 		w.clock += over / entries
 		w.tick()
-		w.poll()
+		poll(w)
 		if e.call != 0 && w.replies[e.call].Response == nil {
 			t.Fatalf("entry %d waits for its first view", i)
 		}
