Read only what changed of a declaration, at entries and replicas

A reader keeps what it read by kind and name and reads an object again when its bytes differ. FromObjects, used by tests only from now on, is gone. A change's own objects are still read on that goroutine.

--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -16,12 +16,15 @@
 type declared struct {
 	proto  *pb.Declaration
 	parsed *declaration.Declaration
+	reader *declaration.Reader
 	// versions holds each object's view version, in the order of the objects.
 	versions []uint64
 	accepted []*pb.AcceptedRevision
 }
 
-func newDeclared() declared { return declared{proto: &pb.Declaration{}} }
+func newDeclared() declared {
+	return declared{proto: &pb.Declaration{}, reader: declaration.NewReader()}
+}
 
 // applyDeclaration decides which of racing operators wins.
 //
@@ -45,7 +48,7 @@
 		return s.refuse(fmt.Sprintf("base is %d, but revision %d by %s is in force; rebase on it",
 			d.GetBase(), current.GetRevision(), current.GetAuthor()))
 	}
-	parsed, err := declaration.FromObjects(d.GetRevision(), d.GetObjects())
+	parsed, err := s.declared.reader.Read(d.GetRevision(), d.GetObjects())
 	if err != nil {
 		return s.refuse("the declaration can't be read: " + err.Error())
 	}
@@ -65,7 +68,7 @@
 			CurrentRevision: current.GetRevision(), CurrentAuthor: current.GetAuthor(),
 		}
 	}
-	parsed, err := declaration.FromObjects(d.GetRevision(), d.GetObjects())
+	parsed, err := s.declared.reader.Read(d.GetRevision(), d.GetObjects())
 	if err != nil {
 		return s.refuse("the declaration can't be read: " + err.Error())
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -8,7 +8,6 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
-	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -77,7 +76,7 @@
 	if len(d.versions) != len(d.proto.GetObjects()) {
 		return BadSnapshot.New("%d versions for %d objects", len(d.versions), len(d.proto.GetObjects()))
 	}
-	parsed, err := declaration.FromObjects(d.proto.GetRevision(), d.proto.GetObjects())
+	parsed, err := d.reader.Read(d.proto.GetRevision(), d.proto.GetObjects())
 	d.parsed = parsed
 	return err
 }
--- a/internal/declaration/declaration_test.go
+++ b/internal/declaration/declaration_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	wire := d.ToProto()
-	back, err := FromObjects(wire.Revision, wire.Objects)
+	back, err := NewReader().Read(wire.Revision, wire.Objects)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -31,6 +31,7 @@
 	// confirmedAt is when the last answer was asked for that control gave.
 	confirmedAt time.Duration
 	objects     map[objectKey]*pb.Object
+	reader      *declaration.Reader
 	declaration *declaration.Declaration
 	members     map[string]*declaration.Member
 	routes      declaration.RouteTable
@@ -47,6 +48,7 @@
 func newView() view {
 	return view{
 		objects:    make(map[objectKey]*pb.Object),
+		reader:     declaration.NewReader(),
 		members:    make(map[string]*declaration.Member),
 		entries:    make(map[string]*entryState),
 		quarantine: make(map[quarantineKey]bool),
@@ -92,7 +94,7 @@
 	v, resp := &r.view, ev.Response
 	if resp.Full || len(resp.Objects) > 0 || len(resp.RemovedObjects) > 0 {
 		objects := nextObjects(v.objects, resp)
-		d, err := declaration.FromObjects(resp.Revision, sortedObjects(objects))
+		d, err := v.reader.Read(resp.Revision, sortedObjects(objects))
 		if err != nil {
 			r.logView("unreadable", ev)
 			return false
