Find declared objects by a map where a view tells what was taken out

A view searched all objects for each one that had been taken out, once for each version that entries know.

--- a/internal/control/declared.go
+++ b/internal/control/declared.go
@@ -17,8 +17,10 @@
 	proto  *pb.Declaration
 	parsed *declaration.Declaration
 	reader *declaration.Reader
-	// versions holds each object's view version, in the order of the objects.
+	// versions holds each object's view version, in the order of the objects, and places
+	// finds an object in that order.
 	versions []uint64
+	places   map[objectKey]int
 	accepted []*pb.AcceptedRevision
 }
 
@@ -98,35 +100,30 @@
 func (s *State) setDeclaration(d *pb.Declaration, parsed *declaration.Declaration) {
 	declaration.SortObjects(d.GetObjects())
 	old := s.declared
-	kept := make(map[objectKey]int, len(old.proto.GetObjects()))
-	for i, o := range old.proto.GetObjects() {
-		kept[objectKey{o.GetKind(), o.GetName()}] = i
-	}
 	s.touchView()
 	versions := make([]uint64, len(d.GetObjects()))
 	for i, o := range d.GetObjects() {
-		key := objectKey{o.GetKind(), o.GetName()}
 		versions[i] = s.index
 		o.Revision = d.GetRevision()
-		j, ok := kept[key]
+		j, ok := old.places[objectKeyOf(o)]
 		if !ok {
 			continue
 		}
-		delete(kept, key)
 		if was := old.proto.GetObjects()[j]; string(was.GetContent()) == string(o.GetContent()) {
 			o.Revision, versions[i] = was.GetRevision(), old.versions[j]
 		}
 	}
-	s.buryObjects(old.proto.GetObjects(), kept)
 	s.declared.proto, s.declared.parsed, s.declared.versions = d, parsed, versions
+	s.declared.places = placesOf(d.GetObjects())
+	s.buryObjects(old.proto.GetObjects())
 	s.declared.remember(d)
 	s.touchFencing()
 }
 
-// buryObjects leaves a tombstone for each old object that gone names.
-func (s *State) buryObjects(old []*pb.Object, gone map[objectKey]int) {
+// buryObjects leaves a tombstone for each of the old objects that is declared no more.
+func (s *State) buryObjects(old []*pb.Object) {
 	for _, o := range old {
-		if _, ok := gone[objectKey{o.GetKind(), o.GetName()}]; ok {
+		if _, stays := s.declared.places[objectKeyOf(o)]; !stays {
 			s.changes.bury(&pb.Tombstone{Object: &pb.ObjectRef{Kind: o.GetKind(), Name: o.GetName()}})
 		}
 	}
@@ -135,6 +132,16 @@
 // objectKey names an object of a declaration.
 type objectKey struct{ kind, name string }
 
+func objectKeyOf(o *pb.Object) objectKey { return objectKey{o.GetKind(), o.GetName()} }
+
+func placesOf(objects []*pb.Object) map[objectKey]int {
+	places := make(map[objectKey]int, len(objects))
+	for i, o := range objects {
+		places[objectKeyOf(o)] = i
+	}
+	return places
+}
+
 func (d *declared) find(revision uint64) *pb.AcceptedRevision {
 	i, ok := slices.BinarySearchFunc(d.accepted, revision, func(a *pb.AcceptedRevision, r uint64) int {
 		switch {
--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -68,3 +70,31 @@
 		t.Error("the state changed")
 	}
 }
+
+// Guards against objects that were taken out, by the thousand and some put back, and stay in force at entries.
+func TestEntriesHearOfAllThatWasTakenOut(t *testing.T) {
+	const profiles = 4000
+	w := newWorld(t)
+	w.apply(withProfiles(1, 0, profiles))
+	known := w.State().ViewVersion()
+	w.apply(declare(2, 1, "ann", "a"))
+	w.apply(withProfiles(3, 2, 10))
+	view := w.State().View(known)
+	removed := view.GetRemovedObjects()
+	if len(removed) != profiles-10 || removed[0].GetName() != "q00010" || removed[len(removed)-1].GetName() != "q03999" {
+		t.Errorf("%d objects are told to be taken out", len(removed))
+	}
+	if told := len(view.GetObjects()); told < 10 {
+		t.Errorf("%d objects are told that were put back", told)
+	}
+}
+
+func withProfiles(revision, base uint64, profiles int) *pb.Declaration {
+	d := declare(revision, base, "ann", "a")
+	for i := range profiles {
+		d.Objects = append(d.Objects, &pb.Object{Kind: "profile", Name: fmt.Sprintf("q%05d", i), Content: []byte(`{}`)})
+	}
+	declaration.SortObjects(d.Objects)
+	d.Digest = declaration.Digest(d.Objects)
+	return d
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -73,6 +73,7 @@
 		return nil
 	}
 	d.proto = snap.GetDeclaration()
+	d.places = placesOf(d.proto.GetObjects())
 	if len(d.versions) != len(d.proto.GetObjects()) {
 		return BadSnapshot.New("%d versions for %d objects", len(d.versions), len(d.proto.GetObjects()))
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -73,12 +73,8 @@
 }
 
 func (d *declared) has(ref *pb.ObjectRef) bool {
-	for _, o := range d.proto.GetObjects() {
-		if o.GetKind() == ref.GetKind() && o.GetName() == ref.GetName() {
-			return true
-		}
-	}
-	return false
+	_, ok := d.places[objectKey{ref.GetKind(), ref.GetName()}]
+	return ok
 }
 
 func (q *suspects) quarantined(was *pb.Quarantine) bool {
