--- /dev/null
+++ b/internal/proof/credentials_test.go
@@ -0,0 +1,60 @@
+package proof
+
+import (
+	"bytes"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+// checkNoCredentialWritten fails the test where a member's token stands in a log, a journal, a settings file or the
+// data of any process.
+func checkNoCredentialWritten(t *testing.T, b *testbed.Bed) {
+	t.Helper()
+	if leaks := writtenCredentials(t, b.Dir()); len(leaks) > 0 {
+		t.Errorf("credentials stand in %v", leaks)
+	}
+}
+
+// writtenCredentials lists the files below a folder that hold a member's token.
+func writtenCredentials(t *testing.T, dir string) []string {
+	t.Helper()
+	var leaks []string
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !entry.Type().IsRegular() {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, member := range Members {
+			if bytes.Contains(data, []byte(testbed.Token(Deployment, member))) {
+				leaks = append(leaks, path)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return leaks
+}
+
+// Guards against a check of written credentials that finds none wherever they stand.
+func TestWrittenCredentialIsFound(t *testing.T) {
+	dir := t.TempDir()
+	line := `{"msg":"call","header":"Bearer ` + testbed.Token(Deployment, Members[1]) + `"}`
+	if err := os.MkdirAll(filepath.Join(dir, "logs"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "logs", "entry"), []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if leaks := writtenCredentials(t, dir); len(leaks) != 1 {
+		t.Errorf("found in %v", leaks)
+	}
+}
--- a/internal/proof/fixture_test.go
+++ b/internal/proof/fixture_test.go
@@ -133,6 +133,7 @@
 		t.Fatal(err)
 	}
 	check(t, out)
+	checkNoCredentialWritten(t, tr.Bed)
 	if died := tr.Bed.Unmeant(); len(died) > before {
 		t.Errorf("processes ended by themselves: %v", died)
 	}
