Hold short calls of servers and operators no longer than these wait

Words, last words and readings of the declaration are given up after 0.9 s, as what replicas pass on to the leader already was; what was asked for may still come about, as before.

--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -9,6 +10,10 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
+// callersWait bounds what servers and operators wait for: they ask another replica after a
+// second, but for large bodies.
+const callersWait = 900 * time.Millisecond
+
 // Driver serves another protocol for backend servers and operators on listeners
 // of its own. It only translates: what it takes goes to the Port.
 type Driver interface {
@@ -42,6 +47,8 @@
 	if leader, self := p.Leader(); !self && leader != "" {
 		return p.words.announce(ctx, leader, a, sequence)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
+	defer cancel()
 	_, err := p.loop.ask(ctx, func(id uint64) control.Event {
 		return control.Announce{ID: id, Announcement: a, Sequence: sequence}
 	})
@@ -50,6 +57,8 @@
 
 // Leave tells that one life of a backend server ends; see control.Leave.
 func (p *Port) Leave(ctx context.Context, incarnation string) error {
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
+	defer cancel()
 	_, err := p.loop.ask(ctx, func(id uint64) control.Event {
 		return control.Leave{ID: id, Incarnation: incarnation}
 	})
@@ -64,6 +73,8 @@
 
 // Declaration gives the declaration in force, confirmed by a quorum.
 func (p *Port) Declaration(ctx context.Context) (*pb.Declaration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
+	defer cancel()
 	resp, err := answer[*pb.GetDeclarationResponse](
 		p.loop.call(ctx, &pb.GetDeclarationRequest{ClusterId: p.cluster}))
 	return resp.GetDeclaration(), err
--- a/internal/control/runner/words.go
+++ b/internal/control/runner/words.go
@@ -28,8 +28,6 @@
 	wordsTrusted = 2 * time.Second
 	// maxWords bounds the words of one call to the leader.
 	maxWords = 200
-	// wordTimeout bounds a call to the leader: the server moves on after a second.
-	wordTimeout = 900 * time.Millisecond
 	// maxRelayed bounds the servers that are remembered.
 	maxRelayed = 10_000
 )
@@ -98,7 +96,7 @@
 	if w.knows(leader, a, sequence) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
 	defer cancel()
 	waits := &waitingWord{word: a, sequence: sequence, leader: leader, done: make(chan error, 1)}
 	w.enqueue(waits)
@@ -156,7 +154,7 @@
 }
 
 func (w *wordRelay) sendTogether(ctx context.Context, list []*waitingWord) {
-	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
 	defer cancel()
 	req := &pb.AnnounceRequest{ClusterId: w.cluster}
 	for _, word := range list {
@@ -230,7 +228,7 @@
 func (w *wordRelay) report(ctx context.Context, leader string) {
 	heard := w.heardAgain(leader)
 	sent := clock.Boot()
-	ctx, cancel := context.WithTimeout(ctx, wordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callersWait)
 	defer cancel()
 	client := pb.NewControlProtobufClient(w.auth.URL(leader), w.http)
 	resp, err := client.Report(ctx, &pb.ReportRequest{
