Drop PackView, which only tests called

Answers are packed by parts since changes are packed too. The tests put one part into an answer themselves; their assertions are as they were.

--- a/internal/rpc/packed.go
+++ b/internal/rpc/packed.go
@@ -46,15 +46,6 @@
 	return buf.Bytes(), nil
 }
 
-// PackView gives an answer that holds another one compressed. Errors: those of encoding.
-func PackView(resp *pb.WatchResponse) (*pb.WatchResponse, error) {
-	part, err := PackPart(resp)
-	if err != nil {
-		return nil, err
-	}
-	return &pb.WatchResponse{Packed: part}, nil
-}
-
 // UnpackView gives the answer that a packed one holds, or the answer itself if it is not
 // packed. Errors: Unreadable.
 func UnpackView(resp *pb.WatchResponse) (*pb.WatchResponse, error) {
--- a/internal/rpc/packed_test.go
+++ b/internal/rpc/packed_test.go
@@ -22,7 +22,7 @@
 			Region: "r", CallerAddress: fmt.Sprintf("10.1.0.%d:8144", i), PeerAddress: fmt.Sprintf("10.1.0.%d:7660", i),
 		}})
 	}
-	packed, err := PackView(view)
+	packed, err := packedAnswer(view)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,7 +40,7 @@
 
 // Bytes that are cut, or that are no view, must not be taken for one.
 func TestUnreadablePackedViewsAreRefused(t *testing.T) {
-	packed, err := PackView(&pb.WatchResponse{Version: 7, Objects: []*pb.Object{{Name: "a"}}})
+	packed, err := packedAnswer(&pb.WatchResponse{Version: 7, Objects: []*pb.Object{{Name: "a"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,3 +56,9 @@
 		}
 	}
 }
+
+// packedAnswer gives an answer that is one packed part.
+func packedAnswer(resp *pb.WatchResponse) (*pb.WatchResponse, error) {
+	part, err := PackPart(resp)
+	return &pb.WatchResponse{Packed: part}, err
+}
