Say in lines what servers name as their limit, and what they were sent

Whether entries heard of a server's limit, lost it or each held it alone could not be told from lines: no line named a limit. The word of an answer now reaches the reducer as one typed value (backpressure.Word), which both what is sent on and what is only read give; a change writes a line with the limit before and after and what this entry sent there in the last seconds, and route lines to such a server have both. Values that can't be read get a line and name no limit. Nothing is decided on it yet.

--- /dev/null
+++ b/internal/decision/backpressure/word_test.go
@@ -0,0 +1,33 @@
+package backpressure
+
+import "testing"
+
+// A limit that can't be read must neither stop a server's work nor pass in silence.
+func TestRatesAreReadWithADefinedMeaning(t *testing.T) {
+	for _, c := range []struct {
+		values  []string
+		rate    float64
+		unclear string
+	}{
+		{nil, 0, ""},
+		{[]string{"8.6"}, 8.6, ""},
+		{[]string{" 0.5 "}, 0.5, ""},
+		{[]string{"0"}, minRate, ""},
+		{[]string{"1e-9"}, minRate, ""},
+		{[]string{"1e300"}, 1e300, ""},
+		{[]string{"9", "4"}, 4, ""},
+		{[]string{"9, 4"}, 4, ""},
+		{[]string{"4", "many"}, 4, "many"},
+		{[]string{"-1"}, 0, "-1"},
+		{[]string{"NaN"}, 0, "NaN"},
+		{[]string{"inf"}, 0, "inf"},
+		{[]string{""}, 0, ""},
+		{[]string{"1e999"}, 0, "1e999"},
+	} {
+		var w Word
+		w.ReadRate(c.values...)
+		if w.Rate != c.rate || w.Unclear != c.unclear {
+			t.Errorf("%q: rate %g, unclear %q; want %g, %q", c.values, w.Rate, w.Unclear, c.rate, c.unclear)
+		}
+	}
+}
--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -26,7 +26,14 @@
 }
 
 func (r *Reducer) serverSaid(ev ServerSaid) {
-	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
+	s := r.servers.life(ev.Server, ev.Incarnation)
+	if s == nil {
+		return
+	}
+	if ev.Answered {
+		r.heardWord(s, ev.Word)
+	}
+	if ev.State != "" {
 		r.heard(s, ev.State, ev.Load, ev.HasLoad)
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -87,6 +87,9 @@
 	}
 	s.since = append(s.since, sentWork{r.now, tokens})
 	s.usual.add(tokens)
+	if choice.Prefill == nil {
+		s.sends.add(r.now)
+	}
 	d := Dispatch{
 		RequestID: q.work.RequestID, Attempt: q.attempt, EngineAttempt: q.engineAttempt, Server: s.pb.Id,
 		Incarnation: s.pb.Incarnation, Address: s.pb.Address, Reconnect: reconnect,
@@ -116,13 +119,14 @@
 	reading := decision.Tokens{Prefill: q.unread, KV: q.work.PromptTokens + q.done}
 	p.since = append(p.since, sentWork{r.now, reading})
 	p.usual.add(reading)
+	p.sends.add(r.now)
 	return p
 }
 
 // logDispatch writes the line of a dispatch with the figures that it was decided on.
 func (r *Reducer) logDispatch(q *request, s *server, choice *placement.Choice) {
 	source, ages := r.loadSource(s)
-	figures := append(choice.Figures, ages...)
+	figures := append(append(choice.Figures, ages...), r.limitFigures(s)...)
 	r.logFrom(source, LogRoute, q, s.pb.Id, choice.Reason, append(figures,
 		Figure{Name: "attempt", Value: float64(q.attempt)},
 		Figure{Name: "prompt_tokens", Value: float64(q.work.PromptTokens)},
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -28,9 +29,14 @@
 type ServerSaid struct {
 	Server      string
 	Incarnation string
-	State       engineapi.State
-	Load        engineapi.Load
-	HasLoad     bool
+	// State is empty where it told none.
+	State   engineapi.State
+	Load    engineapi.Load
+	HasLoad bool
+	// Answered tells that this came with an answer to a request, and that Word is what the
+	// server said with it of the work that it wants.
+	Answered bool
+	Word     backpressure.Word
 }
 
 // ProbeFailed tells that a health probe got no answer.
--- a/internal/entry/prefilled.go
+++ b/internal/entry/prefilled.go
@@ -40,16 +40,17 @@
 	q.server = s
 	r.decide.picker.Holds(r.now, s.pb.Id, &q.work)
 	s.running = append(s.running, q.work.RequestID)
+	s.sends.add(r.now)
 	r.noteSent(s)
 	r.emit(DecodeAt{
 		RequestID: ev.RequestID, Attempt: ev.Attempt,
 		Server: s.pb.Id, Incarnation: s.pb.Incarnation, Address: s.pb.Address,
 		Member: q.work.Member, Rank: q.work.Rank,
 	})
-	r.log(LogRoute, q, s.pb.Id, "decodes what was prefilled", []decision.Figure{
+	r.log(LogRoute, q, s.pb.Id, "decodes what was prefilled", append([]decision.Figure{
 		{Name: "reported_running", Value: float64(s.load.Running)},
 		{Name: "reported_waiting", Value: float64(s.load.Queued)},
-	})
+	}, r.limitFigures(s)...))
 	r.startWaiting()
 }
 
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/speed"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -55,6 +56,9 @@
 	slowness speed.Factor
 	// slow is set while it was last logged as slower than others.
 	slow bool
+	// word is what it last said of the work that it wants, sends what it was sent lately.
+	word  backpressure.Word
+	sends sendCount
 }
 
 type sentWork struct {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -61,13 +61,15 @@
 
 // heard passes on what a server told of itself.
 func (j *job) heard(server, incarnation string, said Said) {
-	if !said.HasLoad || said.OtherLife {
+	if said.OtherLife {
 		return
 	}
-	j.s.host.Post(entry.ServerSaid{
-		Server: server, Incarnation: incarnation, State: engineapi.StateServing, HasLoad: true,
-		Load: engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)},
-	})
+	heard := entry.ServerSaid{Server: server, Incarnation: incarnation, Answered: true, Word: said.Word}
+	if said.HasLoad {
+		heard.State, heard.HasLoad = engineapi.StateServing, true
+		heard.Load = engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)}
+	}
+	j.s.host.Post(heard)
 }
 
 // free drops a KV cache that no engine took over.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -124,6 +125,8 @@
 	// Load is how many requests run and wait there, if HasLoad.
 	Running, Queued int
 	HasLoad         bool
+	// Word is what it says of the work that it wants.
+	Word backpressure.Word
 	// NotRun tells that the server did not run the request and never will.
 	NotRun bool
 	// OtherLife tells that another life of a server answered at the address.
