Keep a server's limit over all entries by permits that one of them gives out

Callers and operators saw a server in need that got 25 requests a second where it had named 8.6 in its answers (LIMIT). Cause: the answer's word was dropped with the other headers; servers were chosen by load and places alone. Class: what a server says in its answers does not reach the decisions.

A limit is a sum over all entries, and what entries send to one server differs by a factor of ten, so that no share of it kept by each alone can hold it and use it. One entry, the first by a hash of the server's id that all reckon alike, keeps a schedule of permits; others ask it when a request finds the server closed; nothing is sent without a permit: not what is read apart (both ends), sent once more, resumed or gone on with. A permit lasts a second; who gets none comes back in the time in which all that ask can get one. An entry that gives no answer is passed by for the next one; without any an entry sends its equal part. A limit ends only by an answer to a request sent after it was heard, or with the server's life; it outlasts the server's absence from the view. Others are told in reports and sums. Work whose servers are all closed until it is too late is refused at once, with when the next place comes; homes of shared parts go to servers without a limit.

--- a/internal/decision/admission/admission.go
+++ b/internal/decision/admission/admission.go
@@ -51,6 +51,9 @@
 	if w.Resumed {
 		return Verdict{Admit: true, Reason: "accepted before"}
 	}
+	if b := boundedFor(w, fleet); b.servers > 0 {
+		return b.judge(now, w, fleet.Entries, queued)
+	}
 	supply := supplyFor(now, w, fleet)
 	if supply.servers == 0 {
 		return refuse(outcome.CodeNoServer, noServerRetry, "no backend server for it", nil)
--- a/internal/decision/admission/supply.go
+++ b/internal/decision/admission/supply.go
@@ -29,7 +29,8 @@
 	var s supply
 	for i := range fleet.Servers {
 		server := &fleet.Servers[i]
-		if server.Serves(w) {
+		// What a server that names a limit takes has nothing to do with its places.
+		if server.Serves(w) && server.Rate == 0 {
 			s.add(now, w, server, float64(max(1, fleet.Entries)))
 		}
 	}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -98,9 +98,15 @@
 	// OthersFirst tells that another group of entries sends its work here first: what it has
 	// sent in the last moments is not known yet.
 	OthersFirst bool
-	// Usable is false while it leaves, changes, is drained or unconfirmed.
+	// Usable is false while it leaves, changes, is drained or unconfirmed, or is closed.
 	Usable bool
-	Slots  int
+	// Rate is how many requests a second it takes from all entries, by its own word; 0: any.
+	Rate float64
+	// Closed tells that only its own word keeps it from more work now, OpensIn how long it
+	// does, as far as is known.
+	Closed  bool
+	OpensIn time.Duration
+	Slots   int
 	// CountsOnly tells that Load holds no tokens: what waits there is reckoned
 	// from what this entry has sent and from OthersRunning and OthersWaiting, an
 	// estimate of other entries' requests there.
--- a/internal/decision/figure.go
+++ b/internal/decision/figure.go
@@ -35,8 +35,13 @@
 }
 
 // Serves tells whether the server can run the work at all, load left aside.
-func (s *Server) Serves(w *Work) bool {
-	if !s.Usable || s.Kind != w.Kind {
+func (s *Server) Serves(w *Work) bool { return s.Usable && s.can(w) }
+
+// ServesInTime tells whether it may run the work now or once it opens.
+func (s *Server) ServesInTime(w *Work) bool { return (s.Usable || s.Closed) && s.can(w) }
+
+func (s *Server) can(w *Work) bool {
+	if s.Kind != w.Kind {
 		return false
 	}
 	if w.Kind == declaration.KindPlain {
--- a/internal/decision/placement/home.go
+++ b/internal/decision/placement/home.go
@@ -34,15 +34,26 @@
 // a home is chosen is still a matter of cost: one with a longer queue than the
 // reading elsewhere takes is passed by. Parts that are too short to be told of have a home
 // in each group of entries: for them no prompt is worth a server that others send to first.
+// A server that takes few requests by its own word is the home of none while others are there:
+// its prompts would be read elsewhere whenever it is closed.
 func homesOf(w *decision.Work, fleet *decision.Fleet) homes {
 	if w.Shared == 0 || w.Shared > len(w.Prefix) {
 		return nil
 	}
+	serving := homesAmong(w, fleet, func(s *decision.Server) bool { return s.Rate == 0 && s.Serves(w) })
+	if len(serving) > 0 {
+		return serving
+	}
+	return homesAmong(w, fleet, func(s *decision.Server) bool { return s.ServesInTime(w) })
+}
+
+// homesAmong gives the homes among the servers that may be.
+func homesAmong(w *decision.Work, fleet *decision.Fleet, mayBe func(*decision.Server) bool) homes {
 	var prefill, whole [homesPerPrefix]home
 	key, ownOnly := w.Prefix[w.Shared-1], !decision.PartsTold(w)
 	for i := range fleet.Servers {
 		s := &fleet.Servers[i]
-		if !s.Serves(w) || ownOnly && s.OthersFirst {
+		if !mayBe(s) || ownOnly && s.OthersFirst {
 			continue
 		}
 		h := home{index: i, score: mix(key, xxhash.Sum64String(s.ID)) | 1}
--- a/internal/decision/placement/home_test.go
+++ b/internal/decision/placement/home_test.go
@@ -148,3 +148,33 @@
 		}
 	}
 }
+
+// Guards against shared parts that are kept at a server which takes few requests, and read
+// elsewhere whenever it is closed.
+func TestServerWithALimitIsNoHomeBesideOthers(t *testing.T) {
+	fleet := &decision.Fleet{Entries: 9}
+	for i := range 3 {
+		fleet.Servers = append(fleet.Servers, countingEngine(i, engineapi.RoleMixed))
+	}
+	for kind := range 20 {
+		w := sharedWork(1, kind)
+		home := homesOf(w, fleet)[0]
+		fleet.Servers[home].Rate = 5
+		for _, closed := range []bool{false, true} {
+			fleet.Servers[home].Usable, fleet.Servers[home].Closed = !closed, closed
+			if next := homesOf(w, fleet)[0]; next == home {
+				t.Errorf("kind %d is kept at a server with a limit, closed: %v", kind, closed)
+			}
+		}
+		fleet.Servers[home].Rate, fleet.Servers[home].Usable, fleet.Servers[home].Closed = 0, true, false
+	}
+	for i := range fleet.Servers {
+		fleet.Servers[i].Rate = 5
+	}
+	w := sharedWork(1, 1)
+	home := homesOf(w, fleet)[0]
+	fleet.Servers[home].Usable, fleet.Servers[home].Closed = false, true
+	if next := homesOf(w, fleet)[0]; next != home {
+		t.Errorf("where all have limits, a home moves from %d to %d when it is closed", home, next)
+	}
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -47,6 +47,9 @@
 	HeaderIncarnation = "X-Backend-Incarnation"
 	// HeaderLoad carries a Load as JSON on every answer.
 	HeaderLoad = "X-Backend-Load"
+	// HeaderRateLimit is how many requests a second the server takes from all entries together,
+	// a decimal number, on each answer for as long as it takes no more.
+	HeaderRateLimit = "X-Backend-Rate-Limit"
 	// HeaderNotStarted is "true" on an answer that says that the server did
 	// not start the request.
 	HeaderNotStarted = "X-Backend-Not-Started"
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -158,7 +158,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b EntryWeight) int {
-		return cmp.Or(cmp.Compare(score(b, key), score(a, key)), cmp.Compare(a.Name, b.Name))
+		return compareScore(a, b, key)
 	})
 	var first, rest []EntryWeight
 	seen := make(map[string]bool)
@@ -174,4 +174,9 @@
 	return all[:min(n, len(all))]
 }
 
+// compareScore orders entries by the hash of their name with the key, the highest first.
+func compareScore(a, b EntryWeight, key string) int {
+	return cmp.Or(cmp.Compare(score(b, key), score(a, key)), cmp.Compare(a.Name, b.Name))
+}
+
 func score(e EntryWeight, key string) uint64 { return xxhash.Sum64String(e.Name + "\x00" + key) }
--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if ev.Answered {
-		r.heardWord(s, ev.Word)
+		r.heardWord(s, ev.SentAt, ev.Word)
 	}
 	if ev.State != "" {
 		r.heard(s, ev.State, ev.Load, ev.HasLoad)
--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -25,6 +25,7 @@
 	}
 	q.work.Pace = r.speeds.paceOf(r.servers.sorted, &q.work)
 	r.extra.Arrived(r.now, ev.Work.Service)
+	r.miss(&q.work)
 	if ev.Attempt > 0 {
 		q.attempt = (ev.Attempt/attemptHop + 1) * attemptHop
 		q.engineAttempt = ev.Attempt
@@ -36,7 +37,7 @@
 		return
 	}
 	r.requests[id] = q
-	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil {
+	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil && s.wants.Limit.Take(r.now) {
 		r.dispatch(q, s, placement.Choice{Reason: "goes on where it runs"}, true)
 		return
 	}
@@ -72,7 +73,7 @@
 		return refuseFull(), nil
 	}
 	fleet := r.fleet(q)
-	if r.stale() && !anyServes(&fleet, &q.work) {
+	if r.stale() && !anyServesInTime(&fleet, &q.work) {
 		return refuseStale(), nil
 	}
 	return r.decide.admit(r.now, &q.work, &fleet)
@@ -81,3 +82,7 @@
 func anyServes(fleet *decision.Fleet, w *decision.Work) bool {
 	return slices.ContainsFunc(fleet.Servers, func(s decision.Server) bool { return s.Serves(w) })
 }
+
+func anyServesInTime(fleet *decision.Fleet, w *decision.Work) bool {
+	return slices.ContainsFunc(fleet.Servers, func(s decision.Server) bool { return s.ServesInTime(w) })
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -41,6 +41,11 @@
 		r.refuse(q, refuseRepeats())
 		return
 	}
+	if !r.pass(q, &choice) {
+		r.log(LogWait, q, choice.Server.ID, "the server takes no more now", nil)
+		r.waitAgain(q)
+		return
+	}
 	r.decide.picker.Sent(r.now, &q.work, choice)
 	if !r.cfg.BreakEnds {
 		r.decide.picker.Holds(r.now, choice.Server.ID, &q.work)
@@ -51,6 +56,7 @@
 func (r *Reducer) place(w *decision.Work) (placement.Choice, bool) {
 	q := r.requests[w.RequestID]
 	fleet := r.fleet(q)
+	r.seek(w)
 	return r.decide.picker.Pick(r.now, w, &fleet)
 }
 
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -102,6 +102,19 @@
 // AskSum asks the aggregator for the sum of backlogs.
 type AskSum struct{}
 
+// AskPermit asks the entry at an address for permits; it is answered by a PermitHeard or a
+// PermitSilent.
+type AskPermit struct {
+	Address, Server, Incarnation string
+	Request                      *pb.PermitRequest
+}
+
+// AnswerPermit answers a PermitAsked; without an answer the question can't be understood.
+type AnswerPermit struct {
+	Key    string
+	Answer *pb.PermitAnswer
+}
+
 // Publish makes a new snapshot visible to the traffic goroutines.
 type Publish struct{ Snapshot *Snapshot }
 
@@ -152,5 +165,7 @@
 func (ReportToPeers) isEffect() {}
 func (AnswerSum) isEffect()     {}
 func (AskSum) isEffect()        {}
+func (AskPermit) isEffect()     {}
+func (AnswerPermit) isEffect()  {}
 func (Publish) isEffect()       {}
 func (LogDecision) isEffect()   {}
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -51,6 +51,7 @@
 	q.here += ev.Tokens
 	q.got = 0
 	r.detach(q)
+	q.reserved = nil
 	r.decide.observe(r.now, s, ev)
 	r.settle(q, s, ev)
 	if r.report.urgent {
@@ -135,7 +136,7 @@
 // either, or the engine is gone, another engine goes on from the tokens so far.
 func (r *Reducer) goOn(q *request, s *server, ev AttemptEnded) {
 	gone := ev.ServerDied || ev.StreamUnknown || ev.AtPrefill || r.cfg.BreakEnds
-	if !gone && q.reconnects < maxReconnects {
+	if !gone && q.reconnects < maxReconnects && s.wants.Limit.Take(r.now) {
 		q.reconnects++
 		r.dispatch(q, s, placement.Choice{Reason: "fresh connection"}, true)
 		return
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -33,12 +33,29 @@
 	State   engineapi.State
 	Load    engineapi.Load
 	HasLoad bool
-	// Answered tells that this came with an answer to a request, and that Word is what the
-	// server said with it of the work that it wants.
+	// Answered tells that this came with an answer to a request that was sent at SentAt, and
+	// that Word is what the server said with it of the work that it wants.
 	Answered bool
+	SentAt   time.Duration
 	Word     backpressure.Word
 }
 
+// PermitAsked is another entry's question for permits; it is answered with an AnswerPermit of
+// the same key.
+type PermitAsked struct {
+	Key     string
+	Request *pb.PermitRequest
+}
+
+// PermitHeard is the answer to an AskPermit, PermitSilent tells that there was none.
+type PermitHeard struct {
+	Server, Incarnation string
+	Answer              *pb.PermitAnswer
+}
+
+// PermitSilent tells that the entry at an address gave no answer about that server in time.
+type PermitSilent struct{ Address, Server, Incarnation string }
+
 // ProbeFailed tells that a health probe got no answer.
 type ProbeFailed struct {
 	Server      string
@@ -176,6 +193,9 @@
 // AggregatorSilent tells that the aggregator at an address gave no answer in time.
 type AggregatorSilent struct{ Address string }
 
+func (PermitAsked) isEvent()      {}
+func (PermitHeard) isEvent()      {}
+func (PermitSilent) isEvent()     {}
 func (SumAsked) isEvent()         {}
 func (SumHeard) isEvent()         {}
 func (AggregatorSilent) isEvent() {}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -18,17 +18,20 @@
 // of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
 	if len(r.suspects.byKey) > 0 {
-		f := r.newFleet(func(s *server) bool { return r.suspects.apart(r, q, s) })
+		f := r.newFleet(q, func(s *server) bool { return r.suspects.apart(r, q, s) })
 		r.suspects.spread(r, q, &f)
 		return f
 	}
 	if len(q.tried) > 0 {
-		if f := r.newFleet(func(s *server) bool { return !slices.Contains(q.tried, s) }); anyServes(&f, &q.work) {
+		if f := r.newFleet(q, func(s *server) bool { return !slices.Contains(q.tried, s) }); anyServes(&f, &q.work) {
 			return f
 		}
 	}
+	if q.reserved != nil {
+		return r.newFleet(q, func(*server) bool { return true })
+	}
 	if r.sharedFleet == nil {
-		f := r.newFleet(func(*server) bool { return true })
+		f := r.newFleet(nil, func(*server) bool { return true })
 		r.sharedFleet = &f
 	}
 	return *r.sharedFleet
@@ -46,7 +49,13 @@
 	})
 }
 
-func (r *Reducer) newFleet(allowed func(*server) bool) decision.Fleet {
+// mayTake tells whether a request may go to the server, also by a permit that it holds; a nil
+// request holds none.
+func (r *Reducer) mayTake(q *request, s *server) bool {
+	return s.mayTakeWork(r.now, r.stale()) || q != nil && q.reserved == s && s.inUse(r.now, r.stale())
+}
+
+func (r *Reducer) newFleet(q *request, allowed func(*server) bool) decision.Fleet {
 	f := decision.Fleet{
 		DataCentre: r.cfg.Identity.DataCentre, Entries: max(1, len(r.view.entries)),
 		PartsReported: r.peers.known(r) >= mostPeers,
@@ -54,8 +63,12 @@
 	f.Servers = make([]decision.Server, 0, len(r.servers.sorted))
 	stale, deal := r.stale(), r.peers.group.dealer(r.now)
 	for _, s := range r.servers.sorted {
-		usable := s.mayTakeWork(r.now, stale) && allowed(s)
+		usable := r.mayTake(q, s) && allowed(s)
 		server := r.decisionServer(s, usable)
+		if s.wants.Bounded() {
+			server.Rate, server.OpensIn = s.wants.Limit.Rate(), s.wants.Limit.OpensIn(r.now)
+			server.Closed = !usable && s.inUse(r.now, stale) && allowed(s)
+		}
 		server.OthersFirst = deal.othersFirst(s.pb)
 		f.Servers = append(f.Servers, server)
 	}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -134,10 +133,7 @@
 // sortByHash sorts entries by the hash of their name with the key.
 func sortByHash(list []*pb.EntryIdentity, key string) {
 	slices.SortFunc(list, func(a, b *pb.EntryIdentity) int {
-		return cmp.Or(
-			cmp.Compare(score(EntryWeight{Name: b.GetName()}, key), score(EntryWeight{Name: a.GetName()}, key)),
-			cmp.Compare(a.GetName(), b.GetName()),
-		)
+		return compareScore(EntryWeight{Name: a.GetName()}, EntryWeight{Name: b.GetName()}, key)
 	})
 }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // sendCount counts what was sent to a server in the last seconds.
@@ -39,36 +42,99 @@
 	c.second = current
 }
 
-// heardWord takes what a server said with an answer of the work that it wants.
-func (r *Reducer) heardWord(s *server, word backpressure.Word) {
-	old := s.word
-	s.word = word
-	if word.Unclear != "" && word.Unclear != old.Unclear {
-		r.logLimit(s, "named a limit that can't be read", old.Rate)
+// heardWord takes what a server said of the work that it wants, with an answer to a request
+// that was sent at that time.
+func (r *Reducer) heardWord(s *server, sent time.Duration, word backpressure.Word) {
+	if word.Unclear != "" && word.Unclear != s.wants.Unclear {
+		r.logLimit(s, "named a limit that can't be read", s.wants.Limit.Rate())
+	}
+	s.wants.Unclear = word.Unclear
+	if word.Unclear != "" && word.Rate == 0 {
+		return
+	}
+	r.heardLimit(s, r.now, sent, word.Rate)
+}
+
+// heardLimit takes the limit of an answer that came at that time to a request sent at sent.
+func (r *Reducer) heardLimit(s *server, at, sent time.Duration, rate float64) bool {
+	before := s.wants.Limit.Rate()
+	if !s.wants.Limit.Hear(at, sent, rate) {
+		return false
 	}
-	switch {
-	case word.Rate == old.Rate:
-	case word.Rate == 0:
-		r.logLimit(s, "names no limit any more", old.Rate)
-	default:
-		r.logLimit(s, "names a limit", old.Rate)
+	s.limitIsNew, s.limitSent = true, sent
+	r.servers.limitNews, r.peers.sent = true, true
+	r.sharedFleet = nil
+	r.servers.findBounded()
+	reason := "names a limit"
+	if rate == 0 {
+		reason = "names no limit any more"
 	}
+	r.logLimit(s, reason, before)
+	return true
 }
 
 func (r *Reducer) logLimit(s *server, reason string, before float64) {
 	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: reason, Figures: append(
-		[]Figure{{Name: "limit_before", Value: before}, {Name: "limit_per_second", Value: s.word.Rate}},
+		[]Figure{{Name: "limit_before", Value: before}, {Name: "limit_per_second", Value: s.wants.Limit.Rate()}},
 		Figure{Name: "sent_last_seconds", Value: float64(s.sends.sum(r.now))},
 	)})
 }
 
 // limitFigures are those of a server that names a limit, none for others.
 func (r *Reducer) limitFigures(s *server) []Figure {
-	if s.word.Rate == 0 {
+	if !s.wants.Bounded() {
 		return nil
 	}
 	return []Figure{
-		{Name: "limit_per_second", Value: s.word.Rate},
+		{Name: "limit_per_second", Value: s.wants.Limit.Rate()},
 		{Name: "sent_last_seconds", Value: float64(s.sends.sum(r.now))},
 	}
 }
+
+// newLimits gives the limits that no report has told of yet. An entry that sends a server
+// little would hear of its limit late.
+func (r *Reducer) newLimits() []*pb.ServerWord {
+	if !r.servers.limitNews {
+		return nil
+	}
+	r.servers.limitNews = false
+	var list []*pb.ServerWord
+	for _, s := range r.servers.sorted {
+		if s.limitIsNew {
+			s.limitIsNew = false
+			list = append(list, r.limitProto(s))
+		}
+	}
+	return list
+}
+
+// allLimits gives all that are known.
+func (r *Reducer) allLimits() []*pb.ServerWord {
+	var list []*pb.ServerWord
+	for _, s := range r.servers.bounded {
+		list = append(list, r.limitProto(s))
+	}
+	return list
+}
+
+func (r *Reducer) limitProto(s *server) *pb.ServerWord {
+	l := &s.wants.Limit
+	return &pb.ServerWord{
+		Server: s.pb.Id, IncarnationHash: xxhash.Sum64String(s.pb.Incarnation), Rate: l.Rate(),
+		AgeMs: uint32((r.now - l.HeardAt()).Milliseconds()), SentAgeMs: uint32((r.now - s.limitSent).Milliseconds()),
+	}
+}
+
+// heardLimits takes limits that other entries heard. pass tells that others are to be told.
+func (r *Reducer) heardLimits(list []*pb.ServerWord, pass bool) {
+	for _, told := range list {
+		s := r.servers.lifeByHash(told.GetServer(), told.GetIncarnationHash())
+		if s == nil || told.GetRate() < 0 {
+			continue
+		}
+		at, sent := r.now-ageOf(told.GetAgeMs()), r.now-ageOf(told.GetSentAgeMs())
+		if r.heardLimit(s, at, sent, told.GetRate()) {
+			s.limitIsNew = pass
+		}
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -149,6 +149,7 @@
 	fromMember := p.group.aggregates && req.GetSummed() == 0
 	r.heardDied(req.GetDied(), fromMember)
 	r.heardAlive(req.GetAlive(), r.now, fromMember)
+	r.heardLimits(req.GetWords(), fromMember)
 	// What one aggregator tells another goes no further.
 	p.changed = p.changed || fromMember
 	if more := p.heard.Unread(req.GetEntry()) - before; fromMember && more > 0 && r.speeds.assumed.PrefillRate > 0 {
@@ -190,7 +191,7 @@
 	r.emit(ReportToPeers{Addresses: addresses, Request: &pb.PeerReport{
 		ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity.GetName(), Incarnation: r.cfg.Identity.GetIncarnation(),
 		Sequence: p.sequence, Servers: servers, Reads: p.reads, Summed: uint32(summed),
-		Alive: r.newWords(), Died: r.newDeaths(),
+		Alive: r.newWords(), Died: r.newDeaths(), Words: r.newLimits(),
 	}})
 	p.reported(r.now, len(servers) > 0)
 }
--- a/internal/entry/prefilled.go
+++ b/internal/entry/prefilled.go
@@ -26,7 +26,7 @@
 		return
 	}
 	s := r.decoder(q, planned)
-	if s == nil {
+	if s == nil || !r.passDecode(q, s) {
 		r.log(LogWait, q, planned.pb.Id, "prefilled, but no engine decodes it", nil)
 		q.arrivals.read = true
 		if !r.takeRepeat(q) {
@@ -63,7 +63,7 @@
 	if choice, ok := r.decide.picker.Pick(r.now, &w, &fleet); ok {
 		return r.servers.byID[choice.Server.ID]
 	}
-	if slices.Contains(r.servers.sorted, planned) && planned.mayTakeWork(r.now, r.stale()) {
+	if slices.Contains(r.servers.sorted, planned) && r.mayTake(q, planned) {
 		return planned
 	}
 	return nil
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -63,6 +63,7 @@
 	speeds   speeds
 	peers    peerBacklogs
 	suspects suspectTable
+	permits  permits
 	// held is accepted work that does not wait in the queue.
 	held []*request
 	// extra is nil where Config.Extra is.
@@ -102,6 +103,7 @@
 		speeds:   newSpeeds(cfg.Engines),
 		peers:    newPeerBacklogs(),
 		suspects: newSuspectTable(),
+		permits:  newPermits(),
 		report:   newReportBuffer(),
 		usage:    newUsageBook(cfg.Usage, cfg.Identity.GetName()),
 		extra:    admission.NewExtra(cfg.Extra),
@@ -153,9 +155,16 @@
 		r.sumHeard(ev)
 	case AggregatorSilent:
 		r.aggregatorSilent(ev)
+	case PermitAsked:
+		r.permitAsked(ev)
+	case PermitHeard:
+		r.permitHeard(ev)
+	case PermitSilent:
+		r.permitSilent(ev)
 	case Stop:
 		r.stop(ev)
 	}
+	r.askPermits()
 	r.reportToPeers()
 	r.publish()
 	r.tellLease()
@@ -184,6 +193,8 @@
 	r.pollCaches()
 	r.expireWaiting()
 	r.startWaiting()
+	r.refuseClosed()
+	r.expireSchedules()
 	r.refreshSum()
 	r.sendReport()
 	r.notePeers()
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -109,6 +109,11 @@
 	return unavailable(outcome.CodeOverloaded, "too much is being sent again to send this once more", soon)
 }
 
+// refuseClosed: the servers have said when they take more, or how much.
+func refuseClosed(after time.Duration) *outcome.Refusal {
+	return unavailable(outcome.CodeDeadline, "its servers take no more work until it is too late", after)
+}
+
 func refuseLate() *outcome.Refusal {
 	return unavailable(outcome.CodeDeadline, "it can't be answered before its deadline any more", later)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -43,6 +43,8 @@
 	// is the engine that prefills for it, if another one does.
 	server  *server
 	prefill *server
+	// reserved is the server whose permit the request holds to decode there.
+	reserved *server
 	// unread is how many tokens the prefiller has to read, before how many it was
 	// thought to read before them; reading is set until it has shown how long that took.
 	unread  int
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -56,9 +56,16 @@
 	slowness speed.Factor
 	// slow is set while it was last logged as slower than others.
 	slow bool
-	// word is what it last said of the work that it wants, sends what it was sent lately.
-	word  backpressure.Word
+	// wants is what it has said of the work that it wants, sends what it was sent lately.
+	wants *backpressure.State
 	sends sendCount
+	// sought counts the requests of this step for which it was closed, missed those that came
+	// since permits were last asked for.
+	sought, missed int
+	// limitIsNew is set while no other entry was told of its limit, limitSent when the request
+	// was sent that brought it.
+	limitIsNew bool
+	limitSent  time.Duration
 }
 
 type sentWork struct {
@@ -96,6 +103,11 @@
 	usual map[roleKey]*decision.Usual
 	// early keeps the own word of servers that the view does not name yet.
 	early map[string]engineapi.Announcement
+	// bounded are those that take less than they have places for, in order of id.
+	bounded []*server
+	// limitNews is set while other entries are to be told of a limit.
+	limitNews bool
+	lives     livesEnded
 }
 
 func newServerTable() serverTable {
@@ -110,10 +122,12 @@
 	var over []string
 	if resp.Full {
 		t.byID = make(map[string]*server, len(resp.Servers))
+		t.keepEnded(old)
 	}
 	for _, p := range resp.Servers {
 		s := old[p.Id]
 		if s == nil || s.pb.Incarnation != p.Incarnation {
+			t.lives.keep(s)
 			s = t.newServer(p, now)
 			over = append(over, p.Id)
 		}
@@ -121,6 +135,7 @@
 		t.byID[p.Id] = s
 	}
 	for _, id := range resp.RemovedServers {
+		t.lives.keep(t.byID[id])
 		delete(t.byID, id)
 		over = append(over, id)
 	}
@@ -129,7 +144,7 @@
 }
 
 func (t *serverTable) newServer(p *pb.BackendServer, now time.Duration) *server {
-	s := &server{pb: p, usualOfRole: t.usualOf(p)}
+	s := &server{pb: p, usualOfRole: t.usualOf(p), wants: t.lives.take(p.Incarnation)}
 	if a, ok := t.early[p.Id]; ok && a.Incarnation == p.Incarnation {
 		s.hear(a.State, now)
 		s.setLoad(a.Load, now)
@@ -144,6 +159,17 @@
 		t.sorted = append(t.sorted, s)
 	}
 	slices.SortFunc(t.sorted, func(a, b *server) int { return cmp.Compare(a.pb.Id, b.pb.Id) })
+	t.findBounded()
+}
+
+// findBounded lists anew the servers that take less than they have places for.
+func (t *serverTable) findBounded() {
+	t.bounded = t.bounded[:0]
+	for _, s := range t.sorted {
+		if s.wants.Bounded() {
+			t.bounded = append(t.bounded, s)
+		}
+	}
 }
 
 // life gives the server if that incarnation is the one in force, else nil.
@@ -205,13 +231,18 @@
 	s.coolUntil = now + cooling
 }
 
-// mayTakeWork tells whether new work may go to the server.
+// mayTakeWork tells whether new work may go to the server: it is in use, and wants more.
+func (s *server) mayTakeWork(now time.Duration, stale bool) bool {
+	return s.inUse(now, stale) && s.wants.Limit.Open(now)
+}
+
+// inUse tells whether new work may go to the server, as far as it wants any.
 //
 // Two independent words say that a server leaves: the view's and its own. After
 // either nothing more is sent. A view whose lease has run out may hide that a
 // server leaves (the entry may be cut off from control), so that then only a
 // server counts that has said within confirmFor that it serves.
-func (s *server) mayTakeWork(now time.Duration, stale bool) bool {
+func (s *server) inUse(now time.Duration, stale bool) bool {
 	if s.leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
 		return false
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -121,7 +121,11 @@
 	case entry.ReportToPeers:
 		h.peerReports.sendAll(e)
 	case entry.AnswerSum:
-		h.peerReports.answer(e)
+		h.peerReports.questions.answer(e.Key, e.Sum)
+	case entry.AnswerPermit:
+		h.peerReports.permits.answer(e.Key, e.Answer)
+	case entry.AskPermit:
+		h.Spawn(func() { h.peerReports.askPermit(e) })
 	case entry.AskSum:
 		h.Spawn(func() { h.RefreshPeers(h.Background) })
 	default:
--- a/internal/host/peer_reports.go
+++ b/internal/host/peer_reports.go
@@ -23,8 +23,9 @@
 	mu      sync.Mutex
 	clients map[string]*peerClient
 	sums    sumSource
-	// questions are the others' that wait for the reducer's answer, by key.
-	questions map[string]chan *pb.PeerSum
+	// questions are the others' for sums, permits those for permits.
+	questions questions[pb.PeerSum]
+	permits   questions[pb.PermitAnswer]
 }
 
 // peerClient calls one other entry, one call at a time: a report for an entry that is slow
@@ -38,7 +39,6 @@
 func newPeerReports(h *Host) *peerReports {
 	return &peerReports{
 		host: h, http: h.Auth.Client(), clients: make(map[string]*peerClient),
-		questions: make(map[string]chan *pb.PeerSum),
 	}
 }
 
--- a/internal/host/peer_sums.go
+++ b/internal/host/peer_sums.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/twitchtv/twirp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
@@ -104,42 +103,7 @@
 	if req.GetEntry() == "" {
 		return nil, twirp.RequiredArgumentError("entry")
 	}
-	key, answered := b.open()
-	defer b.close(key)
-	b.host.Post(entry.SumAsked{Key: key, Request: req})
-	select {
-	case sum := <-answered:
-		if sum == nil {
-			return nil, twirp.Unavailable.Error("not an aggregator")
-		}
-		return sum, nil
-	case <-ctx.Done():
-		return nil, twirp.DeadlineExceeded.Error("no answer in time")
-	case <-b.host.loop.stopped:
-		return nil, twirp.Unavailable.Error("the entry stops")
-	}
-}
-
-// open gives the key of a question and where its answer comes.
-func (b *peerReports) open() (string, <-chan *pb.PeerSum) {
-	key, answered := uuid.NewString(), make(chan *pb.PeerSum, 1)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.questions[key] = answered
-	return key, answered
-}
-
-func (b *peerReports) close(key string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.questions, key)
-}
-
-// answer hands the reducer's answer to the one who asked, if it still waits.
-func (b *peerReports) answer(e entry.AnswerSum) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if answered := b.questions[e.Key]; answered != nil {
-		answered <- e.Sum
-	}
+	return b.questions.put(ctx, b.host.loop.stopped, func(key string) {
+		b.host.Post(entry.SumAsked{Key: key, Request: req})
+	})
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -264,6 +264,7 @@
 	if cache == nil {
 		attempt.Fetch = d.FetchAddress
 	}
+	sent := clock.Boot()
 	a, err := j.s.backend.Send(ctx, attempt)
 	if err != nil {
 		j.free(cache)
@@ -271,7 +272,7 @@
 	}
 	defer a.Body.Close()
 	j.log.status = a.Head.Status
-	j.heard(d.Server, d.Incarnation, a.Said)
+	j.heard(d.Server, d.Incarnation, sent, a.Said)
 	success := a.Head.Status >= http.StatusOK && a.Head.Status < http.StatusMultipleChoices
 	switch {
 	case a.Said.NotRun:
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 )
@@ -22,8 +23,11 @@
 	}
 	reading := j.attemptAt(d.PrefillAddress, d.PrefillIncarnation)
 	reading.Fetch = d.FetchAddress
+	sent := clock.Boot()
 	cache, said, err := j.s.backend.Prefill(ctx, reading)
-	j.heard(d.PrefillServer, d.PrefillIncarnation, said)
+	if err == nil {
+		j.heard(d.PrefillServer, d.PrefillIncarnation, sent, said)
+	}
 	if cache == nil {
 		j.log.notPrefilled(*d, err)
 		ended.AtPrefill, ended.ServerDied = true, said.OtherLife
@@ -60,11 +64,11 @@
 }
 
 // heard passes on what a server told of itself.
-func (j *job) heard(server, incarnation string, said Said) {
+func (j *job) heard(server, incarnation string, sent time.Duration, said Said) {
 	if said.OtherLife {
 		return
 	}
-	heard := entry.ServerSaid{Server: server, Incarnation: incarnation, Answered: true, Word: said.Word}
+	heard := entry.ServerSaid{Server: server, Incarnation: incarnation, Answered: true, SentAt: sent, Word: said.Word}
 	if said.HasLoad {
 		heard.State, heard.HasLoad = engineapi.StateServing, true
 		heard.Load = engineapi.Load{Running: uint32(said.Running), Queued: uint32(said.Queued)}
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -85,10 +86,15 @@
 	load        engineapi.Load
 	hasLoad     bool
 	notStarted  bool
+	// word is what it says of the work that it wants, sentAt when the request was sent that
+	// it answers.
+	word   backpressure.Word
+	sentAt time.Duration
 }
 
-func readSaid(h *fasthttp.ResponseHeader) said {
+func readSaid(h *fasthttp.ResponseHeader, sentAt time.Duration) said {
 	s := said{
+		sentAt:      sentAt,
 		state:       engineapi.State(h.Peek(engineapi.HeaderState)),
 		incarnation: string(h.Peek(engineapi.HeaderIncarnation)),
 		notStarted:  string(h.Peek(engineapi.HeaderNotStarted)) == "true",
@@ -96,6 +102,9 @@
 	if data := h.Peek(engineapi.HeaderLoad); len(data) > 0 {
 		s.hasLoad = json.Unmarshal(data, &s.load) == nil
 	}
+	for _, limit := range h.PeekAll(engineapi.HeaderRateLimit) {
+		s.word.ReadRate(string(limit))
+	}
 	return s
 }
 
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -201,10 +201,11 @@
 	if timeout <= 0 {
 		return nil, httpconn.NotSent.New("no time is left")
 	}
+	sent := clock.Boot()
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return nil, httpconn.Classify(err)
 	}
-	word := readSaid(&resp.Header)
+	word := readSaid(&resp.Header, sent)
 	j.s.heard(d.Server, d.Incarnation, word)
 	if !echoes(&resp.Header, j.wireID, d.Attempt) {
 		return nil, httpconn.Mixed.New("the answer is to another request")
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -130,5 +130,6 @@
 	}
 	s.host.Post(entry.ServerSaid{
 		Server: server, Incarnation: incarnation, State: word.state, Load: word.load, HasLoad: word.hasLoad,
+		Answered: true, SentAt: word.sentAt, Word: word.word,
 	})
 }
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -108,12 +109,13 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
+	sent := clock.Boot()
 	if err := client.Do(req, resp); err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, httpconn.Classify(err)
 	}
 	s := &engineStream{
-		resp: resp, status: resp.StatusCode(), said: readSaid(&resp.Header), wireID: wireID, attempt: attempt,
+		resp: resp, status: resp.StatusCode(), said: readSaid(&resp.Header, sent), wireID: wireID, attempt: attempt,
 	}
 	if body := resp.BodyStream(); body != nil {
 		s.reader = bufio.NewReader(body)
