Say in lines which servers ask for rest, and for how long

Whether an entry heard that a server wants nothing for some seconds, or lost it, could not be told from lines. What is no number gets a line and asks for none. Nothing is decided on it yet.

--- a/internal/decision/backpressure/word.go
+++ b/internal/decision/backpressure/word.go
@@ -6,12 +6,15 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Word is what a server says with one answer of the work that it wants.
 type Word struct {
 	// Rate is how many requests a second it takes from all entries together; 0: any.
 	Rate float64
+	// Rest is how long it wants nothing from this entry; 0: it has not asked for rest.
+	Rest time.Duration
 	// Unclear is a part of the word that could not be read; empty for none.
 	Unclear string
 }
@@ -20,14 +23,40 @@
 // could never say that it takes requests again.
 const minRate = 0.1
 
+// maxRest bounds how long a server is left alone at its word.
+const maxRest = 24 * time.Hour
+
+// ReadRest reads for how many seconds a server that turns a request away wants no others. Of
+// several times the longest counts. What is no number, or below zero, is unclear and asks for none.
+func (w *Word) ReadRest(values ...string) {
+	for _, list := range values {
+		for value := range strings.SplitSeq(list, ",") {
+			secs, ok := w.number(value)
+			if !ok {
+				continue
+			}
+			w.Rest = max(w.Rest, time.Duration(min(secs, maxRest.Seconds())*float64(time.Second)))
+		}
+	}
+}
+
+// number reads a number of zero or more; one that can't be read is noted.
+func (w *Word) number(value string) (float64, bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
+		w.Unclear = value
+		return 0, false
+	}
+	return n, true
+}
+
 // ReadRate reads the rates that a server names, in requests a second. Of several the least
 // counts. What is no number, or below zero, is unclear and names none.
 func (w *Word) ReadRate(values ...string) {
 	for _, list := range values {
 		for value := range strings.SplitSeq(list, ",") {
-			rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-			if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
-				w.Unclear = value
+			rate, ok := w.number(value)
+			if !ok {
 				continue
 			}
 			if rate = max(rate, minRate); w.Rate == 0 || rate < w.Rate {
--- a/internal/decision/backpressure/word_test.go
+++ b/internal/decision/backpressure/word_test.go
@@ -1,6 +1,9 @@
 package backpressure
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A limit that can't be read must neither stop a server's work nor pass in silence.
 func TestRatesAreReadWithADefinedMeaning(t *testing.T) {
@@ -31,3 +34,29 @@
 		}
 	}
 }
+
+// Guards against a time of rest that is cut short, or that an unreadable value makes endless.
+func TestRestsAreReadWithADefinedMeaning(t *testing.T) {
+	for _, c := range []struct {
+		values  []string
+		rest    time.Duration
+		unclear string
+	}{
+		{nil, 0, ""},
+		{[]string{"3"}, 3 * time.Second, ""},
+		{[]string{"0.25"}, 250 * time.Millisecond, ""},
+		{[]string{"3600"}, time.Hour, ""},
+		{[]string{"0"}, 0, ""},
+		{[]string{"2", "5"}, 5 * time.Second, ""},
+		{[]string{"1e300"}, maxRest, ""},
+		{[]string{"-1"}, 0, "-1"},
+		{[]string{"soon"}, 0, "soon"},
+		{[]string{"2", "soon"}, 2 * time.Second, "soon"},
+	} {
+		var w Word
+		w.ReadRest(c.values...)
+		if w.Rest != c.rest || w.Unclear != c.unclear {
+			t.Errorf("%q: rest %v, unclear %q; want %v, %q", c.values, w.Rest, w.Unclear, c.rest, c.unclear)
+		}
+	}
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -46,7 +46,10 @@
 // that was sent at that time.
 func (r *Reducer) heardWord(s *server, sent time.Duration, word backpressure.Word) {
 	if word.Unclear != "" && word.Unclear != s.wants.Unclear {
-		r.logLimit(s, "named a limit that can't be read", s.wants.Limit.Rate())
+		r.logLimit(s, "said what can't be read of the work that it wants", s.wants.Limit.Rate())
+	}
+	if word.Rest > 0 {
+		r.logRest(s, word.Rest)
 	}
 	s.wants.Unclear = word.Unclear
 	if word.Unclear != "" && word.Rate == 0 {
@@ -80,6 +83,13 @@
 	)})
 }
 
+func (r *Reducer) logRest(s *server, rest time.Duration) {
+	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: "asks for rest", Figures: []Figure{
+		{Name: "rest_seconds", Value: rest.Seconds()},
+		{Name: "sent_last_seconds", Value: float64(s.sends.sum(r.now))},
+	}})
+}
+
 // limitFigures are those of a server that names a limit, none for others.
 func (r *Reducer) limitFigures(s *server) []Figure {
 	if !s.wants.Bounded() {
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -105,6 +105,11 @@
 	for _, limit := range h.PeekAll(engineapi.HeaderRateLimit) {
 		s.word.ReadRate(string(limit))
 	}
+	if status := h.StatusCode(); status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
+		for _, rest := range h.PeekAll(outcome.HeaderRetryAfter) {
+			s.word.ReadRest(string(rest))
+		}
+	}
 	return s
 }
 
