Do not let engines that only read prompts hold work for engines in need

Only servers that can run the work count now, and it is refused as it comes.

TestEnginesThatOnlyReadOpenNothing: one request waited 2.915 s before, under 1 s now.

--- a/internal/decision/admission/closed.go
+++ b/internal/decision/admission/closed.go
@@ -6,6 +6,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/queue"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -30,13 +31,14 @@
 	opensIn time.Duration
 }
 
-// boundedFor adds them up; none where a server takes any work.
+// boundedFor adds them up; none where a server takes any work. Engines that only read prompts
+// run none by themselves: work waits for those that decode.
 func boundedFor(w *decision.Work, fleet *decision.Fleet) bounded {
 	var b bounded
 	for i := range fleet.Servers {
 		s := &fleet.Servers[i]
 		switch {
-		case !s.ServesInTime(w):
+		case !s.ServesInTime(w), s.Role == engineapi.RolePrefill:
 		case s.Rate == 0 && s.Usable:
 			return bounded{}
 		default:
--- a/internal/entry/crowd_test.go
+++ b/internal/entry/crowd_test.go
@@ -36,6 +36,8 @@
 	told    map[string]map[string]time.Duration
 	refused []refusal
 	whole   int
+	// longest is the longest that a caller waited for its final answer.
+	longest time.Duration
 	sent    int
 	// change puts what is asked in place of a usual request.
 	change func(*Arrived)
@@ -105,6 +107,7 @@
 		c.run(w, e.RequestID, e.Attempt, e.Server)
 	case Finish:
 		c.whole++
+		c.longest = max(c.longest, c.waited(e.RequestID))
 	case Refuse:
 		c.refuse(w, e)
 	case AskPermit:
@@ -150,10 +153,19 @@
 	})
 }
 
-func (c *crowd) refuse(_ *world, e Refuse) {
+// waited is how long a request has been under way.
+func (c *crowd) waited(id string) time.Duration {
 	var began time.Duration
-	_, _ = fmt.Sscanf(e.RequestID, "r%d", &began)
-	c.refused = append(c.refused, refusal{c.now, c.now - began, e.Refusal.RetryAfter, e.Refusal.Message})
+	if _, err := fmt.Sscanf(id, "r%d", &began); err != nil {
+		c.t.Fatalf("%s: %v", id, err)
+	}
+	return c.now - began
+}
+
+func (c *crowd) refuse(_ *world, e Refuse) {
+	took := c.waited(e.RequestID)
+	c.longest = max(c.longest, took)
+	c.refused = append(c.refused, refusal{c.now, took, e.Refusal.RetryAfter, e.Refusal.Message})
 }
 
 // ask brings a question for permits to its entry and the answer back.
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Guards against work that waits, unheard, for engines in need because others, which only read
+// prompts, are free.
+func TestEnginesThatOnlyReadOpenNothing(t *testing.T) {
+	c := newCrowd(t, 6, prefillers(2, 2), func(server string) backpressure.Word {
+		if server == "engine-0" || server == "engine-1" {
+			return backpressure.Word{Rate: 2}
+		}
+		return backpressure.Word{}
+	})
+	c.play(9*second, 60)
+	if len(c.refused) == 0 || c.longest > second {
+		t.Errorf("%d refused; one request waited %v", len(c.refused), c.longest)
+	}
+}
+
 // limited tells an entry of a limit by an answer.
 func (w *world) limited(i int, sent time.Duration, rate float64) {
 	w.step(ServerSaid{
