Leave a server alone for as long as it asks for rest

Cause: the time that came with its 503 was dropped; after 0.1 s it looked idle by its load and got more than the others, prompts were read elsewhere for it, and each request was turned away by three such servers within 10 ms. Class: what a server says in its answers does not reach the decisions, as with its limit.

The rest is kept by the entry that heard it for that life of the server, whatever is sent: what waits, comes back from reading, is sent once more or goes on. A load or heartbeat that comes with it or later, a shorter rest and another view do not end it; its time or a new life does. Nothing probes the server meanwhile. A request that waits for its connection is looked at once more before it is sent. Where all servers of a request rest, it is refused at once with when the first opens, unless it can wait for that and be on time.

--- a/internal/decision/admission/closed.go
+++ b/internal/decision/admission/closed.go
@@ -56,9 +56,9 @@
 // until it can't be finished, other work while it can be on time. More that waits on would be
 // late, and make what comes next late.
 func startBy(w *decision.Work) time.Duration {
-	by := w.FirstTokenBy
-	if w.Class == declaration.ClassBulk {
-		by = w.FinishBy
+	by := w.FinishBy
+	if w.Class != declaration.ClassBulk {
+		by = min(by, w.FirstTokenBy)
 	}
 	if rate := w.Pace.PrefillRate; rate > 0 {
 		by -= seconds(float64(w.PromptTokens) / rate)
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -69,6 +69,14 @@
 			s.Drained[server.pb.Id] = true
 		}
 	}
+	for _, server := range r.servers.bounded {
+		if server.wants.Resting(r.now) {
+			if s.Closed == nil {
+				s.Closed = make(map[string]time.Duration)
+			}
+			s.Closed[server.pb.Incarnation] = server.wants.RestUntil()
+		}
+	}
 	r.emit(Publish{Snapshot: s})
 }
 
--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -21,7 +21,7 @@
 	q := &request{
 		work: ev.Work, repeat: ev.Repeat, caller: callerOf(&ev), fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
 		attempt: ev.Attempt, done: ev.Offset, waitsSince: r.now,
-		maxRuns: ev.MaxRuns, endsInTime: ev.EndsInTime,
+		maxRuns: ev.MaxRuns, endsInTime: ev.EndsInTime, aim: ev.Work.FirstTokenBy,
 	}
 	q.work.Pace = r.speeds.paceOf(r.servers.sorted, &q.work)
 	r.extra.Arrived(r.now, ev.Work.Service)
@@ -37,7 +37,7 @@
 		return
 	}
 	r.requests[id] = q
-	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil && s.wants.Limit.Take(r.now) {
+	if s := r.servers.life(ev.Server, ev.Incarnation); s != nil && s.wants.Take(r.now) {
 		r.dispatch(q, s, placement.Choice{Reason: "goes on where it runs"}, true)
 		return
 	}
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -85,6 +85,7 @@
 		r.refuse(q, refuseTimeout(q))
 	case q.endsInTime && !r.anyLeft(q):
 		r.refuse(q, refuseNoServer())
+	case q.endsInTime && ev.Outcome == outcome.NotRun && r.refuseIfClosed(q):
 	case q.endsInTime && q.unrun >= maxUnrun:
 		r.refuse(q, refuseNotTaken())
 	case r.quarantined(q):
@@ -136,7 +137,7 @@
 // either, or the engine is gone, another engine goes on from the tokens so far.
 func (r *Reducer) goOn(q *request, s *server, ev AttemptEnded) {
 	gone := ev.ServerDied || ev.StreamUnknown || ev.AtPrefill || r.cfg.BreakEnds
-	if !gone && q.reconnects < maxReconnects && s.wants.Limit.Take(r.now) {
+	if !gone && q.reconnects < maxReconnects && s.wants.Take(r.now) {
 		q.reconnects++
 		r.dispatch(q, s, placement.Choice{Reason: "fresh connection"}, true)
 		return
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -52,7 +52,8 @@
 // mayTake tells whether a request may go to the server, also by a permit that it holds; a nil
 // request holds none.
 func (r *Reducer) mayTake(q *request, s *server) bool {
-	return s.mayTakeWork(r.now, r.stale()) || q != nil && q.reserved == s && s.inUse(r.now, r.stale())
+	return s.mayTakeWork(r.now, r.stale()) ||
+		q != nil && q.reserved == s && s.inUse(r.now, r.stale()) && !s.wants.Resting(r.now)
 }
 
 func (r *Reducer) newFleet(q *request, allowed func(*server) bool) decision.Fleet {
@@ -65,8 +66,8 @@
 	for _, s := range r.servers.sorted {
 		usable := r.mayTake(q, s) && allowed(s)
 		server := r.decisionServer(s, usable)
-		if s.wants.Bounded() {
-			server.Rate, server.OpensIn = s.wants.Limit.Rate(), s.wants.Limit.OpensIn(r.now)
+		if s.wants.Bounded(r.now) {
+			server.Rate, server.OpensIn = s.wants.Limit.Rate(), s.wants.OpensIn(r.now)
 			server.Closed = !usable && s.inUse(r.now, stale) && allowed(s)
 		}
 		server.OthersFirst = deal.othersFirst(s.pb)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -49,7 +49,7 @@
 		r.logLimit(s, "said what can't be read of the work that it wants", s.wants.Limit.Rate())
 	}
 	if word.Rest > 0 {
-		r.logRest(s, word.Rest)
+		r.heardRest(s, word.Rest)
 	}
 	s.wants.Unclear = word.Unclear
 	if word.Unclear != "" && word.Rate == 0 {
@@ -67,7 +67,7 @@
 	s.limitIsNew, s.limitSent = true, sent
 	r.servers.limitNews, r.peers.sent = true, true
 	r.sharedFleet = nil
-	r.servers.findBounded()
+	r.servers.findBounded(r.now)
 	reason := "names a limit"
 	if rate == 0 {
 		reason = "names no limit any more"
@@ -83,6 +83,21 @@
 	)})
 }
 
+// heardRest leaves a server alone for as long as it asks for.
+func (r *Reducer) heardRest(s *server, rest time.Duration) {
+	s.wants.Rest(r.now, rest)
+	r.sharedFleet, r.dirty = nil, true
+	r.servers.findBounded(r.now)
+	r.logRest(s, rest)
+}
+
+// passRests forgets the rests that are over.
+func (r *Reducer) passRests() {
+	if len(r.servers.bounded) > 0 {
+		r.servers.findBounded(r.now)
+	}
+}
+
 func (r *Reducer) logRest(s *server, rest time.Duration) {
 	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: "asks for rest", Figures: []Figure{
 		{Name: "rest_seconds", Value: rest.Seconds()},
@@ -92,7 +107,7 @@
 
 // limitFigures are those of a server that names a limit, none for others.
 func (r *Reducer) limitFigures(s *server) []Figure {
-	if !s.wants.Bounded() {
+	if s.wants.Limit.Rate() == 0 {
 		return nil
 	}
 	return []Figure{
@@ -122,7 +137,9 @@
 func (r *Reducer) allLimits() []*pb.ServerWord {
 	var list []*pb.ServerWord
 	for _, s := range r.servers.bounded {
-		list = append(list, r.limitProto(s))
+		if s.wants.Limit.Rate() > 0 {
+			list = append(list, r.limitProto(s))
+		}
 	}
 	return list
 }
--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -192,7 +192,7 @@
 	g := &r.peers.group
 	own := deal.groupOf(s.pb) == deal.own
 	switch {
-	case s.leaving:
+	case s.leaving, s.wants.Resting(r.now):
 		return false
 	case s.failures > 0:
 		return true
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -90,7 +90,7 @@
 // closedFor calls f for each server that could run the work, were it not closed.
 func (r *Reducer) closedFor(w *decision.Work, f func(*server)) {
 	for _, s := range r.servers.bounded {
-		if s.wants.Limit.Open(r.now) || !s.inUse(r.now, r.stale()) {
+		if s.wants.Limit.Open(r.now) || s.wants.Resting(r.now) || !s.inUse(r.now, r.stale()) {
 			continue
 		}
 		if d := r.decisionServer(s, true); d.Serves(w) {
@@ -106,7 +106,7 @@
 		if s.sought > 0 && s.wants.Limit.Wants(r.now) {
 			r.askPermit(s, min(max(s.sought, s.missed), maxSought(s.wants.Limit.Rate())))
 			s.missed = 0
-			opened = opened || s.wants.Limit.Open(r.now)
+			opened = opened || s.wants.Open(r.now)
 		}
 		s.sought = 0
 	}
@@ -205,20 +205,23 @@
 func (r *Reducer) pass(q *request, choice *placement.Choice) bool {
 	first := r.servers.byID[choice.Server.ID]
 	if choice.Prefill != nil {
-		if !first.wants.Limit.Take(r.now) {
+		if !first.wants.Take(r.now) {
 			return false
 		}
 		q.reserved = first
 		first = r.servers.byID[choice.Prefill.ID]
 	}
-	return first.wants.Limit.Take(r.now)
+	return first.wants.Take(r.now)
 }
 
 // passDecode takes the permit of the server that decodes a request; false if there is none.
 func (r *Reducer) passDecode(q *request, s *server) bool {
 	reserved := q.reserved == s
 	q.reserved = nil
-	return reserved || s.wants.Limit.Take(r.now)
+	if reserved {
+		return !s.wants.Resting(r.now)
+	}
+	return s.wants.Take(r.now)
 }
 
 // refuseClosed refuses what waits for servers that take no more work until it is too late.
@@ -228,12 +231,22 @@
 	}
 	for _, id := range sortedKeys(r.requests) {
 		q := r.requests[id]
-		if q.server != nil || q.work.Resumed {
-			continue
-		}
-		fleet := r.fleet(q)
-		if after, closed := admission.ClosedTooLong(r.now, &q.work, &fleet); closed {
-			r.refuse(q, refuseClosed(after))
+		if q.server == nil {
+			r.refuseIfClosed(q)
 		}
 	}
 }
+
+// refuseIfClosed refuses a request whose servers take no more work until it is too late.
+func (r *Reducer) refuseIfClosed(q *request) bool {
+	if len(r.servers.bounded) == 0 || q.work.Resumed {
+		return false
+	}
+	fleet, w := r.fleet(q), q.work
+	w.FirstTokenBy = q.aim
+	after, closed := admission.ClosedTooLong(r.now, &w, &fleet)
+	if closed {
+		r.refuse(q, refuseClosed(after))
+	}
+	return closed
+}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -188,6 +188,7 @@
 	for _, s := range r.servers.sorted {
 		s.forgetSent(r.now - sentFor)
 	}
+	r.passRests()
 	r.noteUnsure()
 	r.probe()
 	r.pollCaches()
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,8 @@
 	unrun int
 	// tried are the servers that have failed it.
 	tried []*server
+	// aim is when its answer was to begin when it came.
+	aim time.Duration
 	// endsInTime: the final answer is due at work.FinishBy.
 	endsInTime bool
 	// server is where the attempt runs; nil while the request waits. prefill
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -140,6 +140,7 @@
 		over = append(over, id)
 	}
 	t.sort()
+	t.findBounded(now)
 	return over
 }
 
@@ -159,14 +160,13 @@
 		t.sorted = append(t.sorted, s)
 	}
 	slices.SortFunc(t.sorted, func(a, b *server) int { return cmp.Compare(a.pb.Id, b.pb.Id) })
-	t.findBounded()
 }
 
 // findBounded lists anew the servers that take less than they have places for.
-func (t *serverTable) findBounded() {
+func (t *serverTable) findBounded(now time.Duration) {
 	t.bounded = t.bounded[:0]
 	for _, s := range t.sorted {
-		if s.wants.Bounded() {
+		if s.wants.Bounded(now) {
 			t.bounded = append(t.bounded, s)
 		}
 	}
@@ -233,7 +233,7 @@
 
 // mayTakeWork tells whether new work may go to the server: it is in use, and wants more.
 func (s *server) mayTakeWork(now time.Duration, stale bool) bool {
-	return s.inUse(now, stale) && s.wants.Limit.Open(now)
+	return s.inUse(now, stale) && s.wants.Open(now)
 }
 
 // inUse tells whether new work may go to the server, as far as it wants any.
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -21,6 +21,8 @@
 	Drained map[string]bool
 	// Servers is how many backend servers the view names.
 	Servers int
+	// Closed has until when lives of servers that were sent to want nothing, since boot.
+	Closed map[string]time.Duration
 	// Control lists the control replicas that the view names.
 	Control []string
 	Leaving bool
@@ -36,5 +38,8 @@
 	Load float64
 }
 
+// Wanted tells whether a life of a server wants requests at that time.
+func (s *Snapshot) Wanted(life string, now time.Duration) bool { return now >= s.Closed[life] }
+
 // Ready tells whether the entry has a declaration to serve by.
 func (s *Snapshot) Ready() bool { return s.Declaration != nil }
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -72,6 +72,9 @@
 	Fresh bool
 	// MaxConns bounds the open connections to the address; 0: no bound.
 	MaxConns int
+	// Wanted is asked once there is a connection; if it tells that the server wants the
+	// request no more, none is sent. nil: it does.
+	Wanted func() bool
 	// Mine tells whether an answer is to this request. A server may send a second
 	// answer to an earlier request where the answer to this one is due.
 	Mine func(*fasthttp.ResponseHeader) bool
@@ -94,6 +97,10 @@
 	if err != nil {
 		return nil, Classify(err)
 	}
+	if call.Wanted != nil && !call.Wanted() {
+		c.keep(cn)
+		return nil, NotSent.New("the server wants no more requests")
+	}
 	a := &Answer{client: c, conn: cn}
 	a.unwatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := a.exchange(call); err != nil {
--- a/internal/httpconn/client_test.go
+++ b/internal/httpconn/client_test.go
@@ -279,3 +279,33 @@
 		t.Fatal("the server's connection is still open")
 	}
 }
+
+// Guards against a request that waits for its connection while the server asks for rest, and
+// reaches it all the same.
+func TestNothingIsSentToAServerThatWantsNoMore(t *testing.T) {
+	var got atomic.Int32
+	p := newPeer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+		got.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	c := New()
+	send := func(wanted bool) error {
+		req := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+		req.SetRequestURI("/")
+		req.Header.SetHost(p.address)
+		a, err := c.Do(context.Background(), Call{Address: p.address, Request: req, Wanted: func() bool { return wanted }})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, a)
+			a.Close()
+		}
+		return err
+	}
+	if err := send(false); !errorx.IsOfType(err, NotSent) || got.Load() != 0 {
+		t.Fatalf("%v, %d requests", err, got.Load())
+	}
+	if err := send(true); err != nil || got.Load() != 1 || p.conns.Load() != 1 {
+		t.Fatalf("%v, %d requests on %d connections", err, got.Load(), p.conns.Load())
+	}
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -292,6 +292,7 @@
 		Target: Target{
 			Address: address, Incarnation: incarnation,
 			MaxConns: share(j.service, len(j.s.host.Snapshot().Entries)),
+			Wanted:   func() bool { return j.s.host.Snapshot().Wanted(incarnation, clock.Boot()) },
 		},
 		Request: j.req, Left: j.timeForServer(), Once: j.arrived.Repeat == entry.RepeatOnce,
 		Member: j.member, Rank: j.rank, After: j.after(),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,9 @@
 	Incarnation string
 	// MaxConns bounds this entry's connections to it; 0: no bound.
 	MaxConns int
+	// Wanted tells whether the server still wants requests; it is asked at the last moment
+	// before one is sent. nil: it does.
+	Wanted func() bool
 }
 
 // Attempt is one sending of a request.
