Say in a line when a server says in an answer that it leaves

The word Server-Leaving in answers was dropped, so that no line told whether an entry knew. It comes with the word of an answer now. Nothing is decided on it yet.

--- a/internal/decision/backpressure/word.go
+++ b/internal/decision/backpressure/word.go
@@ -15,6 +15,8 @@
 	Rate float64
 	// Rest is how long it wants nothing from this entry; 0: it has not asked for rest.
 	Rest time.Duration
+	// Leaving tells that it leaves: it wants no new work for the rest of its life.
+	Leaving bool
 	// Unclear is a part of the word that could not be read; empty for none.
 	Unclear string
 }
@@ -50,6 +52,13 @@
 	return n, true
 }
 
+// ReadLeaving reads whether the server leaves. Whatever it says but nothing and "0" counts as
+// that it does.
+func (w *Word) ReadLeaving(value string) {
+	value = strings.TrimSpace(value)
+	w.Leaving = w.Leaving || value != "" && value != "0"
+}
+
 // ReadRate reads the rates that a server names, in requests a second. Of several the least
 // counts. What is no number, or below zero, is unclear and names none.
 func (w *Word) ReadRate(values ...string) {
