Obey a server's word in an answer that it leaves, without control

A server that leaves says so in all its answers; entries knew only the view and, natively, a header of its state. An entry that was cut off from control went on sending to it. The word counts for the rest of the server's life now, wherever the request stands; a later answer, an older heartbeat, another view of the same life do not take it back. Others are told in reports and in the sums of groups.

--- a/internal/decision/backpressure/state.go
+++ b/internal/decision/backpressure/state.go
@@ -5,6 +5,8 @@
 // State is what one entry knows of what one life of a server wants.
 type State struct {
 	Limit Limit
+	// Leaving is set for good once it has said that it leaves.
+	Leaving bool
 	// Unclear is the last part of its word that could not be read.
 	Unclear string
 	// restUntil is until when it wants nothing from this entry.
@@ -15,7 +17,7 @@
 func (s *State) Bounded(now time.Duration) bool { return s.Limit.Rate() > 0 || s.Resting(now) }
 
 // Known tells whether the server has said anything that counts on for its life.
-func (s *State) Known() bool { return s.Limit.HeardAt() > 0 || s.restUntil > 0 }
+func (s *State) Known() bool { return s.Limit.HeardAt() > 0 || s.restUntil > 0 || s.Leaving }
 
 // Rest takes the server's word that it wants nothing for so long. A longer time that it has asked
 // for before holds on: it is over when it is, or with the server's life.
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -69,15 +70,22 @@
 			s.Drained[server.pb.Id] = true
 		}
 	}
-	for _, server := range r.servers.bounded {
-		if server.wants.Resting(r.now) {
-			if s.Closed == nil {
-				s.Closed = make(map[string]time.Duration)
-			}
-			s.Closed[server.pb.Incarnation] = server.wants.RestUntil()
+	s.Closed = r.closedLives()
+	r.emit(Publish{Snapshot: s})
+}
+
+// closedLives has until when lives of servers want nothing.
+func (r *Reducer) closedLives() map[string]time.Duration {
+	closed := make(map[string]time.Duration)
+	for _, s := range r.servers.sorted {
+		switch {
+		case s.wants.Leaving:
+			closed[s.pb.Incarnation] = math.MaxInt64
+		case s.wants.Resting(r.now):
+			closed[s.pb.Incarnation] = s.wants.RestUntil()
 		}
 	}
-	r.emit(Publish{Snapshot: s})
+	return closed
 }
 
 func (r *Reducer) loadShare() float64 {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -41,7 +41,7 @@
 // it has cooled.
 func (r *Reducer) anyLeft(q *request) bool {
 	return slices.ContainsFunc(r.servers.sorted, func(s *server) bool {
-		if s.leaving || s.died || s.pb.Drained || s.pb.State == pb.ServerState_SERVER_STATE_GONE {
+		if s.wants.Leaving || s.died || s.pb.Drained || s.pb.State == pb.ServerState_SERVER_STATE_GONE {
 			return false
 		}
 		d := r.decisionServer(s, true)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -48,8 +48,8 @@
 	if word.Unclear != "" && word.Unclear != s.wants.Unclear {
 		r.logLimit(s, "said what can't be read of the work that it wants", s.wants.Limit.Rate())
 	}
-	if word.Leaving && !s.leaving {
-		r.logServer(s, "says in an answer that it leaves")
+	if word.Leaving {
+		r.heardLeaving(s, "says in an answer that it leaves")
 	}
 	if word.Rest > 0 {
 		r.heardRest(s, word.Rest)
--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -132,7 +132,7 @@
 	}
 	var list []*pb.ServerAlive
 	for _, s := range r.servers.sorted {
-		if s.wordIsNew && s.confirmed(r.now) && !s.leaving {
+		if s.wordIsNew && s.confirmed(r.now) && !s.wants.Leaving {
 			s.wordIsNew = false
 			list = append(list, s.aliveProto(r.now))
 		}
@@ -144,7 +144,7 @@
 func (r *Reducer) words() []*pb.ServerAlive {
 	var list []*pb.ServerAlive
 	for _, s := range r.servers.sorted {
-		if s.confirmed(r.now) && !s.leaving {
+		if s.confirmed(r.now) && !s.wants.Leaving {
 			list = append(list, s.aliveProto(r.now))
 		}
 	}
@@ -192,7 +192,7 @@
 	g := &r.peers.group
 	own := deal.groupOf(s.pb) == deal.own
 	switch {
-	case s.leaving, s.wants.Resting(r.now):
+	case s.wants.Leaving, s.wants.Resting(r.now):
 		return false
 	case s.failures > 0:
 		return true
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -150,6 +150,7 @@
 	r.heardDied(req.GetDied(), fromMember)
 	r.heardAlive(req.GetAlive(), r.now, fromMember)
 	r.heardLimits(req.GetWords(), fromMember)
+	r.heardOthersLeaving(req.GetLeaving(), fromMember)
 	// What one aggregator tells another goes no further.
 	p.changed = p.changed || fromMember
 	if more := p.heard.Unread(req.GetEntry()) - before; fromMember && more > 0 && r.speeds.assumed.PrefillRate > 0 {
@@ -191,7 +192,7 @@
 	r.emit(ReportToPeers{Addresses: addresses, Request: &pb.PeerReport{
 		ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity.GetName(), Incarnation: r.cfg.Identity.GetIncarnation(),
 		Sequence: p.sequence, Servers: servers, Reads: p.reads, Summed: uint32(summed),
-		Alive: r.newWords(), Died: r.newDeaths(), Words: r.newLimits(),
+		Alive: r.newWords(), Died: r.newDeaths(), Words: r.newLimits(), Leaving: r.newLeaving(),
 	}})
 	p.reported(r.now, len(servers) > 0)
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -32,9 +32,7 @@
 	ownState engineapi.State
 	ownAt    time.Duration
 	// wordIsNew is set while no other entry was told of it.
-	wordIsNew bool
-	// leaving is set for good once this incarnation said that it leaves.
-	leaving    bool
+	wordIsNew  bool
 	load       engineapi.Load
 	reportedAt time.Duration
 	failures   int
@@ -66,6 +64,8 @@
 	// was sent that brought it.
 	limitIsNew bool
 	limitSent  time.Duration
+	// leaveIsNew is set while no other entry was told that it leaves.
+	leaveIsNew bool
 }
 
 type sentWork struct {
@@ -187,13 +187,19 @@
 func (s *server) hear(state engineapi.State, now time.Duration) {
 	s.ownState, s.ownAt, s.aliveAt, s.wordIsNew = state, now, now, true
 	if state == engineapi.StateLeaving {
-		s.leaving = true
+		s.leave()
 	}
 	if state == engineapi.StateServing {
 		s.failures, s.coolUntil, s.died = 0, 0, false
 	}
 }
 
+// leave notes that the server leaves, for the rest of its life, and that others are to be told.
+func (s *server) leave() {
+	s.leaveIsNew = s.leaveIsNew || !s.wants.Leaving
+	s.wants.Leaving = true
+}
+
 // setLoad takes a load report and forgets what was sent before it was true.
 func (s *server) setLoad(load engineapi.Load, now time.Duration) {
 	at := now - time.Duration(load.AgeMS)*time.Millisecond
@@ -243,7 +249,7 @@
 // server leaves (the entry may be cut off from control), so that then only a
 // server counts that has said within confirmFor that it serves.
 func (s *server) inUse(now time.Duration, stale bool) bool {
-	if s.leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
+	if s.wants.Leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
 		return false
 	}
 	if s.ownState == engineapi.StateChanging || now < s.coolUntil {
--- a/internal/entry/sums.go
+++ b/internal/entry/sums.go
@@ -48,7 +48,7 @@
 	sum := &pb.PeerSum{
 		Aggregator: r.cfg.Identity.GetName(), Incarnation: r.cfg.Identity.GetIncarnation(),
 		Entries: uint32(entries + 1), Servers: withOwn(sums, r.backlogs()), Reads: reads, ReadsNext: next,
-		Died: r.allDeaths(), Words: r.allLimits(),
+		Died: r.allDeaths(), Words: r.allLimits(), Leaving: r.allLeaving(),
 	}
 	if ev.Request.GetWantAlive() {
 		sum.Alive = r.words()
@@ -79,6 +79,7 @@
 	r.heardDied(sum.GetDied(), false)
 	r.heardAlive(sum.GetAlive(), ev.SentAt, false)
 	r.heardLimits(sum.GetWords(), false)
+	r.heardOthersLeaving(sum.GetLeaving(), false)
 	r.sharedFleet = nil
 	r.startWaiting()
 }
