--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -145,8 +145,13 @@
 	return s
 }
 
-// expireSchedules drops those that nobody asks any more.
+// expireSchedules drops those that nobody asks any more, and the silences that are over.
 func (r *Reducer) expireSchedules() {
+	for address, until := range r.permits.silentUntil {
+		if r.now >= until {
+			delete(r.permits.silentUntil, address)
+		}
+	}
 	for key, s := range r.permits.schedules {
 		if s.Idle(r.now) {
 			delete(r.permits.schedules, key)
