Use a connection no longer than its server says that it may idle

Looked for in all that servers say in answers: the time of Keep-Alive was not read either. A connection that idled up to 2 s was used again although its server had said that it closes it after 1 s; the request is reset on the way, and one that must not run twice ends as unknown. It now idles for that time less 0.15 s, 2 s at the most as before.

TestServersOwnIdleTimeIsKept: the same connection after 0.95 s of 1 before, a new one now.

--- a/internal/httpconn/answer.go
+++ b/internal/httpconn/answer.go
@@ -142,7 +142,7 @@
 func (a *Answer) Close() {
 	untouched := a.unwatch()
 	if untouched && a.keepable() {
-		a.client.keep(a.conn)
+		a.client.keep(a.conn, idleTime(&a.Header))
 		return
 	}
 	a.client.drop(a.conn)
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -87,6 +87,8 @@
 	r       *bufio.Reader
 	w       *bufio.Writer
 	used    time.Time
+	// idleFor is how long it may idle, by its server's last answer.
+	idleFor time.Duration
 }
 
 // Do sends the request and reads the answer's head. When ctx ends the connection
@@ -98,7 +100,7 @@
 		return nil, Classify(err)
 	}
 	if call.Wanted != nil && !call.Wanted() {
-		c.keep(cn)
+		c.keep(cn, idleLimit)
 		return nil, NotSent.New("the server wants no more requests")
 	}
 	a := &Answer{client: c, conn: cn}
@@ -141,7 +143,7 @@
 		if cn == nil {
 			return nil
 		}
-		if time.Since(cn.used) < idleLimit && cn.r.Buffered() == 0 && peek.Quiet(cn.Conn) {
+		if time.Since(cn.used) < cn.idleFor && cn.r.Buffered() == 0 && peek.Quiet(cn.Conn) {
 			return cn
 		}
 		c.drop(cn)
@@ -203,9 +205,9 @@
 	c.release(cn.address)
 }
 
-// keep puts a connection aside for the next request.
-func (c *Client) keep(cn *conn) {
-	cn.used = time.Now()
+// keep puts a connection aside for the next request, which may come so much later.
+func (c *Client) keep(cn *conn, idleFor time.Duration) {
+	cn.used, cn.idleFor = time.Now(), idleFor
 	c.mu.Lock()
 	h := c.hosts[cn.address]
 	if len(h.idle) < maxIdle {
--- a/internal/httpconn/client_test.go
+++ b/internal/httpconn/client_test.go
@@ -309,3 +309,45 @@
 		t.Fatalf("%v, %d requests on %d connections", err, got.Load(), p.conns.Load())
 	}
 }
+
+// Guards against a request on a connection that its server has said it closes by then: it is
+// reset, and may have run.
+func TestServersOwnIdleTimeIsKept(t *testing.T) {
+	for _, c := range []struct {
+		says  string
+		after time.Duration
+		conns int32
+	}{
+		{"timeout=1", 100 * time.Millisecond, 1},
+		{"timeout=1", 950 * time.Millisecond, 2},
+		{"max=5, timeout=1", 950 * time.Millisecond, 2},
+		{"timeout=30", 950 * time.Millisecond, 1},
+		{"timeout=soon", 950 * time.Millisecond, 1},
+		{"timeout=0", 0, 2},
+	} {
+		t.Run(fmt.Sprint(c.says, " ", c.after), func(t *testing.T) {
+			t.Parallel()
+			p := newPeer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: "+c.says+"\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+			client := New()
+			for range 2 {
+				req := fasthttp.AcquireRequest()
+				req.SetRequestURI("/")
+				req.Header.SetHost(p.address)
+				a, err := client.Do(context.Background(), Call{Address: p.address, Request: req})
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, a)
+				a.Close()
+				fasthttp.ReleaseRequest(req)
+				time.Sleep(c.after)
+			}
+			if got := p.conns.Load(); got != c.conns {
+				t.Errorf("%d connections, want %d", got, c.conns)
+			}
+		})
+	}
+}
