--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -73,7 +73,7 @@
 	const rate = 8.6
 	c := newCrowd(t, 9, serving(2), limiting(rate))
 	c.play(6*second, 100)
-	keeper, _ := c.worlds[0].r.grantor("engine-0")
+	keeper, _ := c.worlds[0].r.keeper("engine-0")
 	c.dead[keeper] = true
 	before := len(c.arrived["engine-0"])
 	c.play(8*second, 100)
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// maxGrantors is how many entries are tried for permits before this one sends its part of
-	// the limit alone.
-	maxGrantors = 3
-	// avoidGrantor is how long an entry that gave no answer is passed by.
-	avoidGrantor = 2 * time.Second
+	// maxKeepers is how many entries are tried as the keeper of a schedule before this one sends
+	// its part of the limit alone.
+	maxKeepers = 3
+	// avoidKeeper is how long one that gave no answer is passed by.
+	avoidKeeper = 2 * time.Second
 	// leastSought and soughtFor bound the permits that are asked for at once: some, or what the
 	// server takes in that time.
 	leastSought = 4
@@ -45,9 +45,9 @@
 	}
 }
 
-// grantor gives the entry that keeps a server's schedule: the first by a hash that all entries
+// keeper gives the entry that keeps a server's schedule: the first by a hash that all entries
 // reckon alike, of those that answer. Empty name: none does.
-func (r *Reducer) grantor(server string) (name, address string) {
+func (r *Reducer) keeper(server string) (name, address string) {
 	var best []EntryWeight
 	for _, e := range r.view.entries {
 		id := e.info.GetIdentity()
@@ -59,7 +59,7 @@
 		return r.cfg.Identity.GetName(), ""
 	}
 	slices.SortFunc(best, func(a, b EntryWeight) int { return compareScore(a, b, server) })
-	for _, e := range best[:min(maxGrantors, len(best))] {
+	for _, e := range best[:min(maxKeepers, len(best))] {
 		if e.Name == r.cfg.Identity.GetName() || r.now >= r.permits.silentUntil[e.Address] {
 			return e.Name, e.Address
 		}
@@ -120,7 +120,7 @@
 	l := &s.wants.Limit
 	hash := xxhash.Sum64String(s.pb.Incarnation)
 	ask := backpressure.Ask{Entry: r.cfg.Identity.GetName(), Rate: l.Rate(), WordAt: l.HeardAt(), Wanted: wanted}
-	name, address := r.grantor(s.pb.Id)
+	name, address := r.keeper(s.pb.Id)
 	if name != "" && name != r.cfg.Identity.GetName() {
 		l.Asked()
 		r.emit(AskPermit{Address: address, Server: s.pb.Id, Incarnation: s.pb.Incarnation, Request: &pb.PermitRequest{
@@ -195,7 +195,7 @@
 
 // permitSilent turns to another entry for permits.
 func (r *Reducer) permitSilent(ev PermitSilent) {
-	r.permits.silentUntil[ev.Address] = r.now + avoidGrantor
+	r.permits.silentUntil[ev.Address] = r.now + avoidKeeper
 	s := r.servers.life(ev.Server, ev.Incarnation)
 	if s == nil {
 		return
