--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -21,7 +21,7 @@
 
 // Guards against a sum over entries that is beyond a server's limit, or leaves it idle.
 func TestLimitHoldsOverAllEntries(t *testing.T) {
-	for _, entries := range []int{1, 9, 75} {
+	for _, entries := range []int{1, 9, 75, 191} {
 		for _, alone := range []bool{false, true} {
 			for _, rate := range []float64{0.5, 8.6} {
 				t.Run(fmt.Sprintf("%d entries, limit %g, alone %v", entries, rate, alone), func(t *testing.T) {
