Use one piece for a pool's key, a queue's wait, a header's numbers and a schedule's age

Read again as a newcomer: the wait behind what waits was reckoned in two places by one formula (waitBehind serves both), the key of a pool was put together by hand beside queue's own (PoolKey), the two words with numbers had one loop each, a schedule asked for its age in the words of Idle, and a flag said what servers say themselves (limitIsNew): reports look at all servers anyway. Behaviour and tests are as they were; tests of admission, queue, backpressure and entry pass.

--- a/internal/decision/admission/closed.go
+++ b/internal/decision/admission/closed.go
@@ -97,9 +97,7 @@
 
 // wait is how long the work waits behind what waits already.
 func (b *bounded) wait(now time.Duration, w *decision.Work, entries float64, queued *queue.Summary) time.Duration {
-	key := queue.KeyOf(w)
-	key.Member, key.Profile = "", ""
-	ahead := queued.Get(key)
+	ahead := queued.Get(queue.PoolKey(w))
 	if ahead.Requests == 0 || b.rate == 0 {
 		return b.opensIn
 	}
@@ -108,8 +106,7 @@
 	if w.Kind == declaration.KindPlain {
 		each = decision.PlainCost
 	}
-	rate := (cost/max(1, each) + boundedPrior*b.rate/entries) / (secs + boundedPrior)
-	return max(b.opensIn, seconds(float64(ahead.Requests+1)/max(tiny, rate)))
+	return max(b.opensIn, waitBehind(float64(ahead.Requests), cost/max(1, each), secs, b.rate/entries, boundedPrior))
 }
 
 // place is how long the next place takes once the servers are open.
--- a/internal/decision/admission/estimate.go
+++ b/internal/decision/admission/estimate.go
@@ -75,15 +75,19 @@
 // time to come back: where calls take 60 ms, refused ones were kept for 728 ms of 800, now
 // for 13 ms, and as many are served (virtual time, twice the load that two places can take).
 func (x *query) plainWait() time.Duration {
-	key := queue.KeyOf(x.work)
-	key.Member, key.Profile = "", ""
-	ahead := float64(x.queued.Get(key).Requests)
+	ahead := float64(x.queued.Get(queue.PoolKey(x.work)).Requests)
 	if ahead == 0 {
 		return 0
 	}
 	usual := float64(x.supply.slots) / decision.PlainCall.Seconds() / x.entries
 	cost, secs := x.queued.PoolDrained(x.now, x.work)
-	rate := (cost/decision.PlainCost + plainPrior*usual) / (secs + plainPrior)
+	return waitBehind(ahead, cost/decision.PlainCost, secs, usual, plainPrior)
+}
+
+// waitBehind is the wait behind so many requests where done of them have left the queue in secs
+// seconds; the usual rate counts as prior seconds of that.
+func waitBehind(ahead, done, secs, usual, prior float64) time.Duration {
+	rate := (done + prior*usual) / (secs + prior)
 	return seconds((ahead + 1) / max(tiny, rate))
 }
 
--- a/internal/decision/backpressure/schedule.go
+++ b/internal/decision/backpressure/schedule.go
@@ -57,7 +57,7 @@
 
 // Grant answers a question.
 func (s *Schedule) Grant(now time.Duration, ask Ask) Answer {
-	if s.askers == nil || now-s.used >= forgetAfter {
+	if s.askers == nil || s.Idle(now) {
 		*s = Schedule{next: now, began: now, askers: make(map[string]time.Duration)}
 	}
 	s.used = now
--- a/internal/decision/backpressure/word.go
+++ b/internal/decision/backpressure/word.go
@@ -31,25 +31,25 @@
 // ReadRest reads for how many seconds a server that turns a request away wants no others. Of
 // several times the longest counts. What is no number, or below zero, is unclear and asks for none.
 func (w *Word) ReadRest(values ...string) {
-	for _, list := range values {
+	for _, secs := range w.numbers(values) {
+		w.Rest = max(w.Rest, time.Duration(min(secs, maxRest.Seconds())*float64(time.Second)))
+	}
+}
+
+// numbers reads lists of numbers of zero or more; one that can't be read is noted.
+func (w *Word) numbers(lists []string) []float64 {
+	var numbers []float64
+	for _, list := range lists {
 		for value := range strings.SplitSeq(list, ",") {
-			secs, ok := w.number(value)
-			if !ok {
+			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			if err != nil || n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
+				w.Unclear = value
 				continue
 			}
-			w.Rest = max(w.Rest, time.Duration(min(secs, maxRest.Seconds())*float64(time.Second)))
+			numbers = append(numbers, n)
 		}
 	}
-}
-
-// number reads a number of zero or more; one that can't be read is noted.
-func (w *Word) number(value string) (float64, bool) {
-	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-	if err != nil || n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
-		w.Unclear = value
-		return 0, false
-	}
-	return n, true
+	return numbers
 }
 
 // ReadLeaving reads whether the server leaves. Whatever it says but nothing and "0" counts as
@@ -62,15 +62,9 @@
 // ReadRate reads the rates that a server names, in requests a second. Of several the least
 // counts. What is no number, or below zero, is unclear and names none.
 func (w *Word) ReadRate(values ...string) {
-	for _, list := range values {
-		for value := range strings.SplitSeq(list, ",") {
-			rate, ok := w.number(value)
-			if !ok {
-				continue
-			}
-			if rate = max(rate, minRate); w.Rate == 0 || rate < w.Rate {
-				w.Rate = rate
-			}
+	for _, rate := range w.numbers(values) {
+		if rate = max(rate, minRate); w.Rate == 0 || rate < w.Rate {
+			w.Rate = rate
 		}
 	}
 }
--- a/internal/decision/queue/queue.go
+++ b/internal/decision/queue/queue.go
@@ -61,7 +61,7 @@
 	p.push(it)
 	p.waiting++
 	q.summary.drains[profileKey(&w)] = p.byName[w.Profile].drain
-	q.summary.pools[poolKey(&w)] = p.drain
+	q.summary.pools[PoolKey(&w)] = p.drain
 	heap.Push(&q.expiry, it)
 	if w.Resumed {
 		p.begun = append(p.begun, it)
--- a/internal/decision/queue/summary.go
+++ b/internal/decision/queue/summary.go
@@ -55,8 +55,8 @@
 	return k
 }
 
-// poolKey is KeyOf without the member and the profile.
-func poolKey(w *decision.Work) Key {
+// PoolKey is KeyOf without the member and the profile.
+func PoolKey(w *decision.Work) Key {
 	k := profileKey(w)
 	k.Profile = ""
 	return k
@@ -72,7 +72,7 @@
 
 // PoolDrained is Drained of all profiles of the work's pool together.
 func (s *Summary) PoolDrained(now time.Duration, w *decision.Work) (cost, secs float64) {
-	return s.pools[poolKey(w)].drained(now)
+	return s.pools[PoolKey(w)].drained(now)
 }
 
 // Get gives the totals of one part; the zero Totals when nothing waits there.
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	s.limitIsNew, s.limitSent = true, sent
-	r.servers.limitNews, r.peers.sent = true, true
+	r.peers.sent = true
 	r.sharedFleet = nil
 	r.servers.findBounded(r.now)
 	reason := "names a limit"
@@ -80,10 +80,10 @@
 }
 
 func (r *Reducer) logLimit(s *server, reason string, before float64) {
-	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: reason, Figures: append(
-		[]Figure{{Name: "limit_before", Value: before}, {Name: "limit_per_second", Value: s.wants.Limit.Rate()}},
-		Figure{Name: "sent_last_seconds", Value: float64(s.sends.sum(r.now))},
-	)})
+	r.emit(LogDecision{Kind: LogServer, Server: s.pb.Id, Reason: reason, Figures: []Figure{
+		{Name: "limit_before", Value: before}, {Name: "limit_per_second", Value: s.wants.Limit.Rate()},
+		{Name: "sent_last_seconds", Value: float64(s.sends.sum(r.now))},
+	}})
 }
 
 // heardRest leaves a server alone for as long as it asks for.
@@ -122,10 +122,6 @@
 // newLimits gives the limits that no report has told of yet. An entry that sends a server
 // little would hear of its limit late.
 func (r *Reducer) newLimits() []*pb.ServerWord {
-	if !r.servers.limitNews {
-		return nil
-	}
-	r.servers.limitNews = false
 	var list []*pb.ServerWord
 	for _, s := range r.servers.sorted {
 		if s.limitIsNew {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -105,9 +105,7 @@
 	early map[string]engineapi.Announcement
 	// bounded are those that take less than they have places for, in order of id.
 	bounded []*server
-	// limitNews is set while other entries are to be told of a limit.
-	limitNews bool
-	lives     livesEnded
+	lives   livesEnded
 }
 
 func newServerTable() serverTable {
