Read a server's word for both protocols in one place, and name a life's hash once

Both drivers had the same two loops and the same list of statuses that may ask for rest: httpconn.ReadWord serves them.

--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -41,7 +39,7 @@
 }
 
 func (s *server) leavingProto() *pb.ServerLeaving {
-	return &pb.ServerLeaving{Server: s.pb.Id, IncarnationHash: xxhash.Sum64String(s.pb.Incarnation)}
+	return &pb.ServerLeaving{Server: s.pb.Id, IncarnationHash: s.lifeHash()}
 }
 
 // heardOthersLeaving takes what other entries know. pass tells that others are to be told.
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -146,7 +144,7 @@
 func (r *Reducer) limitProto(s *server) *pb.ServerWord {
 	l := &s.wants.Limit
 	return &pb.ServerWord{
-		Server: s.pb.Id, IncarnationHash: xxhash.Sum64String(s.pb.Incarnation), Rate: l.Rate(),
+		Server: s.pb.Id, IncarnationHash: s.lifeHash(), Rate: l.Rate(),
 		AgeMs: uint32((r.now - l.HeardAt()).Milliseconds()), SentAgeMs: uint32((r.now - s.limitSent).Milliseconds()),
 	}
 }
--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -153,7 +153,7 @@
 
 func (s *server) aliveProto(now time.Duration) *pb.ServerAlive {
 	return &pb.ServerAlive{
-		Server: s.pb.Id, IncarnationHash: xxhash.Sum64String(s.pb.Incarnation), AgeMs: uint32((now - s.ownAt).Milliseconds()),
+		Server: s.pb.Id, IncarnationHash: s.lifeHash(), AgeMs: uint32((now - s.ownAt).Milliseconds()),
 	}
 }
 
@@ -173,10 +173,13 @@
 
 func ageOf(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// lifeHash stands for the server's life in what entries tell each other.
+func (s *server) lifeHash() uint64 { return xxhash.Sum64String(s.pb.Incarnation) }
+
 // lifeByHash gives the server if the incarnation in force has that hash, else nil.
 func (t *serverTable) lifeByHash(id string, hash uint64) *server {
 	s := t.byID[id]
-	if s == nil || xxhash.Sum64String(s.pb.Incarnation) != hash {
+	if s == nil || s.lifeHash() != hash {
 		return nil
 	}
 	return s
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
@@ -118,7 +116,7 @@
 
 func (r *Reducer) askPermit(s *server, wanted int) {
 	l := &s.wants.Limit
-	hash := xxhash.Sum64String(s.pb.Incarnation)
+	hash := s.lifeHash()
 	ask := backpressure.Ask{Entry: r.cfg.Identity.GetName(), Rate: l.Rate(), WordAt: l.HeardAt(), Wanted: wanted}
 	name, address := r.keeper(s.pb.Id)
 	if name != "" && name != r.cfg.Identity.GetName() {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -215,7 +215,7 @@
 		return
 	}
 	s.died = true
-	r.noteDeath(s.pb.Id, xxhash.Sum64String(s.pb.Incarnation), r.now)
+	r.noteDeath(s.pb.Id, s.lifeHash(), r.now)
 	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
 	for _, id := range s.running {
 		other := r.requests[id]
--- a/internal/host/peer_reports.go
+++ b/internal/host/peer_reports.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// peer calls the entry at an address.
+func (b *peerReports) peer(address string) pb.PeerLoad {
+	return pb.NewPeerLoadProtobufClient(b.host.Auth.URL(address), b.http)
+}
+
 // Report takes another entry's report.
 func (b *peerReports) Report(_ context.Context, req *pb.PeerReport) (*pb.PeerReportAnswer, error) {
 	if req.GetEntry() == "" {
@@ -59,7 +64,7 @@
 	for _, address := range e.Addresses {
 		c := b.clients[address]
 		if c == nil {
-			c = &peerClient{PeerLoad: pb.NewPeerLoadProtobufClient(b.host.Auth.URL(address), b.http)}
+			c = &peerClient{PeerLoad: b.peer(address)}
 		}
 		kept[address] = c
 		if !c.busy {
--- a/internal/host/peer_sums.go
+++ b/internal/host/peer_sums.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(b.host.Background, askFor)
 	defer cancel()
 	sent := clock.Boot()
-	sum, err := pb.NewPeerLoadProtobufClient(b.host.Auth.URL(address), b.http).Sum(ctx, req)
+	sum, err := b.peer(address).Sum(ctx, req)
 	b.host.Metrics.Scope.Tagged(map[string]string{"ok": okWord(err)}).Counter("peer_sums").Inc(1)
 	b.mu.Lock()
 	b.sums.asking = nil
--- a/internal/host/permits.go
+++ b/internal/host/permits.go
@@ -19,7 +19,7 @@
 func (b *peerReports) askPermit(e entry.AskPermit) {
 	ctx, cancel := context.WithTimeout(b.host.Background, permitTry)
 	defer cancel()
-	answer, err := pb.NewPeerLoadProtobufClient(b.host.Auth.URL(e.Address), b.http).Permit(ctx, e.Request)
+	answer, err := b.peer(e.Address).Permit(ctx, e.Request)
 	b.host.Metrics.Scope.Tagged(map[string]string{"ok": okWord(err)}).Counter("permit_questions").Inc(1)
 	if err != nil {
 		b.host.Post(entry.PermitSilent{Address: e.Address, Server: e.Server, Incarnation: e.Incarnation})
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -95,6 +95,7 @@
 func readSaid(h *fasthttp.ResponseHeader, sentAt time.Duration) said {
 	s := said{
 		sentAt:      sentAt,
+		word:        httpconn.ReadWord(h, engineapi.HeaderRateLimit),
 		state:       engineapi.State(h.Peek(engineapi.HeaderState)),
 		incarnation: string(h.Peek(engineapi.HeaderIncarnation)),
 		notStarted:  string(h.Peek(engineapi.HeaderNotStarted)) == "true",
@@ -102,14 +103,6 @@
 	if data := h.Peek(engineapi.HeaderLoad); len(data) > 0 {
 		s.hasLoad = json.Unmarshal(data, &s.load) == nil
 	}
-	for _, limit := range h.PeekAll(engineapi.HeaderRateLimit) {
-		s.word.ReadRate(string(limit))
-	}
-	if status := h.StatusCode(); status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
-		for _, rest := range h.PeekAll(outcome.HeaderRetryAfter) {
-			s.word.ReadRest(string(rest))
-		}
-	}
 	return s
 }
 
