Control: say who brought an announcement, its sequence and what was known

The incident's lines can't tell a late announcement of the server itself from one that a replica handed over, nor from a leaving that the next leader's log lacks. "backend server changed" names the path, the sequence, the committed state before and how long the leader leads; an overtaken announcement gets a line; a new leader says with how many servers in which state it begins. Before, an overtaken announcement was dropped without a line.

Tests of internal/control pass; no decision changes.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -21,6 +21,8 @@
 	Announcement *pb.Announcement
 	// Sequence increases with each announcement of one server incarnation.
 	Sequence uint64
+	// Relayed is set if another replica took the announcement and forwarded it.
+	Relayed bool
 }
 
 // Leave is the final message of one server incarnation: the server accepts no new work. It
@@ -53,7 +55,11 @@
 		return
 	}
 	r.lead.lastContactAt = r.now
-	r.onDirectAnnouncement(e.ID, e.Announcement, e.Sequence)
+	source := announcementSource{via: "server", sequence: e.Sequence}
+	if e.Relayed {
+		source.via = "replica"
+	}
+	r.onDirectAnnouncement(e.ID, e.Announcement, source)
 }
 
 func (r *Reducer) onLeave(e Leave) {
@@ -72,12 +78,24 @@
 	if info.State != pb.ServerState_SERVER_STATE_GONE {
 		info.State = pb.ServerState_SERVER_STATE_LEAVING
 	}
-	r.onDirectAnnouncement(e.ID, &pb.Announcement{Server: info}, finalSequence)
+	r.onDirectAnnouncement(e.ID, &pb.Announcement{Server: info}, announcementSource{via: "leave", sequence: finalSequence})
+}
+
+// announcementSource is where the leader has an announcement from.
+type announcementSource struct {
+	// via is "server", "replica", "leave" or the name of an entry.
+	via string
+	// sequence is that of the announcement; zero from entries, which have none.
+	sequence uint64
+}
+
+func (s announcementSource) fields() []Field {
+	return []Field{{"via", s.via}, {"sequence", s.sequence}}
 }
 
 // onDirectAnnouncement ignores an announcement that a later one of the same incarnation has
 // overtaken: a delayed "serving" would route requests to a server that is leaving.
-func (r *Reducer) onDirectAnnouncement(callID uint64, a *pb.Announcement, sequence uint64) {
+func (r *Reducer) onDirectAnnouncement(callID uint64, a *pb.Announcement, source announcementSource) {
 	if _, departed := r.lead.departed[a.GetServer().GetIncarnation()]; departed {
 		r.log(slog.LevelInfo, "announcement dropped: the server has already left",
 			Field{"server", a.GetServer().GetId()}, Field{"incarnation", a.GetServer().GetIncarnation()})
@@ -86,11 +104,12 @@
 	}
 	t := r.lead.servers[a.GetServer().GetId()]
 	sameIncarnation := t != nil && t.incarnation == a.GetServer().GetIncarnation()
-	if sameIncarnation && sequence < t.sequence {
+	if sameIncarnation && source.sequence < t.sequence {
+		r.logOvertaken(a.GetServer(), source, t.sequence)
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
 	}
-	r.onAnnouncement("", a)
+	r.onAnnouncement(source, a)
 	r.onReportedRole(a.GetServer())
 	t = r.lead.servers[a.GetServer().GetId()]
 	if t == nil || t.incarnation != a.GetServer().GetIncarnation() {
@@ -98,7 +117,7 @@
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
 	}
-	t.sequence = sequence
+	t.sequence = source.sequence
 	if t.proposed == nil {
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
@@ -106,6 +125,12 @@
 	t.waiting = append(t.waiting, callID)
 }
 
+func (r *Reducer) logOvertaken(info *pb.BackendServer, source announcementSource, newest uint64) {
+	fields := append(source.fields(), Field{"server", info.GetId()}, Field{"incarnation", info.GetIncarnation()},
+		Field{"state", info.GetState().String()}, Field{"newest_sequence", newest})
+	r.log(slog.LevelInfo, "announcement dropped: a later one was accepted", fields...)
+}
+
 const (
 	// departedRetention is how long the leader remembers an incarnation that left before
 	// its first announcement arrived: delayed announcements arrive some seconds late.
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -226,10 +226,21 @@
 	}
 	if e.LeaderReady {
 		r.lead = newLeadership(r.now, r.state)
+		r.logTakeover()
 	}
 	r.emitMembers()
 }
 
+// logTakeover logs what the new leader knows of servers from the committed state.
+func (r *Reducer) logTakeover() {
+	states := make(map[string]int)
+	for _, sv := range r.state.sortedServers() {
+		states[sv.info.GetState().String()]++
+	}
+	r.log(slog.LevelInfo, "leadership began", Field{"term", r.term}, Field{"applied_index", r.state.index},
+		Field{"servers_by_state", states}, Field{"entries", len(r.state.entries)})
+}
+
 func (r *Reducer) emitMembers() {
 	r.emit(Members{Membership: r.members, Committed: r.committed, Leader: r.leader, IsLeader: r.lead != nil})
 }
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -25,7 +25,7 @@
 		r.lead.lastContactAt = r.now
 	}
 	for _, a := range req.GetAnnouncements() {
-		r.onAnnouncement(req.GetEntry().GetName(), a)
+		r.onAnnouncement(announcementSource{via: req.GetEntry().GetName()}, a)
 	}
 	resp := &pb.ReportResponse{TellInFull: r.onHeartbeats(req.GetHeartbeats()), Term: r.term}
 	r.onUsage(req)
@@ -62,10 +62,10 @@
 }
 
 // onAnnouncement renews a server's lease and registers changes.
-func (r *Reducer) onAnnouncement(from string, a *pb.Announcement) {
+func (r *Reducer) onAnnouncement(source announcementSource, a *pb.Announcement) {
 	info := a.GetServer()
 	if info.GetId() == "" || info.GetIncarnation() == "" || info.GetAddress() == "" {
-		r.log(slog.LevelWarn, "announcement rejected: id, incarnation or address is missing", Field{"entry", from})
+		r.log(slog.LevelWarn, "announcement rejected: id, incarnation or address is missing", Field{"via", source.via})
 		return
 	}
 	if sv := r.state.servers[info.GetId()]; sv != nil && sv.isEarlierIncarnation(info.GetIncarnation()) {
@@ -86,7 +86,7 @@
 	if r.isStaleServing(t, info) {
 		return
 	}
-	r.registerChanged(t, info)
+	r.registerChanged(t, info, source)
 	r.onReportedOrder(info, a.GetOrderId())
 }
 
@@ -146,7 +146,7 @@
 
 // registerChanged registers a server if a property has changed that is part of the
 // replicated state. Loads and lease renewals stay out of the log.
-func (r *Reducer) registerChanged(t *trackedServer, info *pb.BackendServer) {
+func (r *Reducer) registerChanged(t *trackedServer, info *pb.BackendServer, source announcementSource) {
 	info = proto.CloneOf(info)
 	info.Drained, info.ChecksFencing = false, false
 	if known := r.state.servers[info.GetId()]; known != nil && proto.Equal(known.info, info) {
@@ -156,9 +156,19 @@
 		return
 	}
 	r.register(t, info)
-	r.log(slog.LevelInfo, "backend server changed", Field{"server", info.GetId()},
-		Field{"incarnation", info.GetIncarnation()}, Field{"state", info.GetState().String()},
-		Field{"role", info.GetRole().String()}, Field{"model_version", info.GetModelVersion()})
+	r.logChanged(info, source)
+}
+
+// logChanged logs what a server changes to, and the committed record that it replaces.
+func (r *Reducer) logChanged(info *pb.BackendServer, source announcementSource) {
+	known := r.state.servers[info.GetId()].recorded()
+	fields := append([]Field{
+		{"server", info.GetId()}, {"incarnation", info.GetIncarnation()}, {"state", info.GetState().String()},
+		{"role", info.GetRole().String()}, {"model_version", info.GetModelVersion()},
+		{"known_incarnation", known.GetIncarnation()}, {"known_state", known.GetState().String()},
+		{"leads_for_ms", (r.now - r.lead.startedAt).Milliseconds()},
+	}, source.fields()...)
+	r.log(slog.LevelInfo, "backend server changed", fields...)
 }
 
 func olderToken(a, b *pb.FencingToken) bool {
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -142,7 +142,9 @@
 	for _, announced := range q.GetWords() {
 		wg.Go(func() {
 			_, err := s.loop.postAndWait(ctx, func(id uint64) control.Event {
-				return control.Announce{ID: id, Announcement: announced.GetAnnouncement(), Sequence: announced.GetSequence()}
+				return control.Announce{
+					ID: id, Announcement: announced.GetAnnouncement(), Sequence: announced.GetSequence(), Relayed: true,
+				}
 			})
 			if err != nil {
 				mu.Lock()
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -76,6 +76,14 @@
 	s.abandonOrder(info)
 }
 
+// recorded returns the committed record, nil if there is none.
+func (sv *server) recorded() *pb.BackendServer {
+	if sv == nil {
+		return nil
+	}
+	return sv.info
+}
+
 // isEarlierIncarnation reports whether an incarnation was replaced by the current one or
 // began before it: a follower that has just become leader may only know the later one.
 func (sv *server) isEarlierIncarnation(incarnationID string) bool {
