Leaving is final for an incarnation, in the replicated state

What protected a confirmed leaving from a late "serving" was the sequence and the time of the leaving in the leader's memory, so the next leader took the late announcement for news; the GONE that replaces LEAVING after the lease forgot it too, and from entries, which have no sequence, it came back after three seconds.

Two ways were weighed. A replicated sequence would do for servers that announce themselves, but announcements that entries relay have none, and it would be written with each change only. Leaving that is final for the incarnation needs no order, and holds for each path: servers end after it on the platform, the native server has no way back either (internal/standin/server), and entries have treated it as final all along. A server that stays for long costs its place as before: GONE 5 s after its last announcement, removed 5 minutes later. An announcement that is older than that, of a server that left, would register again.

TestLateServingDoesNotUndoLeaving asked that the server serves again after the three seconds; that was the fault, and it asks for the opposite now, after 5 s of late announcements.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -75,6 +75,7 @@
 		return
 	}
 	info := proto.CloneOf(sv.info)
+	info.Left = true
 	if info.State != pb.ServerState_SERVER_STATE_GONE {
 		info.State = pb.ServerState_SERVER_STATE_LEAVING
 	}
@@ -97,15 +98,14 @@
 // overtaken: a delayed "serving" would route requests to a server that is leaving.
 func (r *Reducer) onDirectAnnouncement(callID uint64, a *pb.Announcement, source announcementSource) {
 	if _, departed := r.lead.departed[a.GetServer().GetIncarnation()]; departed {
-		r.log(slog.LevelInfo, "announcement dropped: the server has already left",
-			Field{"server", a.GetServer().GetId()}, Field{"incarnation", a.GetServer().GetIncarnation()})
+		r.logDropped("the server left before it was known", a.GetServer(), source)
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
 	}
 	t := r.lead.servers[a.GetServer().GetId()]
 	sameIncarnation := t != nil && t.incarnation == a.GetServer().GetIncarnation()
 	if sameIncarnation && source.sequence < t.sequence {
-		r.logOvertaken(a.GetServer(), source, t.sequence)
+		r.logDropped("a later one was accepted", a.GetServer(), source)
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
 	}
@@ -125,10 +125,11 @@
 	t.waiting = append(t.waiting, callID)
 }
 
-func (r *Reducer) logOvertaken(info *pb.BackendServer, source announcementSource, newest uint64) {
+// logDropped logs that an announcement changes nothing, with the reason.
+func (r *Reducer) logDropped(reason string, info *pb.BackendServer, source announcementSource) {
 	fields := append(source.fields(), Field{"server", info.GetId()}, Field{"incarnation", info.GetIncarnation()},
-		Field{"state", info.GetState().String()}, Field{"newest_sequence", newest})
-	r.log(slog.LevelInfo, "announcement dropped: a later one was accepted", fields...)
+		Field{"state", info.GetState().String()}, Field{"reason", reason})
+	r.log(slog.LevelInfo, "announcement dropped", fields...)
 }
 
 const (
--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -52,7 +52,7 @@
 	h := newHarness(t)
 	h.announce(announcementOf("a", "life-1", serving), 1)
 	h.announce(announcementOf("a", "life-1", leaving), 5)
-	h.clock += 2 * staleServingPeriod
+	h.clock += 6 * time.Second
 	id := h.announce(announcementOf("a", "life-1", serving), 4)
 	if got := h.state("a"); got != leaving || h.replies[id].Err != nil {
 		t.Fatalf("late heartbeat: %v, error %v", got, h.replies[id].Err)
@@ -62,7 +62,7 @@
 	if got := h.state("b"); got != leaving {
 		t.Fatalf("after its Leave: %v", got)
 	}
-	h.clock += 2 * staleServingPeriod
+	h.clock += 6 * time.Second
 	h.announce(announcementOf("b", "life-2", serving), 99)
 	if got := h.state("b"); got != leaving {
 		t.Fatalf("after a heartbeat that arrived after the Leave: %v", got)
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -141,9 +141,9 @@
 	if got := h.state("a"); got != leaving {
 		t.Fatalf("after a late announcement: %v", got)
 	}
-	h.advance(staleServingPeriod + 2*time.Second)
-	if got := h.state("a"); got != serving {
-		t.Errorf("serving again after the stale period: %v", got)
+	h.advance(5 * time.Second)
+	if got := h.state("a"); got == serving {
+		t.Error("serving again after 5 s of late announcements")
 	}
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -86,8 +86,6 @@
 	// loadMeasuredAt is when the load was measured: the time of receipt less the load's
 	// age.
 	loadMeasuredAt time.Duration
-	// leavingAt is when the server last reported that it is leaving.
-	leavingAt time.Duration
 	// token is the newest order token that this incarnation has reported.
 	token *pb.FencingToken
 	// proposed is the registration that is being replicated. waiting holds the ids of the
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -32,13 +32,17 @@
 		"left":      func(h *harness) uint64 { return h.leave("life-1") },
 	}
 	meanwhile := map[string]func(h *harness){
-		"same leader, 10 s":  func(h *harness) { h.clock += 10 * time.Second },
-		"next leader":        func(h *harness) { h.changeLeader() },
-		"next leader, 4 s":   func(h *harness) { h.changeLeader(); h.clock += 4 * time.Second },
-		"two leaders":        func(h *harness) { h.changeLeader(); h.changeLeader() },
-		"lease expired":      func(h *harness) { h.advance(serverLease + time.Second) },
-		"expired, next one":  func(h *harness) { h.advance(serverLease + time.Second); h.changeLeader() },
-		"next one, expired":  func(h *harness) { h.changeLeader(); h.advance(serverLease + time.Second) },
+		"same leader, 10 s": func(h *harness) { h.clock += 10 * time.Second },
+		"next leader":       func(h *harness) { h.changeLeader() },
+		"next leader, 4 s":  func(h *harness) { h.changeLeader(); h.clock += 4 * time.Second },
+		"two leaders":       func(h *harness) { h.changeLeader(); h.changeLeader() },
+		"lease expired":     func(h *harness) { h.advance(serverLease + time.Second) },
+		"expired, next one": func(h *harness) { h.advance(serverLease + time.Second); h.changeLeader() },
+		"next one, expired": func(h *harness) { h.changeLeader(); h.advance(serverLease + time.Second) },
+		"record of a build without left": func(h *harness) {
+			h.Reducer.state.servers["a"].info.Left = false
+			h.changeLeader()
+		},
 		"leaving came again": func(h *harness) { h.changeLeader(); h.announce(announcementOf("a", "life-1", leaving), 6) },
 	}
 	late := map[string]func(h *harness){"direct": announceLate, "relayed": relayLate}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -11,11 +11,6 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
-// staleServingPeriod is how long after a server reported that it is leaving other
-// announcements of the same incarnation count as stale. Entries relay announcements every
-// second, so an older "serving" can arrive after a newer "leaving".
-const staleServingPeriod = 3 * time.Second
-
 // onReport handles an entry's report. Server deaths are answered after the commit;
 // everything else is repeated in the next report.
 func (r *Reducer) onReport(id uint64, req *pb.ReportRequest) {
@@ -75,6 +70,10 @@
 		r.log(slog.LevelError, "announcement rejected: too many backend servers", Field{"server", info.GetId()})
 		return
 	}
+	if r.hasLeft(info) && info.GetState() != pb.ServerState_SERVER_STATE_LEAVING && !info.GetLeft() {
+		r.logDropped("the server has left", info, source)
+		return
+	}
 	t := r.trackServer(info)
 	if olderToken(a.GetOrderToken(), t.token) {
 		// The announcement was made before the server carried out its last order.
@@ -83,9 +82,6 @@
 	t.token, t.fullyAnnounced = a.GetOrderToken(), true
 	t.leaseUntil = r.now + serverLease
 	r.recordLoad(t, a.GetLoad())
-	if r.isStaleServing(t, info) {
-		return
-	}
 	r.registerChanged(t, info, source)
 	r.onReportedOrder(info, a.GetOrderId())
 }
@@ -132,16 +128,20 @@
 	t.load, t.loadMeasuredAt = load, at
 }
 
-// isStaleServing reports whether a "serving" was probably sent before the known "leaving".
+// hasLeft reports whether this incarnation has said that it leaves: by the committed state or
+// by what is being committed.
 //
-// Failure: a server reports that it is leaving. A slower entry relays the announcement of
-// the second before, which makes the server serve again, and it gets new requests.
-func (r *Reducer) isStaleServing(t *trackedServer, info *pb.BackendServer) bool {
-	if info.GetState() == pb.ServerState_SERVER_STATE_LEAVING {
-		t.leavingAt = r.now
-		return false
-	}
-	return t.leavingAt != 0 && r.now < t.leavingAt+staleServingPeriod
+// Failure: a server's leaving is confirmed, and an announcement that it sent before arrives
+// seconds later, perhaps at the next leader or through a slower entry. It would make the
+// server serve again, and requests would reach a server that relies on getting none. No
+// incarnation serves again after its leaving, so nothing needs to be known of the order in
+// which announcements were sent.
+func (r *Reducer) hasLeft(info *pb.BackendServer) bool {
+	if sv := r.state.servers[info.GetId()]; sv != nil && sv.hasLeft(info.GetIncarnation()) {
+		return true
+	}
+	t := r.lead.servers[info.GetId()]
+	return t != nil && t.proposed.GetIncarnation() == info.GetIncarnation() && t.proposed.GetLeft()
 }
 
 // registerChanged registers a server if a property has changed that is part of the
@@ -149,6 +149,7 @@
 func (r *Reducer) registerChanged(t *trackedServer, info *pb.BackendServer, source announcementSource) {
 	info = proto.CloneOf(info)
 	info.Drained, info.ChecksFencing = false, false
+	info.Left = info.GetLeft() || info.GetState() == pb.ServerState_SERVER_STATE_LEAVING
 	if known := r.state.servers[info.GetId()]; known != nil && proto.Equal(known.info, info) {
 		return
 	}
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -90,6 +90,13 @@
 	return slices.Contains(sv.pastIncarnations, incarnationID) || incarnation.Before(incarnationID, sv.info.GetIncarnation())
 }
 
+// hasLeft reports whether that incarnation is the current one and has said that it leaves.
+// Records of builds without the field show it only until the server is GONE.
+func (sv *server) hasLeft(incarnationID string) bool {
+	return sv.info.GetIncarnation() == incarnationID &&
+		(sv.info.GetLeft() || sv.info.GetState() == pb.ServerState_SERVER_STATE_LEAVING)
+}
+
 // bumpServerVersion marks the server as changed in the version that is being applied.
 func (s *State) bumpServerVersion(id string) {
 	if sv := s.servers[id]; sv != nil {
@@ -109,6 +116,7 @@
 // serverView returns the server as it appears in the view.
 func (s *State) serverView(sv *server) *pb.BackendServer {
 	b := proto.CloneOf(sv.info)
+	b.Left = false
 	b.Drained = s.drained[b.GetId()]
 	b.ChecksFencing = s.checksFencing(b.GetId())
 	unresolved := s.unresolved(b.GetId())
