Replicate which servers left before control knew of them

A server that is told to stop right after its start says so before its first announcement arrives. The answer rested on a note in the leader's memory, given before any commit: the next leader registered the late announcement as serving, the same one did after 30 s, and beyond 1,024 notes there was none and the answer came all the same.

The rapid test of restored replicas draws the new command, too.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -70,8 +69,7 @@
 	sv := r.state.byIncarnation(e.Incarnation)
 	if sv == nil {
 		r.log(slog.LevelInfo, "unknown backend server is leaving", Field{"incarnation", e.Incarnation})
-		r.lead.recordDeparted(r.now, e.Incarnation)
-		r.reply(e.ID, &pb.ReportResponse{}, nil)
+		r.recordDeparted(e.ID, e.Incarnation)
 		return
 	}
 	info := proto.CloneOf(sv.info)
@@ -97,11 +95,6 @@
 // onDirectAnnouncement ignores an announcement that a later one of the same incarnation has
 // overtaken: a delayed "serving" would route requests to a server that is leaving.
 func (r *Reducer) onDirectAnnouncement(callID uint64, a *pb.Announcement, source announcementSource) {
-	if _, departed := r.lead.departed[a.GetServer().GetIncarnation()]; departed {
-		r.logDropped("the server left before it was known", a.GetServer(), source)
-		r.reply(callID, &pb.ReportResponse{}, nil)
-		return
-	}
 	t := r.lead.servers[a.GetServer().GetId()]
 	sameIncarnation := t != nil && t.incarnation == a.GetServer().GetIncarnation()
 	if sameIncarnation && source.sequence < t.sequence {
@@ -132,35 +125,6 @@
 	r.log(slog.LevelInfo, "announcement dropped", fields...)
 }
 
-const (
-	// departedRetention is how long the leader remembers an incarnation that left before
-	// its first announcement arrived: delayed announcements arrive some seconds late.
-	departedRetention = 30 * time.Second
-	// maxDeparted bounds these records, so that calls with made-up ids can't fill memory.
-	maxDeparted = 1024
-)
-
-// recordDeparted remembers an incarnation that left before this leader received an
-// announcement of it.
-//
-// Failure: a server is told to shut down right after its start. Its Leave overtakes its
-// first announcement and is confirmed, and the announcement then registers the server as
-// serving: it gets requests although it relies on getting none.
-func (l *leadership) recordDeparted(now time.Duration, incarnation string) {
-	if len(l.departed) < maxDeparted {
-		l.departed[incarnation] = now
-	}
-}
-
-// expireDeparted drops the records that are older than departedRetention.
-func (l *leadership) expireDeparted(now time.Duration) {
-	for incarnation, at := range l.departed {
-		if now-at >= departedRetention {
-			delete(l.departed, incarnation)
-		}
-	}
-}
-
 // answerWaitingCalls answers the server's calls that wait for its registration.
 func (r *Reducer) answerWaitingCalls(t *trackedServer, ok bool) {
 	for _, id := range t.waiting {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -61,9 +61,8 @@
 	joiners                 map[string]*joiner
 	membershipChangePending bool
 
-	// departed holds the incarnations that left before this leader got an announcement of
-	// them, and the time.
-	departed map[string]time.Duration
+	// departing counts the calls of incarnations that left unknown, until the commit.
+	departing map[string]int
 
 	// lastContactAt is when an entry, a server or a relaying replica last reached this
 	// leader. lastSweepAt is when leases were last checked.
@@ -123,7 +122,7 @@
 		demand:     newDemandWindow(now),
 		plans:      make(map[string]*modelPlan),
 		joiners:    make(map[string]*joiner),
-		departed:   make(map[string]time.Duration),
+		departing:  make(map[string]int),
 		usage:      newLeaderUsage(),
 		duties:     newLeaderDuties(),
 		scale:      newLeaderScale(),
@@ -154,7 +153,6 @@
 	}
 	r.sweepServers()
 	r.sweepEntries()
-	r.lead.expireDeparted(r.now)
 	r.advanceOrders()
 	r.reconcileEngines()
 	r.processUsage()
@@ -294,5 +292,5 @@
 			return true
 		}
 	}
-	return false
+	return s.departed.anyExpired(nowMS)
 }
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -84,3 +85,65 @@
 		t.Errorf("back in touch: %v", got)
 	}
 }
+
+// Guards against a server that left before its first announcement arrived and is registered by
+// the next leader, or later than any retention in one leader's memory.
+func TestServerThatLeftUnknownStaysUnknown(t *testing.T) {
+	for what, pass := range map[string]func(h *harness){
+		"next leader": func(h *harness) { h.changeLeader() },
+		"two leaders": func(h *harness) { h.changeLeader(); h.changeLeader() },
+		"31 s later":  func(h *harness) { h.advance(31 * time.Second) },
+	} {
+		for path, announce := range map[string]func(h *harness){"direct": announceLate, "relayed": relayLate} {
+			t.Run(what+"/"+path, func(t *testing.T) {
+				h := newHarness(t)
+				if r := h.replies[h.leave("life-1")]; r.Err != nil {
+					t.Fatal(r.Err)
+				}
+				pass(h)
+				announce(h)
+				if got := h.state("a"); got == serving {
+					t.Error("a server that has left is registered as serving")
+				}
+				h.announce(announcementOf("a", "life-2", serving), 1)
+				if got := h.server("a"); got.GetIncarnation() != "life-2" || got.GetState() != serving {
+					t.Errorf("its next incarnation: %v", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a Leave that is confirmed while only the leader knows that the server left.
+func TestLeaveOfAnUnknownServerIsConfirmedOnlyOnceCommitted(t *testing.T) {
+	h := newHarness(t)
+	h.node.commitsBlocked = true
+	id := h.leave("life-1")
+	if r, ok := h.replies[id]; ok {
+		t.Fatalf("confirmed before the commit: %v, %v", r.Response, r.Err)
+	}
+	announceLate(h)
+	h.stepDown(2)
+	if r, ok := h.replies[id]; !ok || r.Err == nil {
+		t.Fatalf("the leader stepped down: answered %v, error %v; want an error", ok, r.Err)
+	}
+}
+
+// Guards against records of servers that left growing without bound, and against a confirmation
+// that rests on no record.
+func TestRecordsOfUnknownServersThatLeftAreBounded(t *testing.T) {
+	h := newHarness(t)
+	for n := range maxDeparted {
+		h.leave(strconv.Itoa(n))
+	}
+	if r := h.replies[h.leave("one more")]; r.Err == nil {
+		t.Error("confirmed without a record")
+	}
+	if r := h.replies[h.leave("7")]; r.Err != nil {
+		t.Errorf("a repeated Leave: %v", r.Err)
+	}
+	h.advance(departedRetention + expireInterval + time.Second)
+	if r := h.replies[h.leave("one more")]; r.Err != nil {
+		t.Errorf("after the retention: %v", r.Err)
+	}
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -70,6 +70,10 @@
 		r.log(slog.LevelError, "announcement rejected: too many backend servers", Field{"server", info.GetId()})
 		return
 	}
+	if r.leftUnknown(info.GetIncarnation()) {
+		r.logDropped("the server left before it was known", info, source)
+		return
+	}
 	if r.hasLeft(info) && info.GetState() != pb.ServerState_SERVER_STATE_LEAVING && !info.GetLeft() {
 		r.logDropped("the server has left", info, source)
 		return
--- a/internal/control/snapshot_test.go
+++ b/internal/control/snapshot_test.go
@@ -17,7 +17,7 @@
 	c := claimOf(keyAt(nowMS-int64(rapid.IntRange(0, 7_200_000).Draw(rt, "age")), rapid.IntRange(1, 3).Draw(rt, "n")),
 		name("r"), entryIdentity(name("e"), name("i")))
 	cmd := &pb.Command{NowUnixMs: nowMS}
-	switch rapid.IntRange(0, 8).Draw(rt, "op") {
+	switch rapid.IntRange(0, 9).Draw(rt, "op") {
 	case 0:
 		revision := uint64(rapid.IntRange(1, 9).Draw(rt, "revision"))
 		cmd.Op = &pb.Command_Apply{Apply: &pb.ApplyRequest{Declaration: testDeclaration(revision, revision-1, name("a"), name("c"))}}
@@ -50,6 +50,8 @@
 			info := &pb.EntryInfo{Identity: entryIdentity(name("e"), name("i"))}
 			cmd.Op = &pb.Command_Entry{Entry: &pb.EntryUpdate{Entries: []*pb.EntryInfo{info}, Removed: []string{name("e")}}}
 		}
+	case 9:
+		cmd.Op = &pb.Command_Departed{Departed: &pb.DepartedUpdate{Incarnations: []string{name("i"), name("left")}}}
 	}
 	return cmd
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -29,6 +29,7 @@
 	changes  changes
 	usage    usageState
 	scale    scaleTargets
+	departed departed
 	// roleChanges counts the role orders that were carried out.
 	roleChanges uint64
 }
@@ -45,6 +46,7 @@
 		claims:   newClaims(),
 		suspects: newSuspects(),
 		scale:    make(scaleTargets),
+		departed: make(departed),
 	}
 }
 
@@ -117,6 +119,8 @@
 		s.usage.apply(op.Usage)
 	case *pb.Command_Scale:
 		s.scale.apply(op.Scale)
+	case *pb.Command_Departed:
+		s.departed.apply(op.Departed, s.nowMS)
 	case *pb.Command_Expire:
 		s.applyExpire()
 	}
@@ -128,6 +132,7 @@
 	s.expireClaims()
 	s.expireSuspects()
 	s.expireServers()
+	s.departed.expire(s.nowMS)
 }
 
 // limits returns the declared limits, with defaults for those that are not declared.
