A Leave counts for a first announcement that is still being committed

A server that starts and is told to stop at once: its Leave reaches the leader while its first announcement is being replicated. Control looked only at what was committed, took the Leave for one of an unknown server and confirmed it; the commit then made the server serve, until its lease ended 5 s later.

The Leave now counts for the newest record, committed or not, and is answered with the commit of what it changes.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -66,13 +66,13 @@
 		r.reply(e.ID, nil, r.notLeader())
 		return
 	}
-	sv := r.state.byIncarnation(e.Incarnation)
-	if sv == nil {
+	known := r.latestRecord(e.Incarnation)
+	if known == nil {
 		r.log(slog.LevelInfo, "unknown backend server is leaving", Field{"incarnation", e.Incarnation})
 		r.recordDeparted(e.ID, e.Incarnation)
 		return
 	}
-	info := proto.CloneOf(sv.info)
+	info := proto.CloneOf(known)
 	info.Left = true
 	if info.State != pb.ServerState_SERVER_STATE_GONE {
 		info.State = pb.ServerState_SERVER_STATE_LEAVING
@@ -140,6 +140,22 @@
 	}
 }
 
+// latestRecord returns the server with that incarnation as it will be once all proposals are
+// committed, or nil.
+//
+// Failure: a Leave arrives while the server's first announcement is being committed. If it
+// counted as that of an unknown server, the commit would make the server serve although its
+// Leave was confirmed.
+func (r *Reducer) latestRecord(incarnationID string) *pb.BackendServer {
+	for _, id := range slices.Sorted(maps.Keys(r.lead.servers)) {
+		proposed := r.lead.servers[id].proposed
+		if proposed != nil && incarnation.Matches(incarnationID, proposed.GetIncarnation()) {
+			return proposed
+		}
+	}
+	return r.state.byIncarnation(incarnationID).recorded()
+}
+
 // byIncarnation returns the server with that incarnation, or nil.
 func (s *State) byIncarnation(incarnationID string) *server {
 	for _, sv := range s.sortedServers() {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -42,8 +42,9 @@
 	replicas []consensus.ReplicaStatus
 	// changes are the proposed changes of the member list.
 	changes []consensus.MembershipChange
-	// commitsBlocked keeps proposals from committing.
+	// commitsBlocked keeps proposals from committing; they wait in blocked.
 	commitsBlocked bool
+	blocked        []*pb.LogEntry
 }
 
 func (n *fakeNode) LeaseUntil() time.Duration { return n.leaseUntil }
@@ -59,10 +60,11 @@
 			return []consensus.Effect{consensus.ProposalRefused{ID: e.ID, Reason: consensus.NotLeader}}
 		}
 		n.index++
+		entry := &pb.LogEntry{Term: n.term, Index: n.index, Data: e.Data}
 		if n.commitsBlocked {
+			n.blocked = append(n.blocked, entry)
 			return []consensus.Effect{consensus.ProposalAppended{ID: e.ID, Index: n.index, Term: n.term}}
 		}
-		entry := &pb.LogEntry{Term: n.term, Index: n.index, Data: e.Data}
 		return []consensus.Effect{
 			consensus.ProposalAppended{ID: e.ID, Index: n.index, Term: n.term},
 			consensus.Apply{Entries: []*pb.LogEntry{entry}},
@@ -134,6 +136,13 @@
 	h.emitOnTick(consensus.LeaderChanged{Term: term, Leader: 2})
 }
 
+// commitBlocked commits what waits, and everything from now on at once.
+func (h *harness) commitBlocked() {
+	list := h.node.blocked
+	h.node.commitsBlocked, h.node.blocked = false, nil
+	h.emitOnTick(consensus.Apply{Entries: list})
+}
+
 func (h *harness) emitOnTick(list ...consensus.Effect) {
 	h.node.nextEffects = list
 	h.tick()
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -147,3 +147,24 @@
 		t.Errorf("after the retention: %v", r.Err)
 	}
 }
+
+// Guards against a Leave that is confirmed while the first announcement, still being committed,
+// makes the server serve.
+func TestLeaveDuringTheFirstCommitIsObeyed(t *testing.T) {
+	h := newHarness(t)
+	h.node.commitsBlocked = true
+	announced := h.announce(announcementOf("a", "life-1", serving), 1)
+	left := h.leave("life-1")
+	if r, ok := h.replies[left]; ok {
+		t.Fatalf("confirmed before the commit: %v, %v", r.Response, r.Err)
+	}
+	h.commitBlocked()
+	for what, id := range map[string]uint64{"announcement": announced, "leave": left} {
+		if r, ok := h.replies[id]; !ok || r.Err != nil {
+			t.Errorf("%s: answered %v, error %v", what, ok, r.Err)
+		}
+	}
+	if got := h.state("a"); got != leaving {
+		t.Errorf("after its confirmed Leave: %v", got)
+	}
+}
