Replicate the sequence of the announcement that changed a server

The sequence that orders a server's announcements was in the leader's memory. An announcement that an engine sent before it changed its role, late by a change of leader, put the old role into force: entries sent it work that it turns away, and an order that had brought the role about was undone in the view until the next heartbeat.

Each record contains the sequence of the announcement that last changed it; a new leader begins with it, and older ones are dropped as under the leader before. It is not compared, so heartbeats without news stay out of the log, and it is not in views.

--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -92,7 +92,7 @@
 	proposed *pb.BackendServer
 	waiting  []uint64
 	// sequence is that of the newest announcement that the server sent to this leader
-	// directly.
+	// directly, or of the last one that changed its record at an earlier leader.
 	sequence uint64
 }
 
@@ -130,6 +130,7 @@
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.info.GetId()] = &trackedServer{
 			leaseUntil: now + serverLease, incarnation: sv.info.GetIncarnation(), firstSeenAt: now,
+			sequence: sv.info.GetSequence(),
 		}
 	}
 	for _, e := range s.sortedEntries() {
--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -168,3 +168,27 @@
 		t.Errorf("after its confirmed Leave: %v", got)
 	}
 }
+
+// Guards against an announcement of before a role change that the next leader takes for news.
+func TestOlderRoleIsNotRestoredByTheNextLeader(t *testing.T) {
+	engineOf := func(role pb.EngineRole) *pb.Announcement {
+		a := announcementOf("a", "life-1", serving)
+		a.Server.Kind, a.Server.Services, a.Server.Model = pb.ServerKind_SERVER_KIND_MODEL, nil, "m"
+		a.Server.Role = role
+		return a
+	}
+	const before, after = pb.EngineRole_ENGINE_ROLE_MIXED, pb.EngineRole_ENGINE_ROLE_PREFILL
+	h := newHarness(t)
+	h.announce(engineOf(before), 4)
+	h.announce(engineOf(after), 5)
+	h.announce(engineOf(after), 9)
+	h.changeLeader()
+	h.announce(engineOf(before), 4)
+	if got := h.server("a").GetRole(); got != after {
+		t.Errorf("after a late announcement: %v", got)
+	}
+	h.announce(engineOf(before), 10)
+	if got := h.server("a").GetRole(); got != before {
+		t.Errorf("after a newer announcement: %v", got)
+	}
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -150,20 +150,29 @@
 
 // registerChanged registers a server if a property has changed that is part of the
 // replicated state. Loads and lease renewals stay out of the log.
+//
+// Failure: an engine changes its role, and an announcement that it sent before is late and
+// reaches the next leader, which would put the old role into force. So the record contains
+// the sequence of the announcement that changed it; older ones are dropped.
 func (r *Reducer) registerChanged(t *trackedServer, info *pb.BackendServer, source announcementSource) {
 	info = proto.CloneOf(info)
 	info.Drained, info.ChecksFencing = false, false
 	info.Left = info.GetLeft() || info.GetState() == pb.ServerState_SERVER_STATE_LEAVING
-	if known := r.state.servers[info.GetId()]; known != nil && proto.Equal(known.info, info) {
-		return
-	}
-	if t.proposed != nil && proto.Equal(t.proposed, info) {
+	known := r.state.servers[info.GetId()].recorded()
+	if sameExceptSequence(info, known) || sameExceptSequence(info, t.proposed) {
 		return
 	}
+	info.Sequence = max(source.sequence, t.sequence)
 	r.register(t, info)
 	r.logChanged(info, source)
 }
 
+// sameExceptSequence compares info with a record and gives it the record's sequence.
+func sameExceptSequence(info, recorded *pb.BackendServer) bool {
+	info.Sequence = recorded.GetSequence()
+	return recorded != nil && proto.Equal(info, recorded)
+}
+
 // logChanged logs what a server changes to, and the committed record that it replaces.
 func (r *Reducer) logChanged(info *pb.BackendServer, source announcementSource) {
 	known := r.state.servers[info.GetId()].recorded()
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -116,7 +116,7 @@
 // serverView returns the server as it appears in the view.
 func (s *State) serverView(sv *server) *pb.BackendServer {
 	b := proto.CloneOf(sv.info)
-	b.Left = false
+	b.Left, b.Sequence = false, 0
 	b.Drained = s.drained[b.GetId()]
 	b.ChecksFencing = s.checksFencing(b.GetId())
 	unresolved := s.unresolved(b.GetId())
