Entries take a leaving in the view as final for the incarnation

While control is upgraded, a replica of the build before may lead and take a late announcement of a server that left for news. An entry that had seen the leaving in one view sent requests again by the next, also after GONE or a removal between.

The entry keeps with the incarnation that a view showed it as leaving, beside what the server signalled itself, and gives it no new work. It is no signal of the server: requests that were sent before go on as they did.

--- a/internal/decision/backpressure/state.go
+++ b/internal/decision/backpressure/state.go
@@ -7,6 +7,9 @@
 	Limit RateLimit
 	// Leaving is set for good once the server has signalled that it is leaving.
 	Leaving bool
+	// LeavingInView is set for good once control's view has shown the server as leaving. Work
+	// that was sent to it before may still begin, so it is not a signal of the server's own.
+	LeavingInView bool
 	// Malformed is the last part of its signals that could not be parsed.
 	Malformed string
 	// backoffUntil is until when the server accepts nothing from this entry.
@@ -19,7 +22,7 @@
 // HasSignal reports whether the server has sent any signal that stays valid for its
 // incarnation.
 func (s *ServerState) HasSignal() bool {
-	return s.Limit.ReceivedAt() > 0 || s.backoffUntil > 0 || s.Leaving
+	return s.Limit.ReceivedAt() > 0 || s.backoffUntil > 0 || s.Leaving || s.LeavingInView
 }
 
 // BackOff records that the server accepts nothing for the duration d. A longer back-off from
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -42,6 +42,39 @@
 	w.singleDispatch()
 }
 
+// Guards against a view that takes back the leaving of an incarnation, as a leader of an earlier
+// build may send after a late announcement.
+func TestLeavingInTheViewIsFinal(t *testing.T) {
+	for name, meanwhile := range map[string]func(w *harness){
+		"at once":       func(w *harness) {},
+		"after GONE":    func(w *harness) { w.viewState(pb.ServerState_SERVER_STATE_GONE) },
+		"after removal": func(w *harness) { w.view() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newDeadlineHarness(t)
+			w.view(serving(1)...)
+			w.viewState(pb.ServerState_SERVER_STATE_LEAVING)
+			meanwhile(w)
+			w.view(serving(1)...)
+			w.arriveWithDeadline("r", nil)
+			if r := w.singleRefusal(); r.Outcome != outcome.NotRun {
+				t.Fatalf("refusal %+v", r)
+			}
+			next := serving(1)
+			next[0].Incarnation = "life-2"
+			w.view(next...)
+			w.arriveWithDeadline("next", nil)
+			w.singleDispatch()
+		})
+	}
+}
+
+func (w *harness) viewState(state pb.ServerState) {
+	list := serving(1)
+	list[0].State = state
+	w.view(list...)
+}
+
 // Guards against an entry that sends requests to a leaving server until it gets a response of
 // its own from it.
 func TestLeavingServerIsReportedToOtherEntries(t *testing.T) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -133,6 +133,9 @@
 			replaced = append(replaced, p.Id)
 		}
 		s.pb, s.roleAverage = p, t.roleAverage(p)
+		if p.State == pb.ServerState_SERVER_STATE_LEAVING {
+			s.backpressure.LeavingInView = true
+		}
 		t.byID[p.Id] = s
 	}
 	for _, id := range resp.RemovedServers {
@@ -248,11 +251,14 @@
 // available reports whether new work may go to the server, apart from backpressure.
 //
 // There are two independent signs that a server is leaving: the view and its own report. After
-// either of them it gets no more work. A view whose lease has ended may hide that a server is
+// either of them the incarnation gets no more work, whatever a later view says. A view whose lease has ended may hide that a server is
 // leaving, since the entry may be cut off from control. While it is stale, only servers count
 // that have reported themselves serving within confirmationTime.
 func (s *server) available(now time.Duration, stale bool) bool {
-	if s.backpressure.Leaving || s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
+	if s.backpressure.Leaving || s.backpressure.LeavingInView {
+		return false
+	}
+	if s.died || s.pb.Drained || s.pb.State != pb.ServerState_SERVER_STATE_SERVING {
 		return false
 	}
 	if s.ownState == engineapi.StateChanging || now < s.coolUntil {
