Replicate the replaced incarnations of entries

Which incarnations of an entry were replaced was in the leader's memory. A call that an entry's process of before had sent, late by a change of leader, put that process back into force: the view named its addresses, and the claims of calls that the live one had under way ended as unknown.

The record of an entry contains the last eight incarnations that it replaced, as that of a server does.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -8,8 +10,9 @@
 
 // entry is the replicated record of one entry.
 type entry struct {
-	info    *pb.EntryInfo
-	version uint64
+	info             *pb.EntryInfo
+	version          uint64
+	pastIncarnations []string
 }
 
 // applyEntries records entries that appeared, changed or expired. Claims that an entry's
@@ -21,11 +24,17 @@
 		if name == "" {
 			continue
 		}
-		if old := s.entries[name]; old != nil && incarnationOf(old.info) != incarnationOf(info) {
-			s.markOwnerLost(old.info.GetIdentity())
+		e := &entry{info: proto.CloneOf(info)}
+		if old := s.entries[name]; old != nil {
+			e.pastIncarnations = old.pastIncarnations
+			if incarnationOf(old.info) != incarnationOf(info) {
+				s.markOwnerLost(old.info.GetIdentity())
+				e.pastIncarnations = appendIncarnation(old.pastIncarnations, incarnationOf(old.info))
+			}
 		}
 		s.bumpViewVersion()
-		s.entries[name] = &entry{info: proto.CloneOf(info), version: s.index}
+		e.version = s.index
+		s.entries[name] = e
 	}
 	for _, name := range u.GetRemoved() {
 		old := s.entries[name]
@@ -40,3 +49,10 @@
 }
 
 func incarnationOf(info *pb.EntryInfo) string { return info.GetIdentity().GetIncarnation() }
+
+// appendIncarnation returns a new list with the incarnation that was replaced last, without the
+// oldest ones.
+func appendIncarnation(list []string, replaced string) []string {
+	list = append(slices.Clone(list), replaced)
+	return list[max(0, len(list)-maxPastIncarnations):]
+}
--- /dev/null
+++ b/internal/control/entry_incarnations_test.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+func (h *harness) watchFrom(name, incarnation string, leaving bool) uint64 {
+	return h.send(&pb.WatchRequest{ClusterId: cluster, Entry: entryIdentity(name, incarnation), Leaving: leaving, HoldMs: 600})
+}
+
+// Guards against a late call of an entry's earlier incarnation that ends the claims of the live one
+// under the next leader.
+func TestEarlierIncarnationOfAnEntryIsNotRestoredByTheNextLeader(t *testing.T) {
+	h := newHarness(t)
+	h.watchFrom("e1", "1", false)
+	h.watchFrom("e1", "2", false)
+	h.changeLeader()
+	late := h.watchFrom("e1", "1", false)
+	if r := h.replies[late]; r.Err == nil {
+		t.Errorf("the late call is answered: %v", r.Response)
+	}
+	if got := incarnationOf(h.Reducer.state.entries["e1"].info); got != "2" {
+		t.Errorf("incarnation in force: %s", got)
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -136,6 +136,7 @@
 	for _, e := range s.sortedEntries() {
 		l.entries[e.info.GetIdentity().GetName()] = &trackedEntry{
 			leaseUntil: now + entryLease, viewUntil: now + viewLease, incarnation: incarnationOf(e.info),
+			pastIncarnations: e.pastIncarnations,
 		}
 	}
 	return l
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -62,8 +62,7 @@
 	}
 	previous := sv.info
 	if previous != nil && previous.GetIncarnation() != info.GetIncarnation() {
-		sv.pastIncarnations = append(sv.pastIncarnations, previous.GetIncarnation())
-		sv.pastIncarnations = sv.pastIncarnations[max(0, len(sv.pastIncarnations)-maxPastIncarnations):]
+		sv.pastIncarnations = appendIncarnation(sv.pastIncarnations, previous.GetIncarnation())
 	}
 	sv.info = proto.CloneOf(info)
 	sv.info.Drained, sv.info.ChecksFencing = false, false
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -95,7 +95,9 @@
 		s.drained[id] = true
 	}
 	for _, r := range snap.GetEntries() {
-		s.entries[r.GetEntry().GetIdentity().GetName()] = &entry{info: r.GetEntry(), version: r.GetVersion()}
+		s.entries[r.GetEntry().GetIdentity().GetName()] = &entry{
+			info: r.GetEntry(), version: r.GetVersion(), pastIncarnations: r.GetPastIncarnations(),
+		}
 	}
 }
 
@@ -147,7 +149,9 @@
 func (s *State) entryRecords() []*pb.EntryRecord {
 	var list []*pb.EntryRecord
 	for _, e := range s.sortedEntries() {
-		list = append(list, &pb.EntryRecord{Entry: e.info, Version: e.version})
+		list = append(list, &pb.EntryRecord{
+			Entry: e.info, Version: e.version, PastIncarnations: e.pastIncarnations,
+		})
 	}
 	return list
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -73,8 +73,7 @@
 // need are replicated.
 func (r *Reducer) renewEntry(t *trackedEntry, req *pb.WatchRequest) {
 	if t.incarnation != "" && t.incarnation != req.GetEntry().GetIncarnation() {
-		t.pastIncarnations = append(t.pastIncarnations, t.incarnation)
-		t.pastIncarnations = t.pastIncarnations[max(0, len(t.pastIncarnations)-maxPastIncarnations):]
+		t.pastIncarnations = appendIncarnation(t.pastIncarnations, t.incarnation)
 		t.knownVersion = 0
 	}
 	t.incarnation = req.GetEntry().GetIncarnation()
