A late call does not undo that an entry stops

An entry that stops says so with its calls for the view. A call that it had sent before and that arrived late, at the same leader or the next one, made it an entry like the others: callers were sent to it until its next call, up to 0.6 s later, and it refused them.

Leaving is final for an entry's incarnation too, by the replicated record.

--- a/internal/control/entry_incarnations_test.go
+++ b/internal/control/entry_incarnations_test.go
@@ -25,3 +25,26 @@
 		t.Errorf("incarnation in force: %s", got)
 	}
 }
+
+// Guards against a late call of before an entry's stop that sends callers to it again.
+func TestLeavingOfAnEntryIsFinal(t *testing.T) {
+	for name, meanwhile := range map[string]func(h *harness){
+		"same leader": func(h *harness) {},
+		"next leader": func(h *harness) { h.changeLeader() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.watchFrom("e1", "1", false)
+			h.watchFrom("e1", "1", true)
+			meanwhile(h)
+			h.watchFrom("e1", "1", false)
+			if !h.Reducer.state.entries["e1"].info.GetLeaving() {
+				t.Error("a late call undid the leaving")
+			}
+			h.watchFrom("e1", "2", false)
+			if e := h.Reducer.state.entries["e1"].info; incarnationOf(e) != "2" || e.GetLeaving() {
+				t.Errorf("the next incarnation: %v", e)
+			}
+		})
+	}
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -81,7 +81,8 @@
 	t.knownVersion, t.revision = req.GetKnownVersion(), req.GetRevision()
 	r.lead.lastContactAt = r.now
 	info := &pb.EntryInfo{
-		Identity: req.GetEntry(), Leaving: req.GetLeaving(), Load: roundLoad(req.GetLoad()),
+		Identity: req.GetEntry(), Leaving: req.GetLeaving() || r.isLeavingEntry(req.GetEntry()),
+		Load: roundLoad(req.GetLoad()),
 	}
 	if t.proposed != nil || !r.entryChanged(info) {
 		return
@@ -97,6 +98,13 @@
 		Field{"incarnation", incarnationOf(info)}, Field{"leaving", info.GetLeaving()}, Field{"load", info.GetLoad()})
 }
 
+// isLeavingEntry reports whether that incarnation of the entry has said that it stops. That is
+// final: a call that it sent before and that arrives late must not send callers to it again.
+func (r *Reducer) isLeavingEntry(id *pb.EntryIdentity) bool {
+	known := r.state.entries[id.GetName()]
+	return known != nil && known.info.GetLeaving() && incarnationOf(known.info) == id.GetIncarnation()
+}
+
 func (r *Reducer) entryChanged(info *pb.EntryInfo) bool {
 	known := r.state.entries[info.GetIdentity().GetName()]
 	if known == nil || known.info.GetLeaving() != info.GetLeaving() {
