Count a connection reset while it is opened as a server's death

Callers' requests that crash servers killed a third one. While a process dies, the kernel still completes connections to its listener and resets them when it is closed; if the reset arrives before the client asks for the result of its connect, the dial itself fails, which was taken for "not sent" and for no death, unlike a refused connection and one closed just after it was opened. The crash was counted against nobody.

--- a/internal/httpconn/client_test.go
+++ b/internal/httpconn/client_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,6 +151,31 @@
 	}
 }
 
+// Guards against a crash that goes unnoticed. While a process dies, the kernel completes
+// connections to it for some milliseconds and then resets them, in part before the client has
+// seen them open.
+func TestConnectionResetWhileOpenedShowsDeath(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().(*net.TCPAddr)
+	client := New()
+	client.dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			target := &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}
+			if err := syscall.Connect(int(fd), target); !errors.Is(err, syscall.EINPROGRESS) {
+				t.Errorf("connect: %v", err)
+			}
+			_ = ln.Close()
+		})
+	}
+	_, err = call(t, client, &peer{address: address.String()}, nil)
+	if !errorx.IsOfType(err, NotSent) || errorx.IsOfType(err, Refused) || !ProcessGone(err) {
+		t.Errorf("reset while opened: %v", err)
+	}
+}
+
 // Guards against a request on an idle connection that the server has closed or on which it has
 // sent unrequested bytes: the request would be lost, or get a response to another request.
 func TestUnusableIdleConnectionIsNotReused(t *testing.T) {
--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -20,6 +20,9 @@
 	NotSent = Namespace.NewType("not_sent")
 	// Refused: nothing listens at the address; the process is gone.
 	Refused = NotSent.NewSubtype("refused")
+	// Reset: the connection was reset while it was being opened. The kernel of a dying process
+	// still accepts connections, and resets them when the process ends.
+	Reset = NotSent.NewSubtype("reset")
 	// Broken: the connection failed or timed out after bytes were sent.
 	Broken = Namespace.NewType("broken")
 	// Closed: the connection was opened and then closed without a response.
@@ -44,6 +47,9 @@
 	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNREFUSED) {
 		return Refused.Wrap(err, "no connection")
 	}
+	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNRESET) {
+		return Reset.Wrap(err, "no connection")
+	}
 	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return NotSent.Wrap(err, "no connection")
 	}
@@ -65,8 +71,8 @@
 }
 
 // ProcessGone reports whether the failure of a new connection shows that the server's process is
-// gone: nothing listens there, or a proxy in between accepts the connection and closes it at
-// once. A timeout does not show it, since the server may only be frozen.
+// gone: nothing listens there, or the kernel or a proxy in between accepts the connection and
+// resets or closes it at once. A timeout does not show it, since the server may only be frozen.
 func ProcessGone(err error) bool {
-	return errorx.IsOfType(err, Refused) || errorx.IsOfType(err, Closed)
+	return errorx.IsOfType(err, Refused) || errorx.IsOfType(err, Reset) || errorx.IsOfType(err, Closed)
 }
