Let the at-most-once check tell a final refusal from one to come back after

The model took every refusal with the outcome unknown for the statement that the key has run, and called histories illegal in which a call was refused with control_unreachable and Retry-After, repeated under its key as CALLERS says, and ran then. The stand-in caller did not repeat such calls, and kept the refusal of an earlier attempt as its result when later ones got no answer: that is how "not run" came of a call that ran.

--- a/internal/proof/at_most_once.go
+++ b/internal/proof/at_most_once.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,8 +40,12 @@
 	// runID is the run that answered; it is empty without an answer.
 	runID    string
 	replayed bool
-	// mayHaveRun says that the caller got the refusal "unknown" or "already ran".
+	// mayHaveRun says that the caller got a final refusal with the outcome "unknown"
+	// or "ran". A refusal after which the caller is told to come back says nothing of
+	// the key: the call may run for the first time then.
 	mayHaveRun bool
+	// notRun says that the caller got the outcome "not run".
+	notRun bool
 }
 
 // AtMostOnceHistory records sends of at-most-once calls for the linearizability checker.
@@ -71,7 +77,8 @@
 
 func outputOf(res *caller.Result) atMostOnceOutput {
 	if !res.Complete {
-		return atMostOnceOutput{mayHaveRun: res.Outcome == outcome.Unknown || res.Code == outcome.CodeAlreadyRan}
+		saysRun := res.Outcome == outcome.Unknown || res.Outcome == outcome.Ran
+		return atMostOnceOutput{mayHaveRun: saysRun && res.RetryAfter == 0, notRun: res.Outcome == outcome.NotRun}
 	}
 	var answer server.PlainAnswer
 	_ = json.Unmarshal([]byte(res.Text), &answer)
@@ -92,6 +99,44 @@
 	return porcupine.CheckOperationsTimeout(atMostOnceModel, h.ops, timeout)
 }
 
+// timeOfDay has the precision that is needed to find a send in the processes' logs.
+const timeOfDay = "15:04:05.000"
+
+// Describe describes the sends of each key whose history atMostOnceModel rejects or
+// that has a send without a complete answer.
+func (h *AtMostOnceHistory) Describe() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	incomplete := make(map[string]bool)
+	for i, op := range h.ops {
+		if !h.results[i].Result.Complete {
+			incomplete[op.Input.(string)] = true
+		}
+	}
+	var text strings.Builder
+	for _, part := range partitionByKey(h.ops) {
+		key := part[0].Input.(string)
+		if incomplete[key] || !porcupine.CheckOperations(atMostOnceModel, part) {
+			h.describe(&text, key)
+		}
+	}
+	return text.String()
+}
+
+// describe writes one line for each send of the key. The caller must hold mu.
+func (h *AtMostOnceHistory) describe(text *strings.Builder, key string) {
+	fmt.Fprintf(text, "key %s\n", key)
+	for i, op := range h.ops {
+		if op.Input.(string) != key {
+			continue
+		}
+		res, out := h.results[i].Result, op.Output.(atMostOnceOutput)
+		fmt.Fprintf(text, "  %s to %s: mark %s, status %d, code %q, outcome %q, %s, run %q, replayed %t, %d attempts, entries %v, last error %v\n",
+			time.Unix(0, op.Call).UTC().Format(timeOfDay), time.Unix(0, op.Return).UTC().Format(timeOfDay), h.results[i].Mark,
+			res.Status, res.Code, res.Outcome, res.Message, out.runID, out.replayed, res.Attempts, res.Entries, res.Err)
+	}
+}
+
 // atMostOnceState is the model's state of one key.
 type atMostOnceState struct {
 	runID      string
@@ -100,13 +145,15 @@
 
 // atMostOnceModel allows at most one run per key. A fresh answer comes once, and never
 // after a caller was told that the call ran or may have run. A replayed answer is
-// always that of the one run.
+// always that of the one run. "Not run" comes only before the run.
 var atMostOnceModel = porcupine.Model{
 	Partition: partitionByKey,
 	Init:      func() any { return atMostOnceState{} },
 	Step: func(state, _, output any) (bool, any) {
 		s, out := state.(atMostOnceState), output.(atMostOnceOutput)
 		switch {
+		case out.notRun:
+			return s.runID == "" && !s.mayHaveRun, s
 		case out.runID == "":
 			s.mayHaveRun = s.mayHaveRun || out.mayHaveRun
 			return true, s
--- a/internal/proof/at_most_once_test.go
+++ b/internal/proof/at_most_once_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/sourcegraph/conc"
+
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/caller"
 )
 
 const (
@@ -50,6 +53,9 @@
 	if got := h.Linearizable(linearizabilityTimeout); got != porcupine.Ok {
 		t.Errorf("linearizability check of the at-most-once calls: %s", got)
 	}
+	if t.Failed() {
+		t.Logf("keys with a send that has no answer, or with an illegal history:\n%s", h.Describe())
+	}
 }
 
 // The same at-most-once call arrives through two entries at once and is retried
@@ -96,8 +102,9 @@
 	})
 }
 
-// The model must reject a second run of a key and a fresh answer after the refusal
-// "unknown"; otherwise the tests of at-most-once calls would pass on such faults.
+// The model must reject a second run of a key, a fresh answer after the refusal
+// "unknown" and "not run" after a run; otherwise the tests of at-most-once calls would
+// pass on such faults.
 func TestOnceModelSeesSecondRuns(t *testing.T) {
 	op := func(out atMostOnceOutput, at int64) porcupine.Operation {
 		return porcupine.Operation{Input: "k", Output: out, Call: at, Return: at + 1}
@@ -106,14 +113,35 @@
 		{op(atMostOnceOutput{runID: "1"}, 0), op(atMostOnceOutput{runID: "2"}, 2)},
 		{op(atMostOnceOutput{mayHaveRun: true}, 0), op(atMostOnceOutput{runID: "1"}, 2)},
 		{op(atMostOnceOutput{runID: "1"}, 0), op(atMostOnceOutput{runID: "2", replayed: true}, 2)},
+		{op(atMostOnceOutput{runID: "1"}, 0), op(atMostOnceOutput{notRun: true}, 2)},
+		{op(atMostOnceOutput{mayHaveRun: true}, 0), op(atMostOnceOutput{notRun: true}, 2)},
 	}
 	for i, history := range invalid {
 		if porcupine.CheckOperations(atMostOnceModel, history) {
 			t.Errorf("invalid history %d was accepted", i)
 		}
 	}
-	valid := []porcupine.Operation{op(atMostOnceOutput{runID: "1"}, 0), op(atMostOnceOutput{runID: "1", replayed: true}, 2), op(atMostOnceOutput{mayHaveRun: true}, 4)}
+	valid := []porcupine.Operation{op(atMostOnceOutput{notRun: true}, -2), op(atMostOnceOutput{runID: "1"}, 0), op(atMostOnceOutput{runID: "1", replayed: true}, 2), op(atMostOnceOutput{mayHaveRun: true}, 4)}
 	if !porcupine.CheckOperations(atMostOnceModel, valid) {
 		t.Error("a valid history was rejected")
 	}
 }
+
+// Control does not answer in time, and the refusal tells the caller to repeat the call
+// under its key. The repeated call may run, so that the refusal must not count as a
+// statement that the key has run. Only final refusals are such statements.
+func TestOnlyFinalRefusalsSayThatAKeyMayHaveRun(t *testing.T) {
+	cases := map[atMostOnceOutput]caller.Result{
+		{}:                 {Code: outcome.CodeControlUnreachable, Outcome: outcome.Unknown, RetryAfter: time.Second},
+		{mayHaveRun: true}: {Code: outcome.CodeOutcomeUnknown, Outcome: outcome.Unknown},
+		{notRun: true}:     {Code: outcome.CodeStaleView, Outcome: outcome.NotRun, RetryAfter: time.Second},
+	}
+	for want, res := range cases {
+		if got := outputOf(&res); got != want {
+			t.Errorf("%s: %+v, want %+v", res.Code, got, want)
+		}
+	}
+	if got := outputOf(&caller.Result{Code: outcome.CodeAlreadyRan, Outcome: outcome.Ran}); !got.mayHaveRun {
+		t.Errorf("already ran: %+v", got)
+	}
+}
--- a/internal/standin/caller/call.go
+++ b/internal/standin/caller/call.go
@@ -70,30 +70,31 @@
 	resp, err := c.http.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
-		return c.handleCallResponse(ctx, resp, address, startedAt, res)
+		return c.handleCallResponse(ctx, call, resp, address, startedAt, res)
 	}
-	res.Err = err
+	res.recordUnanswered(err)
 	c.markFailed(address)
 	return !sleep(ctx, retryDelay)
 }
 
-func (c *Client) handleCallResponse(ctx context.Context, resp *http.Response, address string, startedAt time.Time, res *Result) bool {
+func (c *Client) handleCallResponse(ctx context.Context, call Call, resp *http.Response, address string, startedAt time.Time, res *Result) bool {
 	res.Entries = append(res.Entries, address)
 	res.Status = resp.StatusCode
 	res.Replayed = resp.Header.Get(outcome.HeaderReplayed) == "true"
 	if resp.StatusCode == http.StatusOK {
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
-			res.Err = err
+			res.recordUnanswered(err)
 			return !sleep(ctx, retryDelay)
 		}
 		res.Text, res.Complete, res.Outcome, res.Accepted = string(body), true, outcome.Ran, true
 		return true
 	}
 	ref := readRefusal(resp)
-	res.Code, res.Outcome, res.Message = ref.code, ref.outcome, ref.message
-	retryable := ref.outcome == outcome.NotRun || ref.code == outcome.CodeAlreadyRunning
-	if !retryable || ref.retryAfter == 0 {
+	res.recordRefusal(ref)
+	// A call with a key may be sent again whatever its outcome: it runs at most once.
+	repeatable := ref.outcome == outcome.NotRun || call.IdempotencyKey != ""
+	if !repeatable || ref.retryAfter == 0 {
 		return true
 	}
 	return !c.waitBeforeRetry(ctx, startedAt, ref.retryAfter)
--- a/internal/standin/caller/complete.go
+++ b/internal/standin/caller/complete.go
@@ -36,12 +36,15 @@
 	Text     string
 	Complete bool
 	// Status is the last HTTP status of a call, or of a completion's refusal.
-	// Code, Outcome and Message are those of the last refusal, if any; Outcome is
-	// outcome.Ran after a complete answer.
+	// Code, Outcome, Message and RetryAfter are those of the last refusal, if any;
+	// Outcome is outcome.Ran after a complete answer. All are empty while the last
+	// attempt has no answer.
 	Status  int
 	Code    outcome.Code
 	Outcome outcome.Outcome
 	Message string
+	// RetryAfter is zero if the refusal is final.
+	RetryAfter time.Duration
 	// Accepted reports whether an entry responded with status 200.
 	Accepted bool
 	// Attempts counts the HTTP requests sent, Resumes those among them that
@@ -63,6 +66,17 @@
 	Err error
 }
 
+// recordUnanswered records an attempt that got no answer. It may have run, so that
+// the refusal of an earlier attempt does not hold any more.
+func (r *Result) recordUnanswered(err error) {
+	r.Status, r.Err = 0, err
+	r.recordRefusal(refusal{})
+}
+
+func (r *Result) recordRefusal(ref refusal) {
+	r.Code, r.Outcome, r.Message, r.RetryAfter = ref.code, ref.outcome, ref.message, ref.retryAfter
+}
+
 // completionBody is the body of an OpenAI-style completion request.
 type completionBody struct {
 	Model     string `json:"model"`
@@ -139,6 +153,7 @@
 	resp, err := r.c.http.Do(httpReq)
 	if err != nil {
 		r.mayBeKnown = true
+		r.res.recordUnanswered(err)
 		r.connectionFailed(ctx, err)
 		return false
 	}
@@ -191,7 +206,8 @@
 // handleRefusal decides whether to retry, resume or give up after a refusal. It
 // waits before a further attempt and reports whether the result is final.
 func (r *completionRun) handleRefusal(ctx context.Context, ref refusal) bool {
-	r.res.Status, r.res.Code, r.res.Outcome, r.res.Message = ref.status, ref.code, ref.outcome, ref.message
+	r.res.Status = ref.status
+	r.res.recordRefusal(ref)
 	if ref.status == http.StatusNotFound && ref.code == outcome.CodeNotFound && r.mayBeKnown && r.text.Len() == 0 {
 		// No entry knows the request and no text has arrived, so that it is safe
 		// to send it again with the same ID.
