Tell the caller of a keyed call "unknown" when its key was not looked up

A call with an Idempotency-Key that is refused before its claim got the refusal's own outcome: "not run" for a service or route that the entry did not know, or after a credential, service or route was withdrawn, although an earlier call under the key may have run elsewhere. CALLERS promises that the outcome speaks of the key over all calls under it. Every refusal of a call with a key before its claim has the outcome unknown now; status, code and Retry-After stay.

--- a/internal/traffic/at_most_once_test.go
+++ b/internal/traffic/at_most_once_test.go
@@ -174,3 +174,26 @@
 		t.Fatalf("claim %v", f.control.status(key))
 	}
 }
+
+// A call with a key is refused before its key is looked up: the entry may have missed
+// the declaration of the service or route, or they or the credential were withdrawn.
+// An earlier call under the key may have run, so that the caller must not be told
+// "not run".
+func TestCallRefusedBeforeItsClaimIsNotCalledNotRun(t *testing.T) {
+	f := newFixture(t, nil, plainOK(new(atomic.Int32), 0))
+	check := func(path string, h headers, code outcome.Code) {
+		t.Helper()
+		a := f.do("GET", path, h.with(outcome.HeaderIdempotencyKey, newKey(t)), "")
+		if a.code() != code || a.outcome() != outcome.Unknown {
+			t.Errorf("%s: answer %d, outcome %q, %s", path, a.status, a.outcome(), a.body)
+		}
+	}
+	check("/svc/portal/balances", asMember("nobody"), outcome.CodeUnauthenticated)
+	check("/svc/portal/withdrawn", asMember("hotels"), outcome.CodeNotFound)
+	f.control.mu.Lock()
+	f.control.unresponsive = true
+	f.control.mu.Unlock()
+	f.waitFor("the view's lease ends", func() bool { return !f.server.host.ViewLeaseValid() })
+	check("/svc/declared-later/balances", asMember("hotels"), outcome.CodeStaleView)
+	check("/svc/portal/declared-later", asMember("hotels"), outcome.CodeStaleView)
+}
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -58,33 +58,43 @@
 func (s *Server) handlePlain(c *fiber.Ctx) error {
 	name := strings.Clone(c.Params("service"))
 	call, refusal := s.readCall(c)
-	if refusal != nil && refusal.Status >= http.StatusInternalServerError && call.headers[outcome.HeaderIdempotencyKey] != "" {
-		// An earlier call under the key may have run at another entry.
+	var job *plainJob
+	var route *declaration.Route
+	if refusal == nil {
+		job, route, refusal = s.preparePlain(call, name)
+	}
+	if refusal != nil && call.headers[outcome.HeaderIdempotencyKey] != "" {
+		// The key was not looked up. An earlier call under it may have run: at
+		// another entry, or before the service, route or credential was withdrawn.
 		return withUnknownOutcome(refusal)
 	}
 	if refusal != nil {
 		return refusal
 	}
+	if route.Repeat == declaration.RepeatOnce {
+		return s.answerAtMostOnce(c, job)
+	}
+	if refusal := job.run(s.host.TaskContext); refusal != nil {
+		return refusal
+	}
+	return s.writePlainAnswer(c, job.answer)
+}
+
+// preparePlain finds the call's service and route.
+func (s *Server) preparePlain(call *callerCall, name string) (*plainJob, *declaration.Route, *outcome.Refusal) {
 	service, refusal := call.service(name, declaration.KindPlain)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	target, refusal := canonicalPath(call.path)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	route := findRoute(service, call.method, target)
 	if route == nil {
-		return call.unlessViewOutdated(notFound("the service has no such route"))
-	}
-	job := s.newPlainJob(call, service, target)
-	if route.Repeat == declaration.RepeatOnce {
-		return s.answerAtMostOnce(c, job)
+		return nil, nil, call.unlessViewOutdated(notFound("the service has no such route"))
 	}
-	if refusal := job.run(s.host.TaskContext); refusal != nil {
-		return refusal
-	}
-	return s.writePlainAnswer(c, job.answer)
+	return s.newPlainJob(call, service, target), route, nil
 }
 
 // canonicalPath decodes a path once and rejects paths that are not canonical.
