Keep a key unknown once its owner was presumed dead

An entry that is frozen beyond its lease loses its claims: they become unknown, and callers elsewhere are told that the call is not sent again. When it wakes, its call is past the deadline and settled as not run; control let that replace unknown, so a later copy of the call was granted and ran, for callers who may have had the work done in another way. Unknown may only become done now.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -162,22 +162,34 @@
 }
 
 // applySettlements records the outcomes of calls. Only the owner that was granted the call
-// may settle it. RUNNING and UNKNOWN (the entry was presumed dead) may change; a final
-// status never does.
+// may settle it. RUNNING may change; UNKNOWN (the entry was presumed dead) may become DONE; a
+// final status never changes.
 func (s *State) applySettlements(r *pb.SettleRequest) {
 	list := r.GetSettlements()
 	for i, st := range list[:min(len(list), MaxClaimBatch)] {
 		key := keyOf(st.GetClaim())
 		known := s.claims.byKey[key]
-		if known == nil || !known.isUnsettled() || !known.ownedBy(st.GetClaim()) {
+		if known == nil || !known.maySettleAs(st.GetStatus()) || !known.ownedBy(st.GetClaim()) {
 			continue
 		}
 		s.settle(key, known, st, s.index*MaxClaimBatch+uint64(i))
 	}
 }
 
-func (c *claim) isUnsettled() bool {
-	return c.status == pb.ClaimStatus_CLAIM_STATUS_RUNNING || c.status == pb.ClaimStatus_CLAIM_STATUS_UNKNOWN
+// maySettleAs reports whether a settlement may replace the claim's status.
+//
+// Failure: an entry freezes, callers are told that the call may have run and is not sent
+// again, and have it done in another way. The entry wakes and settles the call as not run: a
+// late copy of the call would be granted and run.
+func (c *claim) maySettleAs(status pb.ClaimStatus) bool {
+	switch c.status {
+	case pb.ClaimStatus_CLAIM_STATUS_RUNNING:
+		return true
+	case pb.ClaimStatus_CLAIM_STATUS_UNKNOWN:
+		return status == pb.ClaimStatus_CLAIM_STATUS_DONE
+	default:
+		return false
+	}
 }
 
 func (c *claim) ownedBy(p *pb.Claim) bool {
--- a/internal/control/claims_test.go
+++ b/internal/control/claims_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// An entry freezes after it was granted a filing, and callers elsewhere are told that the
+// filing may have run and is not sent again. When the entry wakes, its call is too late and
+// settled as not run. A further copy of the call must not run then: its callers may have had
+// the filing made in another way.
+func TestKeyThatWasCalledUnknownNeverRuns(t *testing.T) {
+	h := newHarness(t)
+	frozen := h.addEntry("e1")
+	h.addEntry("e2")
+	h.advance(time.Second)
+	key := keyAt(h.wallNow(), 1)
+	first := claimOf(key, "r1", frozen.identity)
+	h.claim(first)
+	frozen.silent = true
+	h.advance(entryLease + 2*time.Second)
+	want := func(request string, want pb.ClaimStatus) {
+		t.Helper()
+		if got := h.claim(claimOf(key, request, entryIdentity("e2", "1"))).GetStatus(); got != want {
+			t.Fatalf("claim %s: %v, want %v", request, got, want)
+		}
+	}
+	want("r2", pb.ClaimStatus_CLAIM_STATUS_UNKNOWN)
+	h.settle(first, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	want("r3", pb.ClaimStatus_CLAIM_STATUS_UNKNOWN)
+	h.settle(first, pb.ClaimStatus_CLAIM_STATUS_DONE, "42")
+	want("r4", pb.ClaimStatus_CLAIM_STATUS_DONE)
+}
+
 // A key expires with its window, then a declaration extends the window, or a leader with a
 // slow clock takes over. The caller sends the old key again: its receipt must not be issued
 // twice.
