Grant no copy of a claim whose call has ended

Two calls under a key reach one entry while control answers late. Both claims are sent again and both calls refused; then a copy is granted, nobody waits for it, and the key stays running: its caller is told for the whole window that a call is under way. Control refused such a copy only to the request that held the key last.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -22,6 +22,9 @@
 	maxAnswerBytes = 16 << 20
 	// MaxClaimBatch is the maximum number of claims or settlements in one call.
 	MaxClaimBatch = 1024
+	// maxEndedRequests bounds the request ids that are kept for each key. The oldest is dropped
+	// first: a copy of its Claim would have to be delayed for as many calls under the key.
+	maxEndedRequests = 64
 	// maxClaims bounds the number of claims, at about 250 bytes each. At the limit, new
 	// keys get NOT_RUN.
 	maxClaims = 100_000
@@ -44,6 +47,13 @@
 	// answerSequence orders the stored answers: by log index, then by position in the
 	// command.
 	answerSequence uint64
+	// ended holds the ids of requests that were settled as not run, oldest first.
+	//
+	// Failure: a Claim got no answer in time and was sent again, its request was refused, and
+	// another request under the key was refused, too. A delayed copy of the first Claim is then
+	// granted, although nobody waits for it: the key stays RUNNING for the whole window, and its
+	// caller never gets an answer.
+	ended []string
 }
 
 // claims holds the claims whose keys are within the window.
@@ -118,7 +128,7 @@
 		return s.grant(key, c, keyMS)
 	case known.fingerprint != c.GetFingerprint():
 		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_MISMATCH}
-	case known.status == pb.ClaimStatus_CLAIM_STATUS_NOT_RUN && known.ownedBy(c):
+	case known.status == pb.ClaimStatus_CLAIM_STATUS_NOT_RUN && known.hasEnded(c.GetRequestId()):
 		// This is a delayed copy of the Claim. Its request was settled and no caller waits
 		// for it, so a grant would block the key for nothing.
 		return &pb.ClaimResult{Status: known.status}
@@ -156,20 +166,29 @@
 		requestID: c.GetRequestId(), owner: ownerOf(c.GetOwner()), fingerprint: c.GetFingerprint(),
 		status: pb.ClaimStatus_CLAIM_STATUS_RUNNING,
 	}
+	if known := s.claims.byKey[key]; known != nil {
+		granted.ended = known.ended
+	}
 	s.claims.byKey[key] = granted
 	s.claims.addRunning(granted.owner, key)
 	return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED}
 }
 
 // applySettlements records the outcomes of calls. Only the owner that was granted the call
-// may settle it. RUNNING may change; UNKNOWN (the entry was presumed dead) may become DONE; a
-// final status never changes.
+// may settle it; a request that was not granted can only be ended, as not run. RUNNING may
+// change; UNKNOWN (the entry was presumed dead) may become DONE; a final status never changes.
 func (s *State) applySettlements(r *pb.SettleRequest) {
 	list := r.GetSettlements()
 	for i, st := range list[:min(len(list), MaxClaimBatch)] {
 		key := keyOf(st.GetClaim())
 		known := s.claims.byKey[key]
-		if known == nil || !known.maySettleAs(st.GetStatus()) || !known.ownedBy(st.GetClaim()) {
+		if known == nil {
+			continue
+		}
+		if st.GetStatus() == pb.ClaimStatus_CLAIM_STATUS_NOT_RUN {
+			known.end(st.GetClaim().GetRequestId())
+		}
+		if !known.maySettleAs(st.GetStatus()) || !known.ownedBy(st.GetClaim()) {
 			continue
 		}
 		s.settle(key, known, st, s.index*MaxClaimBatch+uint64(i))
@@ -192,6 +211,18 @@
 	}
 }
 
+func (c *claim) hasEnded(requestID string) bool { return slices.Contains(c.ended, requestID) }
+
+func (c *claim) end(requestID string) {
+	if c.hasEnded(requestID) {
+		return
+	}
+	if len(c.ended) == maxEndedRequests {
+		c.ended = c.ended[1:]
+	}
+	c.ended = append(slices.Clip(c.ended), requestID)
+}
+
 func (c *claim) ownedBy(p *pb.Claim) bool {
 	return c.requestID == p.GetRequestId() && c.owner == ownerOf(p.GetOwner())
 }
--- a/internal/control/claims_test.go
+++ b/internal/control/claims_test.go
@@ -103,6 +103,36 @@
 	want("r4", pb.ClaimStatus_CLAIM_STATUS_DONE)
 }
 
+// Two calls under a key reach an entry while control answers late. Both Claims are sent again,
+// both calls are refused, and then the copies arrive. Nobody waits for them: if one were granted,
+// the key would stay claimed, and its caller would be told for the whole window that a call is
+// under way. A snapshot must not forget the ended requests.
+func TestDelayedClaimsOfEndedRequestsAreNotGranted(t *testing.T) {
+	h := newHarness(t)
+	key := keyAt(h.wallNow(), 1)
+	first, second := claimOf(key, "r1", entryIdentity("e1", "1")), claimOf(key, "r2", entryIdentity("e1", "1"))
+	h.claim(first)
+	h.claim(second)
+	h.settle(second, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	h.settle(first, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	restored := newClaims()
+	restored.restore(&pb.StateSnapshot{Claims: h.State().claims.records()})
+	h.State().claims = restored
+	for _, c := range []*pb.Claim{first, second, first} {
+		if got := h.claim(c).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_NOT_RUN {
+			t.Errorf("copy of %s: %v", c.GetRequestId(), got)
+		}
+	}
+	third := claimOf(key, "r3", entryIdentity("e2", "1"))
+	if got := h.claim(third).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+		t.Fatalf("retry: %v", got)
+	}
+	h.settle(third, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, "")
+	if got := h.claim(first).GetStatus(); got != pb.ClaimStatus_CLAIM_STATUS_NOT_RUN {
+		t.Errorf("copy after the retry: %v", got)
+	}
+}
+
 // A key expires with its window, then a declaration extends the window, or a leader with a
 // slow clock takes over. The caller sends the old key again: its receipt must not be issued
 // twice.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -176,7 +176,7 @@
 				RequestId: known.requestID, Fingerprint: known.fingerprint,
 				Owner: &pb.EntryIdentity{Name: known.owner.name, Incarnation: known.owner.incarnation},
 			},
-			Status: known.status, Answer: known.answer, Answered: known.answerSequence,
+			Status: known.status, Answer: known.answer, Answered: known.answerSequence, Ended: known.ended,
 		})
 	}
 	slices.SortFunc(list, func(a, b *pb.ClaimRecord) int {
@@ -197,7 +197,7 @@
 		known := &claim{
 			requestID: r.GetClaim().GetRequestId(), owner: ownerOf(r.GetClaim().GetOwner()),
 			fingerprint: r.GetClaim().GetFingerprint(), status: r.GetStatus(),
-			answer: r.GetAnswer(), answerSequence: r.GetAnswered(),
+			answer: r.GetAnswer(), answerSequence: r.GetAnswered(), ended: r.GetEnded(),
 		}
 		c.byKey[key] = known
 		bucket := keyMS / claimBucketWidth.Milliseconds()
--- a/internal/traffic/at_most_once.go
+++ b/internal/traffic/at_most_once.go
@@ -47,26 +47,35 @@
 		return refuseControlUnreachable()
 	}
 	if result.Status != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+		s.endUngranted(j.claim)
 		return s.answerClaimed(c, result)
 	}
 	return s.runClaimed(c, j)
 }
 
-// releaseClaim settles a claim as not run if control granted it after the call
-// had timed out. Otherwise the key would stay claimed for as long as the entry
-// lives. Control grants the same claim again, so sending it once more reveals
-// whether it was granted.
+// endUngranted tells control that the request of a claim that was not granted
+// has ended. A copy of the claim may still be under way. Without this, control
+// would grant the copy once the key is free again, and the key would stay
+// claimed for as long as the entry lives, although nothing runs.
+func (s *Server) endUngranted(claim *claim) {
+	if claim.sends.Load() > 1 {
+		s.claims.settle(claim, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, nil)
+	}
+}
+
+// releaseClaim settles a claim as not run after the call had timed out, in case
+// control granted it or will grant a copy of it. Otherwise the key would stay
+// claimed for as long as the entry lives. Control answers the same claim again
+// in the same way, so sending it once more waits until control is reachable and
+// knows the key.
 func (s *Server) releaseClaim(claim *claim) {
 	ctx, cancel := context.WithTimeout(s.host.TaskContext, settlementTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		result, err := s.claims.acquire(ctx, claim)
-		if err != nil {
+		if _, err := s.claims.acquire(ctx, claim); err != nil {
 			continue
 		}
-		if result.Status == pb.ClaimStatus_CLAIM_STATUS_GRANTED {
-			s.claims.settle(claim, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, nil)
-		}
+		s.claims.settle(claim, pb.ClaimStatus_CLAIM_STATUS_NOT_RUN, nil)
 		return
 	}
 }
--- a/internal/traffic/at_most_once_test.go
+++ b/internal/traffic/at_most_once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -197,3 +198,35 @@
 	check("/svc/declared-later/balances", asMember("hotels"), outcome.CodeStaleView)
 	check("/svc/portal/declared-later", asMember("hotels"), outcome.CodeStaleView)
 }
+
+// A claim was sent to control more than once, and the key belongs to another call. A
+// copy of the claim may be under way, and would be granted once the key is free: the
+// entry tells control that the request has ended, also if the call was refused
+// because control did not answer in time.
+func TestUngrantedClaimWithCopiesIsEnded(t *testing.T) {
+	for name, lostAnswers := range map[string]int{"answered late": 1, "refused": math.MaxInt} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil, plainOK(new(atomic.Int32), 0))
+			key := newKey(t)
+			f.control.mu.Lock()
+			f.control.claims[key] = &fakeClaim{claim: &pb.Claim{Key: key, RequestId: "other"}, status: pb.ClaimStatus_CLAIM_STATUS_RUNNING}
+			f.control.dropClaimAnswers = lostAnswers
+			f.control.mu.Unlock()
+			a := f.do("GET", "/svc/portal/balances", asMember("hotels").with(outcome.HeaderIdempotencyKey, key), "")
+			if a.outcome() != outcome.Unknown || a.header.Get("Retry-After") == "" {
+				t.Fatalf("answer %d %s", a.status, a.body)
+			}
+			f.control.mu.Lock()
+			f.control.dropClaimAnswers = 0
+			f.control.mu.Unlock()
+			f.waitFor("the request is ended", func() bool {
+				f.control.mu.Lock()
+				defer f.control.mu.Unlock()
+				return len(f.control.settled) == 1 && f.control.settled[0].Status == pb.ClaimStatus_CLAIM_STATUS_NOT_RUN
+			})
+			if f.control.status(key) != pb.ClaimStatus_CLAIM_STATUS_RUNNING {
+				t.Fatalf("the other call's claim: %v", f.control.status(key))
+			}
+		})
+	}
+}
--- a/internal/traffic/claims.go
+++ b/internal/traffic/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/host"
@@ -26,7 +27,12 @@
 
 // claim is the right to run one at-most-once call. Control grants it to a
 // single call per idempotency key.
-type claim struct{ pb *pb.Claim }
+type claim struct {
+	pb *pb.Claim
+	// sends counts how often the claim was sent to control. After more than one, copies of it
+	// may still be under way.
+	sends atomic.Int32
+}
 
 type pendingClaim struct {
 	ctx    context.Context
@@ -150,6 +156,9 @@
 	}
 	var resp *pb.ClaimResponse
 	err := c.control.Call(ctx, host.ControlAttemptTimeout, func(ctx context.Context, control pb.Control) error {
+		for _, pending := range batch {
+			pending.claim.sends.Add(1)
+		}
 		var err error
 		resp, err = control.Claim(ctx, req)
 		return err
--- a/internal/traffic/harness_test.go
+++ b/internal/traffic/harness_test.go
@@ -38,6 +38,7 @@
 	view    *pb.WatchResponse
 	claims  map[string]*fakeClaim
 	reports []*pb.ReportRequest
+	settled []*pb.Settlement
 	// unresponsive makes polls for the view block without an answer.
 	unresponsive bool
 	// dropClaimAnswers is the number of claim calls whose answers are lost
@@ -101,6 +102,7 @@
 func (f *fakeControl) Settle(_ context.Context, req *pb.SettleRequest) (*pb.SettleResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.settled = append(f.settled, req.Settlements...)
 	for _, s := range req.Settlements {
 		if known := f.claims[s.Claim.Key]; known != nil && known.claim.RequestId == s.Claim.RequestId {
 			known.status, known.answer = s.Status, s.Answer
