--- a/internal/control/leaving_test.go
+++ b/internal/control/leaving_test.go
@@ -26,6 +26,15 @@
 // relayLate lets an entry report what the server announced before the leaving.
 func relayLate(h *harness) { h.report(announcementOf("a", "life-1", serving)) }
 
+// wantNextIncarnationServing restarts the server, which must be registered as usual.
+func (h *harness) wantNextIncarnationServing() {
+	h.t.Helper()
+	h.announce(announcementOf("a", "life-2", serving), 1)
+	if got := h.server("a"); got.GetIncarnation() != "life-2" || got.GetState() != serving {
+		h.t.Errorf("its next incarnation: %v", got)
+	}
+}
+
 // Guards against a late announcement that undoes a confirmed leaving under the next leader.
 func TestConfirmedLeavingIsFinal(t *testing.T) {
 	leave := map[string]func(h *harness) uint64{
@@ -61,10 +70,7 @@
 					if got := h.state("a"); got == serving {
 						t.Errorf("a late announcement undid the leaving")
 					}
-					h.announce(announcementOf("a", "life-2", serving), 1)
-					if got := h.server("a"); got.GetIncarnation() != "life-2" || got.GetState() != serving {
-						t.Errorf("the next incarnation: %v", got)
-					}
+					h.wantNextIncarnationServing()
 				})
 			}
 		}
@@ -105,10 +111,7 @@
 				if got := h.state("a"); got == serving {
 					t.Error("a server that has left is registered as serving")
 				}
-				h.announce(announcementOf("a", "life-2", serving), 1)
-				if got := h.server("a"); got.GetIncarnation() != "life-2" || got.GetState() != serving {
-					t.Errorf("its next incarnation: %v", got)
-				}
+				h.wantNextIncarnationServing()
 			})
 		}
 	}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -35,11 +35,7 @@
 			t.Fatalf("refusal %+v", r)
 		}
 	}
-	next := serving(1)
-	next[0].Incarnation = "life-2"
-	w.view(next...)
-	w.arriveWithDeadline("next", nil)
-	w.singleDispatch()
+	w.wantNextIncarnationServing()
 }
 
 // Guards against a view that takes back the leaving of an incarnation, as a leader of an earlier
@@ -60,15 +56,20 @@
 			if r := w.singleRefusal(); r.Outcome != outcome.NotRun {
 				t.Fatalf("refusal %+v", r)
 			}
-			next := serving(1)
-			next[0].Incarnation = "life-2"
-			w.view(next...)
-			w.arriveWithDeadline("next", nil)
-			w.singleDispatch()
+			w.wantNextIncarnationServing()
 		})
 	}
 }
 
+// wantNextIncarnationServing restarts the server, which must get requests as usual.
+func (w *harness) wantNextIncarnationServing() {
+	next := serving(1)
+	next[0].Incarnation = "life-2"
+	w.view(next...)
+	w.arriveWithDeadline("next", nil)
+	w.singleDispatch()
+}
+
 func (w *harness) viewState(state pb.ServerState) {
 	list := serving(1)
 	list[0].State = state
