Log which requests a server's crash is charged to, and control's count

Cause: the record of the incidents can't tell whether a crash was charged to nobody, was counted and reached the other entries late, or was counted under different fingerprints. The entry logged that a server died, with the number of requests there, but not who was charged; control logged nothing.

Change: a line for each request that is charged (score, total, whether control hears of it), the fingerprint in the line of a failed attempt, and control's line of a reported death with the suspects and how many are quarantined. No decision changes.

--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -37,10 +37,26 @@
 	}
 	cmd := &pb.Command{Op: &pb.Command_Quarantine{Quarantine: &pb.QuarantineUpdate{Deaths: deaths}}}
 	r.propose(cmd, func(_ proto.Message, ok bool) {
+		r.logDeaths(req.GetEntry().GetName(), deaths, ok)
 		r.replyApplied(id, resp, ok)
 	})
 }
 
+// logDeaths logs what an entry's report of deaths has changed.
+func (r *Reducer) logDeaths(entry string, deaths []*pb.ServerDeath, committed bool) {
+	for _, d := range deaths {
+		quarantined := 0
+		for _, q := range d.GetSuspects() {
+			if s := r.state.suspects.byKey[suspectKey{q.GetMember(), q.GetFingerprint()}]; s.GetVersion() > 0 {
+				quarantined++
+			}
+		}
+		r.log(slog.LevelInfo, "backend server's death reported", Field{"server", d.GetServer()},
+			Field{"incarnation", d.GetIncarnation()}, Field{"via", entry}, Field{"committed", committed},
+			Field{"suspects", len(d.GetSuspects())}, Field{"quarantined", quarantined})
+	}
+}
+
 // uncountedDeaths drops the deaths that are already counted for all of their suspects, so
 // that nine entries' reports of one death produce one command.
 func (r *Reducer) uncountedDeaths(list []*pb.ServerDeath) []*pb.ServerDeath {
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -143,6 +143,8 @@
 	LogView   = "view"
 	LogServer = "server"
 	LogPeers  = "peers"
+	// LogSuspect is a request that is charged with a server's crash.
+	LogSuspect = "suspect"
 )
 
 // Sources of an entry's knowledge of a server's load.
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -219,7 +219,9 @@
 		if other == q && ev.Outcome == outcome.NotRun {
 			continue
 		}
-		if r.suspects.recordCrash(other, r.now) {
+		complete := r.suspects.recordCrash(other, r.now)
+		r.logSuspect(other, s, complete)
+		if complete {
 			death.Suspects = append(death.Suspects, &pb.Quarantine{
 				Member: other.work.Member, Fingerprint: other.fingerprint,
 			})
@@ -229,6 +231,18 @@
 	r.logServer(s, "died")
 }
 
+// logSuspect logs that a request is charged with a server's crash. reported is whether control hears
+// of it.
+func (r *Reducer) logSuspect(q *request, s *server, reported bool) {
+	r.log(LogSuspect, q, s.pb.Id, "ran on a server that crashed", []Figure{
+		{Name: "score", Value: float64(q.crashScore())},
+		{Name: "total_score", Value: float64(r.suspects.byKey[q.key()].score)},
+		{Name: "reported", Value: boolFigure(reported)},
+		{Name: "tokens", Value: float64(q.serverTokens + q.attemptTokens)},
+		{Name: "sent_ms_ago", Value: float64((r.now - q.sentAt).Milliseconds())},
+	})
+}
+
 // recentlySuspected reports whether a new request ran on a server that crashed recently, according
 // to control.
 func (r *Reducer) recentlySuspected(q *request) bool {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
@@ -58,6 +59,7 @@
 	args := []any{
 		"server", server, "incarnation", incarnation, "at_prefill", ended.AtPrefillServer, "attempt", d.Attempt,
 		"outcome", ended.Outcome, "took_ms", ended.Elapsed.Milliseconds(), "server_died", ended.ServerDied,
+		"fingerprint", strconv.FormatUint(l.job.arrived.Fingerprint, 16),
 	}
 	if err != nil {
 		args = append(args, "error", err.Error())
