Ask whether a server still listens once a relayed connection has broken

Callers saw: a request that crashes servers ended engine after engine; nobody refused it.

Cause: on the platform's way only a refused connection counted as a server's death. A crash ends the connections of all requests that ran there; they ended as broken, and left the server's list. The death was seen by the next request that was refused, when nobody was left to charge. The native way asks again (a reconnect of a stream, a probe after a plain call); the guard was proved there and did not act here. Ruled out: fingerprints that differ between tries (path and body are equal, and no report had any suspect), expiry (an hour).

Change: once a connection broke under a request or a prefill, the entry opens a new one.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -240,6 +240,7 @@
 	}
 	if err != nil {
 		classifyFailure(err, &ended, cache != nil)
+		ended.ServerDied = ended.ServerDied || j.brokenByCrash(ctx, d, &ended, err)
 	}
 	j.log.attemptEnded(d, &ended, err)
 	return ended, nil
@@ -264,6 +265,20 @@
 	}
 }
 
+// brokenByCrash reports whether a connection broke because the server's process has ended. A crash
+// ends the connections of all requests that ran there, and if only the next request that is refused
+// told of it, nobody would be charged with it.
+func (j *job) brokenByCrash(ctx context.Context, d entry.Dispatch, ended *entry.AttemptEnded, err error) bool {
+	if ctx.Err() != nil || !errorx.IsOfType(err, httpconn.Broken) {
+		return false
+	}
+	target := j.newAttempt(d.Address, d.Incarnation).Target
+	if ended.AtPrefillServer {
+		target = j.newAttempt(d.PrefillAddress, d.PrefillIncarnation).Target
+	}
+	return j.s.backend.NothingListens(ctx, target)
+}
+
 func (j *job) send(ctx context.Context, d entry.Dispatch, cache *KVCache, ended *entry.AttemptEnded, start time.Time) error {
 	attempt := j.newAttempt(d.Address, d.Incarnation)
 	attempt.KVCache = cache
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -173,6 +173,9 @@
 	// Health probes a server's health path. It returns false for a failed probe or an unhealthy
 	// answer.
 	Health(ctx context.Context, t Target, path string) bool
+	// NothingListens reports whether new connections to the server are refused, as they are once
+	// its process has ended.
+	NothingListens(ctx context.Context, t Target) bool
 	// CloseIdle closes connections that have been idle too long.
 	CloseIdle()
 }
