Add up parts of deaths at control, and charge each request once for a death

Callers saw: a request that crashes engines late in its answers was run on one engine per entry and more; its parts of a crash told control nothing.

Cause: a late crash counts half of one, one without a sign of life a quarter, and an entry reported whole crashes only. A request that comes to another entry each time never completes one anywhere. Besides, only the first request whose end was processed had its time at the server taken as a sign of life, and an entry sent a suspect again before control's notice of a quarantine arrived.

Change: an entry reports a suspect with its score; control keeps the score of each death of a suspect, takes the highest of all reports, and quarantines at the declared number of whole deaths. Deaths of earlier builds count whole. A late crash counts three quarters: two under a long request still don't quarantine it (TestProgressPreventsQuarantine), a third does. A request's own end raises its score. A suspect that crashed another server waits for control's notice, as one that arrives does. A crash that may have come before the request was started is still reported only in fours.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -165,6 +165,35 @@
 	}
 }
 
+// Guards against a request that crashes servers late in its answers, under a different entry each
+// time: the parts of a death that entries report add up, and a part that was raised counts once.
+func TestQuarantineAddsUpPartsOfDeaths(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	for _, step := range []struct {
+		server      string
+		score       uint32
+		quarantined int
+	}{{"a", 3, 0}, {"a", 3, 0}, {"b", 1, 0}, {"b", 3, 0}, {"a", 1, 0}, {"c", 3, 1}} {
+		h.send(&pb.ReportRequest{ClusterId: cluster, Deaths: []*pb.ServerDeath{{
+			Server: step.server, Incarnation: "i1", Suspects: []*pb.Quarantine{{Member: "m1", Fingerprint: 7, Score: step.score}},
+		}}})
+		if n := len(h.State().View(0).GetQuarantine()); n != step.quarantined {
+			t.Fatalf("%d quarantined after %+v", n, step)
+		}
+	}
+}
+
+// Guards against suspects of a snapshot of an earlier build, whose deaths have no scores, that
+// would need as many deaths again.
+func TestDeathsWithoutScoreCountWhole(t *testing.T) {
+	suspect := &pb.Suspect{Deaths: []string{"a/i1"}}
+	chargeDeath(suspect, "b/i1", 3)
+	if total := totalScore(suspect); total != scorePerDeath+3 {
+		t.Errorf("total score %d", total)
+	}
+}
+
 // One request crashes two servers, and all nine entries report both deaths. The request
 // must be quarantined after the second death, not after the second report, and released
 // after the quarantine time.
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -69,7 +69,7 @@
 
 func (s *State) deathCounted(d *pb.ServerDeath, q *pb.Quarantine) bool {
 	suspect := s.suspects.byKey[suspectKey{q.GetMember(), q.GetFingerprint()}]
-	return slices.Contains(suspect.GetDeaths(), d.GetServer()+"/"+d.GetIncarnation())
+	return chargedScore(suspect, d.GetServer()+"/"+d.GetIncarnation()) >= reportedScore(q)
 }
 
 // onAnnouncement renews a server's lease and registers changes.
--- a/internal/control/snapshot_test.go
+++ b/internal/control/snapshot_test.go
@@ -42,7 +42,9 @@
 		}}}}
 	case 7:
 		cmd.Op = &pb.Command_Quarantine{Quarantine: &pb.QuarantineUpdate{Deaths: []*pb.ServerDeath{{
-			Server: name("s"), Incarnation: name("i"), Suspects: []*pb.Quarantine{{Member: name("m"), Fingerprint: 1}},
+			Server: name("s"), Incarnation: name("i"), Suspects: []*pb.Quarantine{{
+				Member: name("m"), Fingerprint: 1, Score: uint32(rapid.IntRange(0, 4).Draw(rt, "score")),
+			}},
 		}}}}
 	case 8:
 		cmd.Op = &pb.Command_Expire{Expire: &pb.Expire{}}
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -14,6 +14,9 @@
 	// maxSuspectsPerDeath bounds what one report can add: an engine runs fewer requests
 	// than this at once.
 	maxSuspectsPerDeath = 512
+	// scorePerDeath is the score of a whole death; entries report lower ones for a request that
+	// is less likely its cause.
+	scorePerDeath = 4
 )
 
 // suspectKey identifies a request by member and fingerprint, so that one member's request
@@ -50,22 +53,68 @@
 		suspect = &pb.Suspect{Member: key.member, Fingerprint: key.fingerprint}
 		s.suspects.byKey[key] = suspect
 	}
-	if slices.Contains(suspect.Deaths, death) {
+	score := reportedScore(q)
+	if chargedScore(suspect, death) >= score {
 		return
 	}
 	suspect.LastUnixMs = s.nowMS
 	limits := s.limits()
-	if len(suspect.Deaths) < limits.QuarantineCrashes {
-		suspect.Deaths = append(suspect.Deaths, death)
+	needed := scorePerDeath * uint32(limits.QuarantineCrashes)
+	if totalScore(suspect) < needed {
+		chargeDeath(suspect, death, score)
 	}
 	s.bumpViewVersion()
 	suspect.SuspectedVersion = s.index
-	if len(suspect.Deaths) >= limits.QuarantineCrashes {
+	if totalScore(suspect) >= needed {
 		suspect.Version = s.index
 		suspect.ExpiresUnixMs = s.nowMS + limits.QuarantineTime.Milliseconds()
 	}
 }
 
+// reportedScore returns the score that an entry reports for a suspect of a death.
+func reportedScore(q *pb.Quarantine) uint32 {
+	if q.GetScore() == 0 {
+		return scorePerDeath
+	}
+	return min(q.GetScore(), scorePerDeath)
+}
+
+// scoreAt returns the score of the suspect's death i.
+func scoreAt(suspect *pb.Suspect, i int) uint32 {
+	if i < len(suspect.GetScores()) {
+		return suspect.GetScores()[i]
+	}
+	return scorePerDeath
+}
+
+// chargedScore returns the score that the suspect has for a death, 0 for none.
+func chargedScore(suspect *pb.Suspect, death string) uint32 {
+	if i := slices.Index(suspect.GetDeaths(), death); i >= 0 {
+		return scoreAt(suspect, i)
+	}
+	return 0
+}
+
+func totalScore(suspect *pb.Suspect) uint32 {
+	sum := uint32(0)
+	for i := range suspect.GetDeaths() {
+		sum += scoreAt(suspect, i)
+	}
+	return sum
+}
+
+// chargeDeath sets the suspect's score for a death.
+func chargeDeath(suspect *pb.Suspect, death string, score uint32) {
+	for i := len(suspect.Scores); i < len(suspect.Deaths); i++ {
+		suspect.Scores = append(suspect.Scores, scorePerDeath)
+	}
+	if i := slices.Index(suspect.Deaths, death); i >= 0 {
+		suspect.Scores[i] = score
+		return
+	}
+	suspect.Deaths, suspect.Scores = append(suspect.Deaths, death), append(suspect.Scores, score)
+}
+
 // expireSuspects removes suspects that caused no death for the quarantine time.
 func (s *State) expireSuspects() {
 	keep := s.limits().QuarantineTime.Milliseconds()
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -21,12 +21,12 @@
 	// A crash adds earlyCrashScore to a request that had begun there without progress,
 	// lateCrashScore to one with progress, and uncertainCrashScore to one that may have been
 	// sent after the crash. The scores count in quarters of a crash. The lower ones bound the
-	// retries of a request that crashes servers late or at once, while a long request whose
-	// servers crash several times for other reasons is not quarantined.
+	// retries of a request that crashes servers late or at once, while a long request that two
+	// servers crash under for other reasons is not quarantined.
 	earlyCrashScore     = 4
-	lateCrashScore      = 2
+	lateCrashScore      = 3
 	uncertainCrashScore = 1
-	// scorePerCrash is the score that counts as one crash towards control.
+	// scorePerCrash is the score of a whole crash.
 	scorePerCrash = 4
 	// assumedStartedAfter is how long an attempt must have been open to count as started. If the
 	// server is already dead, it or a proxy in between closes the connection within a few
@@ -53,9 +53,10 @@
 
 // suspect is a request that ran on a server when it crashed.
 type suspect struct {
-	// score counts crashes in quarters.
-	score int
-	at    time.Duration
+	// deaths has the score of each death that it is charged with, by deathKey.
+	deaths map[string]int
+	// at is the time of the last crash.
+	at time.Duration
 	// cleared is set once the request has made progress again.
 	cleared bool
 }
@@ -88,21 +89,56 @@
 	}
 }
 
-// recordCrash adds the score of a crash. It returns true if that completes another whole crash.
-func (t *suspectTable) recordCrash(q *request, now time.Duration) bool {
+// score sums the scores of the deaths.
+func (s *suspect) score() int {
+	sum := 0
+	if s != nil {
+		for _, score := range s.deaths {
+			sum += score
+		}
+	}
+	return sum
+}
+
+// recordCrash charges a request with a death, once. It returns the score that control is told, 0 if
+// the request was charged with as much before or if it may not have been started.
+func (t *suspectTable) recordCrash(q *request, death string, now time.Duration) int {
 	s := t.byKey[q.key()]
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{deaths: make(map[string]int)}
 		t.byKey[q.key()] = s
 		t.order = append(t.order, q.key())
 	}
 	score := q.crashScore()
-	before := s.score / scorePerCrash
-	s.score += score
+	if score <= s.deaths[death] {
+		return 0
+	}
+	s.deaths[death] = score
 	s.at, s.cleared = now, score != earlyCrashScore
-	return s.score/scorePerCrash > before
+	if score > uncertainCrashScore {
+		return score
+	}
+	return s.uncertainCrash()
 }
 
+// uncertainCrash returns the score of a whole crash for each scorePerCrash deaths under which the
+// request may not have been started, else 0.
+func (s *suspect) uncertainCrash() int {
+	uncertain := 0
+	for _, score := range s.deaths {
+		if score == uncertainCrashScore {
+			uncertain++
+		}
+	}
+	if uncertain%scorePerCrash != 0 {
+		return 0
+	}
+	return scorePerCrash
+}
+
+// deathKey identifies the death of the server's incarnation.
+func (s *server) deathKey() string { return s.pb.Id + "/" + s.pb.Incarnation }
+
 func (q *request) crashScore() int {
 	switch {
 	case !q.acknowledged:
@@ -193,8 +229,7 @@
 	if r.view.quarantine[q.key()] {
 		return true
 	}
-	s := r.suspects.byKey[q.key()]
-	return s != nil && s.score >= scorePerCrash*r.quarantineCrashes()
+	return r.suspects.byKey[q.key()].score() >= scorePerCrash*r.quarantineCrashes()
 }
 
 func (r *Reducer) quarantineCrashes() int {
@@ -204,40 +239,61 @@
 	return declaration.DefaultQuarantineCrashes
 }
 
-// serverDied records the crash of a server incarnation once and reports the suspects: all
-// requests of this entry there, except one that was not started.
+// serverDied records the crash of a server incarnation and charges it to the requests of this entry
+// there: at first to all that were started, later to one whose own end shows that it was started.
+//
+// Control adds up the scores of all entries. A request that is sent to one entry after the other
+// would never reach a whole crash at any of them.
 func (r *Reducer) serverDied(s *server, q *request, ev AttemptEnded) {
 	s.fail(r.now)
+	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
 	if s.died {
+		if ev.Outcome != outcome.NotRun {
+			r.charge(q, s, death)
+		}
+		r.reportSuspects(death)
 		return
 	}
 	s.died = true
 	r.recordDeath(s.pb.Id, s.incarnationHash(), r.now)
-	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
 	for _, id := range s.running {
-		other := r.requests[id]
-		if other == q && ev.Outcome == outcome.NotRun {
-			continue
-		}
-		complete := r.suspects.recordCrash(other, r.now)
-		r.logSuspect(other, s, complete)
-		if complete {
-			death.Suspects = append(death.Suspects, &pb.Quarantine{
-				Member: other.work.Member, Fingerprint: other.fingerprint,
-			})
+		if other := r.requests[id]; other != q || ev.Outcome != outcome.NotRun {
+			r.charge(other, s, death)
 		}
 	}
-	r.report.death(death)
+	r.reportSuspects(death)
 	r.logServer(s, "died")
 }
 
-// logSuspect logs that a request is charged with a server's crash. reported is whether control hears
-// of it.
-func (r *Reducer) logSuspect(q *request, s *server, reported bool) {
+// charge charges the request with a death, and adds it to the suspects that control is told of.
+//
+// If it was charged before, control may just have quarantined it for this death. It waits for that
+// notice before it is sent to another server.
+func (r *Reducer) charge(q *request, s *server, death *pb.ServerDeath) {
+	score := r.suspects.recordCrash(q, s.deathKey(), r.now)
+	r.logSuspect(q, s, score)
+	if score == 0 {
+		return
+	}
+	if r.recentlySuspected(q) {
+		q.notBefore = max(q.notBefore, r.now+suspectStartDelay)
+	}
+	death.Suspects = append(death.Suspects, &pb.Quarantine{
+		Member: q.work.Member, Fingerprint: q.fingerprint, Score: uint32(score),
+	})
+}
+
+func (r *Reducer) reportSuspects(death *pb.ServerDeath) {
+	if len(death.Suspects) > 0 {
+		r.report.death(death)
+	}
+}
+
+// logSuspect logs that a request ran on a server that crashed. score is what control is told.
+func (r *Reducer) logSuspect(q *request, s *server, score int) {
 	r.log(LogSuspect, q, s.pb.Id, "ran on a server that crashed", []Figure{
-		{Name: "score", Value: float64(q.crashScore())},
-		{Name: "total_score", Value: float64(r.suspects.byKey[q.key()].score)},
-		{Name: "reported", Value: boolFigure(reported)},
+		{Name: "score", Value: float64(score)},
+		{Name: "total_score", Value: float64(r.suspects.byKey[q.key()].score())},
 		{Name: "tokens", Value: float64(q.serverTokens + q.attemptTokens)},
 		{Name: "sent_ms_ago", Value: float64((r.now - q.sentAt).Milliseconds())},
 	})
--- /dev/null
+++ b/internal/entry/suspects_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// reportedScores returns the scores of the suspects that the last step reported to control.
+func (w *harness) reportedScores() []uint32 {
+	var scores []uint32
+	for _, report := range effectsOf[Report](w.effects) {
+		for _, death := range report.Request.Deaths {
+			for _, q := range death.Suspects {
+				scores = append(scores, q.Score)
+			}
+		}
+	}
+	return scores
+}
+
+// Guards against a request that crashes servers late in its answer, at another entry each time: no
+// entry would ever have a whole crash to report.
+func TestLateCrashIsReportedWithItsScore(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(2)...)
+	w.arrive("dossier")
+	d := w.singleDispatch()
+	w.step(AttemptProgress{RequestID: "dossier", Attempt: d.Attempt, Tokens: probationTokens})
+	w.endAttempt(d, func(ev *AttemptEnded) { ev.ServerDied, ev.Tokens = true, probationTokens })
+	if got := w.reportedScores(); len(got) != 1 || got[0] != lateCrashScore {
+		t.Fatalf("reported scores %v", got)
+	}
+}
+
+// Guards against a request that crashes a server before its first token, and whose end is processed
+// after that of another request there: nothing had shown yet that it was started.
+func TestOwnEndCompletesTheCharge(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(1)...)
+	w.arrive("r1")
+	first := w.singleDispatch()
+	w.arrive("crashing")
+	crashing := w.singleDispatch()
+	w.advance(10 * assumedStartedAfter)
+	started := func(ev *AttemptEnded) { ev.ServerDied, ev.Elapsed = true, 10*assumedStartedAfter }
+	w.endAttempt(first, started)
+	if got := w.reportedScores(); len(got) != 1 || got[0] != earlyCrashScore {
+		t.Fatalf("reported scores at the first end %v", got)
+	}
+	w.endAttempt(crashing, started)
+	if got := w.reportedScores(); len(got) != 1 || got[0] != earlyCrashScore {
+		t.Fatalf("reported scores at the request's own end %v", got)
+	}
+}
+
+// Guards against a further crash by a request that control has quarantined for the last one: the
+// notice is on its way, and the request would be sent again at once.
+func TestChargedSuspectWaitsForControl(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(3)...)
+	dossier := w.arrival("dossier", "hotels")
+	suspect := &pb.Quarantine{Member: "hotels", Fingerprint: dossier.Fingerprint}
+	w.delta(&pb.WatchResponse{Suspects: []*pb.Quarantine{suspect}})
+	w.step(dossier)
+	w.advance(suspectStartDelay)
+	w.renew()
+	d := w.singleDispatch()
+	w.step(AttemptProgress{RequestID: "dossier", Attempt: d.Attempt, Tokens: probationTokens})
+	w.endAttempt(d, func(ev *AttemptEnded) { ev.ServerDied, ev.Tokens = true, probationTokens })
+	if again := effectsOf[Dispatch](w.effects); len(again) != 0 {
+		t.Fatalf("sent again at once: %v", again)
+	}
+	w.delta(&pb.WatchResponse{Quarantine: []*pb.Quarantine{suspect}})
+	if r := w.singleRefusal(); r.Code != outcome.CodeQuarantined {
+		t.Fatalf("refusal %+v", r)
+	}
+}
+
+// Guards against one crash that is charged twice, as a caller has sent the same request twice.
+func TestOneDeathIsChargedOnce(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(3)...)
+	w.r.servers.byID["engine-1"].pb.Drained, w.r.servers.byID["engine-2"].pb.Drained = true, true
+	var attempts []Dispatch
+	for i := range 2 {
+		twin := w.arrival(fmt.Sprint("twin-", i), "hotels")
+		w.step(twin)
+		d := w.singleDispatch()
+		w.startAttempt(d)
+		attempts = append(attempts, d)
+	}
+	w.advance(time.Second)
+	for _, d := range attempts {
+		w.endAttempt(d, serverDied)
+		if refused := effectsOf[Refuse](w.effects); len(refused) != 0 {
+			t.Fatalf("refused after one death: %v", refused)
+		}
+	}
+}
