Avoid failed servers, and share the fleet, beside requests that ran on crashed ones

Cause: while an entry's table had any suspect, for an hour after a crash, each choice of a server built the fleet anew for its request, and the servers that had failed the request were not left out.

Change: what matters is whether a request of the entry is on probation. Only then is the fleet built per request; failed servers are left out in any case.

Result: TestFailedServerIsAvoidedBesideSuspects fails before, passes now.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -12,22 +12,19 @@
 )
 
 // fleet returns the servers in the form that the decisions use, for one request. A request that
-// a server has failed goes to other servers as long as there are any. Without suspects the fleet
-// is the same for all requests and is built once per step and dispatch: with thousands of
-// servers and a full queue it is the largest cost of a step.
+// a server has failed goes to other servers as long as there are any. While no request is on
+// probation, the fleet is the same for all others and is built once per step and dispatch: with
+// thousands of servers and a full queue it is the largest cost of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
-	if len(r.suspects.byKey) > 0 {
-		f := r.newFleet(q, func(s *server) bool { return r.suspects.mayShareServer(r, q, s) })
-		r.suspects.pinToServer(r, q, &f)
-		return f
-	}
+	isolates := r.anyOnProbation()
 	if len(q.failedServers) > 0 {
-		if f := r.newFleet(q, func(s *server) bool { return !slices.Contains(q.failedServers, s) }); anyServes(&f, &q.work) {
+		f := r.fleetFor(q, isolates, func(s *server) bool { return !slices.Contains(q.failedServers, s) })
+		if anyServes(&f, &q.work) {
 			return f
 		}
 	}
-	if q.reserved != nil {
-		return r.newFleet(q, func(*server) bool { return true })
+	if isolates || q.reserved != nil {
+		return r.fleetFor(q, isolates, func(*server) bool { return true })
 	}
 	if r.sharedFleet == nil {
 		f := r.newFleet(nil, func(*server) bool { return true })
@@ -36,6 +33,17 @@
 	return *r.sharedFleet
 }
 
+// fleetFor returns the allowed servers for one request. If it isolates, suspects are kept from each
+// other and from other requests.
+func (r *Reducer) fleetFor(q *request, isolates bool, allowed func(*server) bool) decision.Fleet {
+	if !isolates {
+		return r.newFleet(q, allowed)
+	}
+	f := r.newFleet(q, func(s *server) bool { return allowed(s) && r.suspects.mayShareServer(r, q, s) })
+	r.suspects.pinToServer(r, q, &f)
+	return f
+}
+
 // anyCandidate reports whether some server could run the request at once or after its cool-down.
 func (r *Reducer) anyCandidate(q *request) bool {
 	return slices.ContainsFunc(r.servers.sorted, func(s *server) bool {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -173,13 +173,23 @@
 	return s != nil && !s.cleared
 }
 
+// anyOnProbation reports whether a request of this entry is a suspect that is not cleared.
+func (r *Reducer) anyOnProbation() bool {
+	if len(r.suspects.byKey) == 0 {
+		return false
+	}
+	for _, q := range r.requests {
+		if r.suspects.onProbation(q) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayShareServer reports whether the request may go to the server as far as suspects are
 // concerned. Two suspects never share a server. A suspect and other requests share one only
 // after isolationTime.
 func (t *suspectTable) mayShareServer(r *Reducer, q *request, s *server) bool {
-	if len(t.byKey) == 0 {
-		return true
-	}
 	isolating := r.now-q.waitingSince < isolationTime
 	isSuspect := t.onProbation(q)
 	if isSuspect && isolating && len(s.running) > 0 {
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -101,3 +101,28 @@
 		}
 	}
 }
+
+// Guards against a request that is sent to the server that has just failed it, once some earlier
+// request of the entry ran on a server that crashed.
+func TestFailedServerIsAvoidedBesideSuspects(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(3)...)
+	w.arrive("suspect")
+	first := w.singleDispatch()
+	w.startAttempt(first)
+	w.endAttempt(first, serverDied)
+	w.step(CallerDisconnected{RequestID: "suspect"})
+	w.advance(time.Second)
+	w.renew()
+	w.arrive("other-request")
+	d := w.singleDispatch()
+	q := w.r.requests["other-request"]
+	q.failedServers = append(q.failedServers, w.r.servers.byID[d.Server])
+	w.r.detach(q)
+	fleet := w.r.fleet(q)
+	for _, s := range fleet.Servers {
+		if s.ID == d.Server && s.Usable {
+			t.Errorf("%s is usable, which has just failed the request", s.ID)
+		}
+	}
+}
