Charge the crash of an engine to the request whose prompt it was reading

Cause: on the platform's way a separate prefill that breaks off leaves the request not run, which is true, and the reducer took "not run" for "not begun": a request whose prompt crashes engines was charged with none of them. Natively such an attempt ends as unknown and is charged.

Change: the attempt's end says that the prefill broke off; the outcome towards the caller stays.

Result: TestCrashDuringSeparatePrefillIsCharged and TestBrokenPrefillIsNoRunButIsRecorded; without the change the first reports no suspect and the second sees none of the broken prefills.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -41,7 +41,7 @@
 	q.countOutcome(ev, s)
 	q.deliveries.record(&ev)
 	r.countUsageAtEnd(q, ev)
-	if ev.Outcome != outcome.NotRun && q.reconnects == 0 {
+	if ev.started() && q.reconnects == 0 {
 		q.acknowledged = q.acknowledged || ev.Elapsed >= assumedStartedAfter || s.aliveAt > q.sentAt
 	}
 	if ev.ServerDied {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -151,6 +151,9 @@
 	Invalid bool
 	// AtPrefillServer is set if all of this is about the engine of the separate prefill.
 	AtPrefillServer bool
+	// PrefillBroken is set if the connection to the engine of the separate prefill broke while it
+	// had the request.
+	PrefillBroken bool
 	// Unsent is set if no server received any byte of this attempt.
 	Unsent bool
 	Tokens int
@@ -161,6 +164,10 @@
 	Elapsed    time.Duration
 }
 
+// started reports whether the server may have begun work on the request. A prefill alone does not run
+// it, but may crash the engine as well.
+func (ev *AttemptEnded) started() bool { return ev.Outcome != outcome.NotRun || ev.PrefillBroken }
+
 // CallerDisconnected reports that the caller's connection is closed.
 type CallerDisconnected struct{ RequestID string }
 
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -9,7 +9,6 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
-	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -258,7 +257,7 @@
 	s.fail(r.now)
 	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
 	if s.died {
-		if ev.Outcome != outcome.NotRun {
+		if ev.started() {
 			r.charge(q, s, death)
 		}
 		r.reportSuspects(death)
@@ -267,7 +266,7 @@
 	s.died = true
 	r.recordDeath(s.pb.Id, s.incarnationHash(), r.now)
 	for _, id := range s.running {
-		if other := r.requests[id]; other != q || ev.Outcome != outcome.NotRun {
+		if other := r.requests[id]; other != q || ev.started() {
 			r.charge(other, s, death)
 		}
 	}
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -126,3 +126,20 @@
 		}
 	}
 }
+
+// Guards against a request whose prompt crashes each engine that prefills it: a prefill alone does not
+// run a request, so that its end charged nobody.
+func TestCrashDuringSeparatePrefillIsCharged(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(2)...)
+	w.arrive("r1")
+	d := w.singleDispatch()
+	w.advance(time.Second)
+	w.endAttempt(d, func(ev *AttemptEnded) {
+		ev.Outcome, ev.ServerDied, ev.Elapsed = outcome.NotRun, true, time.Second
+		ev.AtPrefillServer, ev.PrefillBroken = true, true
+	})
+	if got := w.reportedScores(); len(got) != 1 || got[0] != earlyCrashScore {
+		t.Fatalf("reported scores %v", got)
+	}
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -260,9 +260,14 @@
 func classifyFailure(err error, ended *entry.AttemptEnded, prefilled bool) {
 	ended.ServerDied = errorx.IsOfType(err, httpconn.Refused)
 	ended.Unsent = errorx.IsOfType(err, httpconn.NotSent) && !prefilled
-	if !errorx.IsOfType(err, httpconn.NotSent) && !ended.AtPrefillServer {
-		ended.Outcome = outcome.Unknown
+	if errorx.IsOfType(err, httpconn.NotSent) {
+		return
+	}
+	if ended.AtPrefillServer {
+		ended.PrefillBroken = true
+		return
 	}
+	ended.Outcome = outcome.Unknown
 }
 
 // brokenByCrash reports whether a connection broke because the server's process has ended. A crash
--- a/internal/relay/work_test.go
+++ b/internal/relay/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
 
@@ -71,3 +74,26 @@
 		t.Fatal("the disconnect is taken for the deadline")
 	}
 }
+
+// Guards against a crash during a separate prefill that nobody is charged with, and against an answer
+// "not run" to a request whose run broke off.
+func TestBrokenPrefillIsNoRunButIsRecorded(t *testing.T) {
+	broken, notSent := httpconn.Classify(io.EOF), httpconn.Classify(&httpconn.DialError{Cause: io.EOF})
+	for _, c := range []struct {
+		err           error
+		atPrefill     bool
+		outcome       outcome.Outcome
+		prefillBroken bool
+	}{
+		{broken, false, outcome.Unknown, false},
+		{broken, true, outcome.NotRun, true},
+		{notSent, false, outcome.NotRun, false},
+		{notSent, true, outcome.NotRun, false},
+	} {
+		ended := entry.AttemptEnded{Outcome: outcome.NotRun, AtPrefillServer: c.atPrefill}
+		classifyFailure(c.err, &ended, false)
+		if ended.Outcome != c.outcome || ended.PrefillBroken != c.prefillBroken {
+			t.Errorf("%v, at prefill %v: %+v", c.err, c.atPrefill, ended)
+		}
+	}
+}
