--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -50,11 +50,11 @@
 
 // Forwarder forwards TCP connections to one target.
 type Forwarder struct {
-	target   string
-	listener net.Listener
-	wg       conc.WaitGroup
+	address, target string
+	wg              conc.WaitGroup
 
 	mu        sync.Mutex
+	listener  net.Listener
 	mode      Mode
 	connPairs map[*connPair]bool
 }
@@ -66,13 +66,34 @@
 	if err != nil {
 		return nil, Failed.Wrap(err, "listen")
 	}
-	f := &Forwarder{target: target, listener: ln, connPairs: make(map[*connPair]bool)}
-	f.wg.Go(f.accept)
+	f := &Forwarder{address: ln.Addr().String(), target: target, listener: ln, connPairs: make(map[*connPair]bool)}
+	f.wg.Go(func() { f.accept(ln) })
 	return f, nil
 }
 
+// StopListening refuses new connections, as the target's own address does once its process has
+// ended. Open connections stay.
+func (f *Forwarder) StopListening() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.listener.Close()
+}
+
+// Relisten accepts connections again. Errors: Failed.
+func (f *Forwarder) Relisten() error {
+	ln, err := net.Listen("tcp", f.address)
+	if err != nil {
+		return Failed.Wrap(err, "listen again")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listener = ln
+	f.wg.Go(func() { f.accept(ln) })
+	return nil
+}
+
 // Address returns the address that the forwarder listens on.
-func (f *Forwarder) Address() string { return f.listener.Addr().String() }
+func (f *Forwarder) Address() string { return f.address }
 
 // SetMode sets the mode of open and of new connections. A connection that has lost
 // bytes is closed when the new mode would forward again: TCP never delivers later
@@ -118,14 +139,14 @@
 
 // Close stops the forwarder and closes its connections.
 func (f *Forwarder) Close() {
-	_ = f.listener.Close()
+	f.StopListening()
 	f.SetMode(Mode{Refuse: true})
 	f.wg.Wait()
 }
 
-func (f *Forwarder) accept() {
+func (f *Forwarder) accept(ln net.Listener) {
 	for {
-		conn, err := f.listener.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
