Entries find out that no server of a service answers them

Cause: an entry that has lost its links to all servers took each server's failure for that server's own. Nothing in it, nor in its log, says that it is the entry that is cut off.

Change: a server is silent once a request or probe went unanswered and nothing came since: no connection, a broken one without an answer, or a request of a second without a sign of life. If two are silent and none of the pool has answered for 0.3 s, or one for a second, the entry asks the others; if none of them (eight, in a large pool) answers, it is cut off, until one does. While it is, it asks servers of other pools of which it has heard nothing. An unhealthy answer, a full server and a connection that the entry itself withholds are no silence. One line at each change; nothing acts on it yet.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -72,6 +72,7 @@
 		}
 	}
 	s.UnavailableUntil = r.unavailableUntil()
+	s.CutOff, s.Isolated = r.cutOffPools()
 	r.emit(Publish{Snapshot: s})
 }
 
--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -51,9 +51,16 @@
 }
 
 func (r *Reducer) probeFailed(ev ProbeFailed) {
-	if s := r.servers.incarnation(ev.Server, ev.Incarnation); s != nil {
-		s.fail(r.now)
+	s := r.servers.incarnation(ev.Server, ev.Incarnation)
+	if s == nil {
+		return
+	}
+	s.fail(r.now)
+	if ev.Answered {
+		s.aliveAt = r.now
+		return
 	}
+	s.noAnswer(r.now)
 }
 
 // sendProbes probes servers for their state: those that failed and, while the view is stale, all
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -143,6 +143,8 @@
 	LogView   = "view"
 	LogServer = "server"
 	LogPeers  = "peers"
+	// LogReach is about the entry's links to a pool of servers.
+	LogReach = "reach"
 	// LogSuspect is a request that is charged with a server's crash.
 	LogSuspect = "suspect"
 )
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -39,6 +39,12 @@
 		s = q.prefill
 	}
 	q.countOutcome(ev, s)
+	switch {
+	case ev.NoAnswer:
+		s.noAnswer(r.now)
+	case ev.Complete || ev.Outcome == outcome.Ran:
+		s.aliveAt = r.now
+	}
 	q.deliveries.record(&ev)
 	r.countUsageAtEnd(q, ev)
 	if ev.started() && q.reconnects == 0 {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -57,10 +57,12 @@
 // PermitTimedOut reports that the entry at an address gave no answer about that server in time.
 type PermitTimedOut struct{ Address, Server, Incarnation string }
 
-// ProbeFailed reports that a health probe got no answer.
+// ProbeFailed reports that a health probe failed. Answered is set if the server answered that it is
+// not healthy.
 type ProbeFailed struct {
 	Server      string
 	Incarnation string
+	Answered    bool
 }
 
 // ReportFailed reports that control may not have received a report.
@@ -151,6 +153,8 @@
 	Invalid bool
 	// AtPrefillServer is set if all of this is about the engine of the separate prefill.
 	AtPrefillServer bool
+	// NoAnswer is set if the attempt failed without any byte of an answer.
+	NoAnswer bool
 	// PrefillBroken is set if the connection to the engine of the separate prefill broke while it
 	// had the request.
 	PrefillBroken bool
--- a/internal/entry/liveness.go
+++ b/internal/entry/liveness.go
@@ -200,7 +200,7 @@
 	switch {
 	case s.backpressure.Leaving, s.backpressure.BackingOff(r.now):
 		return false
-	case s.failures > 0:
+	case s.failures > 0, r.reach.quiet[roleOf(s.pb).pool]:
 		return true
 	case !r.stale():
 		return false
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -65,6 +65,7 @@
 	peers     peerBacklogs
 	suspects  suspectTable
 	permits   permits
+	reach     reach
 	// held is accepted work that waits outside of the queue.
 	held []*request
 	// retryLimit is nil if Config.RetryLimit is.
@@ -106,6 +107,7 @@
 		peers:      newPeerBacklogs(),
 		suspects:   newSuspectTable(),
 		permits:    newPermits(),
+		reach:      newReach(),
 		report:     newReportBuffer(),
 		usage:      newUsageCounter(cfg.Usage, cfg.Identity.GetName()),
 		retryLimit: admission.NewRetryLimiter(cfg.RetryLimit),
@@ -191,6 +193,7 @@
 	}
 	r.expireBackoffs()
 	r.updateLeaseExpiring()
+	r.updateReach()
 	r.sendProbes()
 	r.pollCaches()
 	r.expireWaiting()
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -28,6 +28,8 @@
 	pb *pb.BackendServer
 	// aliveAt is when the server last delivered a token or a report.
 	aliveAt time.Duration
+	// unansweredAt is when it was first found not to answer.
+	unansweredAt time.Duration
 	// ownState is the last state that the server reported itself in this incarnation, ownStateAt
 	// is when.
 	ownState   engineapi.State
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -35,6 +35,10 @@
 	// LeaseExpiring is set if the view's lease has ended or is about to end. Other entries are
 	// then asked which servers are alive.
 	LeaseExpiring bool
+	// CutOff has the pools, by model or plain service, of which no server answers this entry.
+	// Isolated is set if those are all pools.
+	CutOff   map[string]bool
+	Isolated bool
 	// Load is the fraction of this entry's streams that is in use.
 	Load float64
 }
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -100,7 +100,7 @@
 	}
 	if call.AcceptsRequests != nil && !call.AcceptsRequests() {
 		c.putIdle(cn, defaultMaxIdleTime)
-		return nil, NotSent.New("the server stopped accepting requests")
+		return nil, Withheld.New("the server stopped accepting requests")
 	}
 	resp := &Response{client: c, conn: cn}
 	resp.stopCtxWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -23,6 +23,9 @@
 	// Reset: the connection was reset while it was being opened. The kernel of a dying process
 	// still accepts connections, and resets them when the process ends.
 	Reset = NotSent.NewSubtype("reset")
+	// Withheld: the entry did not open a connection, because it has as many as it may have, or
+	// because the server accepts no requests.
+	Withheld = NotSent.NewSubtype("withheld")
 	// Broken: the connection failed or timed out after bytes were sent.
 	Broken = Namespace.NewType("broken")
 	// Closed: the connection was opened and then closed without a response.
@@ -50,7 +53,10 @@
 	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNRESET) {
 		return Reset.Wrap(err, "no connection")
 	}
-	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return Withheld.Wrap(err, "no connection")
+	}
+	if errors.As(err, &dial) {
 		return NotSent.Wrap(err, "no connection")
 	}
 	if closedWithoutResponse(err) {
--- a/internal/relay/effects.go
+++ b/internal/relay/effects.go
@@ -28,8 +28,9 @@
 		return
 	}
 	target := Target{Address: p.Address, Incarnation: p.Incarnation}
-	if !s.backend.Health(ctx, target, service.HealthPath) {
-		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation})
+	healthy, err := s.backend.Health(ctx, target, service.HealthPath)
+	if !healthy {
+		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation, Answered: err == nil})
 		return
 	}
 	s.host.Post(entry.ServerReported{Server: p.Server, Incarnation: p.Incarnation, State: engineapi.StateServing})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -170,9 +170,9 @@
 	Prefill(ctx context.Context, a Attempt) (*KVCache, ServerStatus, error)
 	// FreeCache tells an engine to free a KV cache that no engine will fetch.
 	FreeCache(ctx context.Context, c *KVCache)
-	// Health probes a server's health path. It returns false for a failed probe or an unhealthy
-	// answer.
-	Health(ctx context.Context, t Target, path string) bool
+	// Health probes a server's health path and reports whether the answer is that it is healthy.
+	// Without an answer it returns an error.
+	Health(ctx context.Context, t Target, path string) (bool, error)
 	// NothingListens reports whether new connections to the server are refused, as they are once
 	// its process has ended.
 	NothingListens(ctx context.Context, t Target) bool
