Leave entries that are cut off from all servers off the lists

Callers saw: entries without any link to servers stayed on the lists that callers ask for, and served next to nothing.

Change: an entry that is cut off from the servers of all services says so in its poll of control, control replicates it with the entry's record, and the lists of all entries leave it out as long as others remain. It says so again to each next leader, and the opposite as soon as one server answers.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -82,7 +82,7 @@
 	r.lead.lastContactAt = r.now
 	info := &pb.EntryInfo{
 		Identity: req.GetEntry(), Leaving: req.GetLeaving() || r.isLeavingEntry(req.GetEntry()),
-		Load: roundLoad(req.GetLoad()),
+		Load: roundLoad(req.GetLoad()), CutOff: req.GetCutOff(),
 	}
 	if t.proposed != nil || !r.entryChanged(info) {
 		return
@@ -95,7 +95,7 @@
 		}
 	})
 	r.log(slog.LevelInfo, "entry changed", Field{"entry", info.GetIdentity().GetName()},
-		Field{"incarnation", incarnationOf(info)}, Field{"leaving", info.GetLeaving()}, Field{"load", info.GetLoad()})
+		Field{"incarnation", incarnationOf(info)}, Field{"leaving", info.GetLeaving()}, Field{"cut_off", info.GetCutOff()}, Field{"load", info.GetLoad()})
 }
 
 // isLeavingEntry reports whether that incarnation of the entry has said that it stops. That is
@@ -107,7 +107,7 @@
 
 func (r *Reducer) entryChanged(info *pb.EntryInfo) bool {
 	known := r.state.entries[info.GetIdentity().GetName()]
-	if known == nil || known.info.GetLeaving() != info.GetLeaving() {
+	if known == nil || known.info.GetLeaving() != info.GetLeaving() || known.info.GetCutOff() != info.GetCutOff() {
 		return true
 	}
 	if math.Abs(known.info.GetLoad()-info.GetLoad()) >= loadChangeThreshold {
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -37,6 +37,8 @@
 	PeerAddress string
 	DataCentre  string
 	Leaving     bool
+	// CutOff is set if no server answers the entry.
+	CutOff bool
 	// IsAggregator is set if the entry sums up the reports of other entries.
 	IsAggregator bool
 	// Weight is the entry's share of callers relative to the others of its data centre.
@@ -107,7 +109,7 @@
 	ramp := min(1, float64(r.now-e.since)/float64(rampTime))
 	return EntryWeight{
 		Name: id.Name, Incarnation: id.Incarnation, Address: id.CallerAddress,
-		PeerAddress: id.PeerAddress, DataCentre: id.DataCentre, Leaving: leaving,
+		PeerAddress: id.PeerAddress, DataCentre: id.DataCentre, Leaving: leaving, CutOff: e.info.CutOff,
 		IsAggregator: r.peers.group.aggregators[id.Name],
 		Weight:       max(minWeight, (1-load)*ramp),
 	}
@@ -116,9 +118,13 @@
 // AddressesFor returns the entries for callers of a data centre, best first: those of the data
 // centre by weight, then the others as a fallback. Leaving entries are left out. So are
 // aggregators as long as other entries exist: the placement decisions of up to twenty entries
-// wait for an aggregator's answers.
+// wait for an aggregator's answers. Entries that are cut off from all servers are left out as long
+// as others exist.
 func (s *Snapshot) AddressesFor(dataCentre string) []EntryWeight {
-	list := s.filterEntries(func(e EntryWeight) bool { return !e.Leaving && !e.IsAggregator })
+	list := s.filterEntries(func(e EntryWeight) bool { return !e.Leaving && !e.IsAggregator && !e.CutOff })
+	if len(list) == 0 {
+		list = s.filterEntries(func(e EntryWeight) bool { return !e.Leaving && !e.CutOff })
+	}
 	if len(list) == 0 {
 		list = s.filterEntries(func(e EntryWeight) bool { return !e.Leaving })
 	}
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -160,3 +160,16 @@
 		})
 	}
 }
+
+// Guards against callers who are sent to an entry that is cut off from all servers, and against no
+// address at all where all entries are.
+func TestCutOffEntriesAreNotListed(t *testing.T) {
+	s := &Snapshot{Entries: []EntryWeight{{Name: "a", CutOff: true}, {Name: "b"}, {Name: "c", Leaving: true}}}
+	if list := s.AddressesFor(""); len(list) != 1 || list[0].Name != "b" {
+		t.Errorf("listed %v", list)
+	}
+	s.Entries[1].CutOff = true
+	if list := s.AddressesFor(""); len(list) != 2 {
+		t.Errorf("listed %v, though all are cut off", list)
+	}
+}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -78,7 +78,7 @@
 	snap := h.Snapshot()
 	return &pb.WatchRequest{
 		ClusterId: h.Settings.Cluster, Entry: h.Identity, KnownVersion: snap.ViewVersion,
-		Revision: snap.Revision, Leaving: snap.Leaving, Load: snap.Load,
+		Revision: snap.Revision, Leaving: snap.Leaving, Load: snap.Load, CutOff: snap.Isolated,
 		HoldMs: uint32(watchHoldTime.Milliseconds()), TakesPacked: true,
 	}
 }
