Native entries find out that no server answers them

Its attempts did not say whether there was an answer, and its probes called an unhealthy answer none.

Change: one function of package httpconn tells it for both; a native probe says whether there was an answer.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -82,3 +82,12 @@
 func ProcessGone(err error) bool {
 	return errorx.IsOfType(err, Refused) || errorx.IsOfType(err, Reset) || errorx.IsOfType(err, Closed)
 }
+
+// NoAnswer reports whether a call failed since the server did not answer it: no connection could be
+// opened, or it broke or timed out. It is not meant for a response that broke off.
+func NoAnswer(err error) bool {
+	if errorx.IsOfType(err, Withheld) {
+		return false
+	}
+	return errorx.IsOfType(err, NotSent) || errorx.IsOfType(err, Broken)
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -269,7 +269,7 @@
 	}
 	if err != nil {
 		classifyFailure(err, &ended, cache != nil)
-		ended.NoAnswer = ctx.Err() == nil && j.log.status == 0 && isNoAnswer(err)
+		ended.NoAnswer = ctx.Err() == nil && j.log.status == 0 && httpconn.NoAnswer(err)
 		j.unreached = j.unreached || ended.Unsent && ended.NoAnswer
 		ended.ServerDied = ended.ServerDied || j.brokenByCrash(ctx, d, &ended, err)
 	}
@@ -301,14 +301,6 @@
 	ended.Outcome = outcome.Unknown
 }
 
-// isNoAnswer reports whether a call failed without an answer.
-func isNoAnswer(err error) bool {
-	if errorx.IsOfType(err, httpconn.Withheld) {
-		return false
-	}
-	return errorx.IsOfType(err, httpconn.NotSent) || errorx.IsOfType(err, httpconn.Broken)
-}
-
 // brokenByCrash reports whether a connection broke because the server's process has ended. A crash
 // ends the connections of all requests that ran there, and if only the next request that is refused
 // told of it, nobody would be charged with it.
--- a/internal/traffic/effects.go
+++ b/internal/traffic/effects.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 )
 
 const (
@@ -32,9 +33,9 @@
 }
 
 func (s *Server) probe(p entry.Probe) {
-	health, ok := s.engines.health(p.Address, probeTimeout)
+	health, ok, err := s.engines.health(p.Address, probeTimeout)
 	if !ok {
-		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation})
+		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation, Answered: !httpconn.NoAnswer(err)})
 		return
 	}
 	s.host.Post(entry.ServerReported{
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -121,12 +121,11 @@
 		string(h.Peek(outcome.HeaderAttempt)) == strconv.FormatUint(uint64(attempt), 10)
 }
 
-// health queries a server's health endpoint. It returns false if no valid
-// answer comes in time.
-func (c *engineClient) health(address string, timeout time.Duration) (engineapi.Health, bool) {
-	var health engineapi.Health
+// health queries a server's health endpoint. ok is false if no valid answer
+// comes in time. Errors: those of callJSON, if there was no answer.
+func (c *engineClient) health(address string, timeout time.Duration) (health engineapi.Health, ok bool, err error) {
 	status, err := c.callJSON(fasthttp.MethodGet, "http://"+address+engineapi.PathHealth, nil, &health, timeout)
-	return health, err == nil && status == fasthttp.StatusOK
+	return health, err == nil && status == fasthttp.StatusOK, err
 }
 
 // cacheEvents fetches an engine's cache events after a sequence number.
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -187,6 +187,7 @@
 // recordFailure records why a connection failed. If it could not be opened,
 // nothing was sent. If it was refused, the server's process is gone.
 func (a *modelAttempt) recordFailure(err error) {
+	a.result.NoAnswer = httpconn.NoAnswer(err)
 	a.result.ServerDied = errorx.IsOfType(err, httpconn.Refused) || (a.dispatch.Reconnect && httpconn.ProcessGone(err))
 	if errorx.IsOfType(err, httpconn.NotSent) && !a.dispatch.Reconnect {
 		return
--- a/internal/traffic/model_test.go
+++ b/internal/traffic/model_test.go
@@ -43,6 +43,9 @@
 			if reconnect {
 				died, ran = c.diedReconnect, outcome.Unknown
 			}
+			if !a.result.NoAnswer {
+				t.Errorf("%s, reconnect %v: counts as an answer", name, reconnect)
+			}
 			if a.result.ServerDied != died || a.result.Outcome != ran {
 				t.Errorf("%s, reconnect %v: died %v, outcome %v; want %v, %v", name, reconnect, a.result.ServerDied, a.result.Outcome, died, ran)
 			}
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -182,6 +182,7 @@
 	result := entry.AttemptEnded{RequestID: dispatch.RequestID, Attempt: dispatch.Attempt, Outcome: outcome.NotRun}
 	answer, err := j.sendAttempt(dispatch)
 	result.Elapsed = time.Since(startedAt)
+	result.NoAnswer = httpconn.NoAnswer(err)
 	switch {
 	case err == nil:
 		j.answer, result.Complete, result.Outcome = answer, true, outcome.Ran
