Charge no request that has just got a whole answer

Cause: a request is known by member, path and body. Many callers may send the same one, such as a look-up of one status; with no body and no key nothing tells them apart. The loss of two servers under it, for whatever reason, would have quarantined it for an hour.

Result: TestRequestThatGotAnAnswerIsNoSuspect (without the change the first loss is reported), TestMemoryOfAnswersIsBounded.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -84,7 +84,7 @@
 	switch {
 	case ev.Complete:
 		r.decisions.admission.RecordServed(q.work.Profile, q.retryBudget)
-		r.suspects.remove(q)
+		r.suspects.complete(q, r.now)
 		r.finish(q)
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -143,3 +144,50 @@
 		t.Fatalf("reported scores %v", got)
 	}
 }
+
+// Guards against the quarantine of a request that many callers send, since two servers were lost under
+// it: a request that crashes each server that runs it gets no whole answer.
+func TestRequestThatGotAnAnswerIsNoSuspect(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(4)...)
+	lookup := func(id string) Dispatch {
+		ev := w.arrival(id, "hotels")
+		ev.Fingerprint = 7
+		w.step(ev)
+		d := w.singleDispatch()
+		w.startAttempt(d)
+		return d
+	}
+	w.endAttempt(lookup("first"), func(ev *AttemptEnded) { ev.Complete, ev.Outcome = true, outcome.Ran })
+	for i := range 3 {
+		w.advance(time.Second)
+		w.renew()
+		w.endAttempt(lookup(fmt.Sprint("lost-", i)), serverDied)
+		if got := w.reportedScores(); len(got) != 0 {
+			t.Fatalf("reported scores %v", got)
+		}
+		w.step(CallerDisconnected{RequestID: fmt.Sprint("lost-", i)})
+	}
+	w.advance(exonerationTime)
+	w.renew()
+	w.reportState(0, engineapi.StateServing)
+	w.endAttempt(lookup("later"), serverDied)
+	if got := w.reportedScores(); len(got) != 1 {
+		t.Fatalf("reported scores %v after %v without an answer", got, exonerationTime)
+	}
+}
+
+// Guards against a memory of answers that grows with the requests.
+func TestMemoryOfAnswersIsBounded(t *testing.T) {
+	table := newSuspectTable()
+	for i := range 3 * maxExonerated {
+		table.complete(&request{fingerprint: uint64(i)}, time.Second)
+	}
+	if n := len(table.exonerated); n > maxExonerated || len(table.exonerations) > maxExonerated {
+		t.Errorf("%d requests are remembered", n)
+	}
+	table.complete(&request{fingerprint: 1}, time.Second+exonerationTime)
+	if n := len(table.exonerated); n != 1 {
+		t.Errorf("%d requests are remembered after %v", n, exonerationTime)
+	}
+}
