Pass on no request that a server has received

Cause: another entry takes its own send for the first. A request that a server had prefilled or refused, and that this entry then passed on, was a retry that no entry took from the deployment's limit. Seen in reading the change, not in a run.

Change: only what no server has received is passed on.

Result: TestDeliveredRequestIsNotPassedOn; the tests of entries that are cut off pass as before.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -46,9 +46,10 @@
 	streamBegun atomic.Bool
 	// callerCtx ends when the caller disconnects.
 	callerCtx context.Context
-	// unreached is set once a server could not be reached.
-	unreached bool
-	log       jobLog
+	// unreached is set once a server could not be reached, delivered once one has received the
+	// request, if only for its prefill or to refuse it.
+	unreached, delivered bool
+	log                  jobLog
 }
 
 type bufferedResponse struct {
@@ -163,9 +164,10 @@
 }
 
 // othersMayServe reports whether a refusal is due to this entry's links to servers: it sees no server
-// that runs the request, or could not reach one, while others may.
+// that runs the request, or could not reach one, while others may. What a server has received would be
+// a retry at the other entry, which would take it for the first send and not count it.
 func (j *job) othersMayServe(r *outcome.Refusal) bool {
-	return r.Outcome == outcome.NotRun && (j.unreached || r.Code == outcome.CodeNoServer || j.cutOff())
+	return r.Outcome == outcome.NotRun && !j.delivered && (j.unreached || r.Code == outcome.CodeNoServer || j.cutOff())
 }
 
 // refreshPeers asks the other entries for their load at the engines before one is chosen and,
@@ -273,6 +275,7 @@
 		j.unreached = j.unreached || ended.Unsent && ended.NoAnswer
 		ended.ServerDied = ended.ServerDied || j.brokenByCrash(ctx, d, &ended, err)
 	}
+	j.delivered = j.delivered || !ended.Unsent
 	j.log.attemptEnded(d, &ended, err)
 	return ended, nil
 }
--- a/internal/relay/work_test.go
+++ b/internal/relay/work_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// Guards against sends that nobody counts as retries: a request that a server has received is passed on
+// to another entry, which takes its own send for the first.
+func TestDeliveredRequestIsNotPassedOn(t *testing.T) {
+	noServer := &outcome.Refusal{Code: outcome.CodeNoServer, Outcome: outcome.NotRun}
+	for _, c := range []struct {
+		job     *job
+		refusal *outcome.Refusal
+		want    bool
+	}{
+		{&job{}, noServer, true},
+		{&job{unreached: true}, &outcome.Refusal{Code: outcome.CodeDeadline, Outcome: outcome.NotRun}, true},
+		{&job{unreached: true, delivered: true}, noServer, false},
+		{&job{unreached: true}, &outcome.Refusal{Code: outcome.CodeServerFailed, Outcome: outcome.Unknown}, false},
+	} {
+		if got := c.job.othersMayServe(c.refusal); got != c.want {
+			t.Errorf("unreached %v, delivered %v, %s: passed on %v", c.job.unreached, c.job.delivered, c.refusal.Code, got)
+		}
+	}
+}
