Ask no unreachable entry again for a second; answers that exonerate get a file

Cause: an entry that could not be connected to was asked again by the next request that was passed on, which may wait 1.5 s for the connection. Change: it counts like one that could not help. Besides, without a change of what it does, the memory of whole answers moves out of suspects.go.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -48,10 +48,6 @@
 	suspectDelayPeriod = 30 * time.Second
 	// maxSuspects bounds the table. The oldest suspect is dropped first.
 	maxSuspects = 4096
-	// exonerationTime is for how long a whole answer shows that a request does not crash servers.
-	exonerationTime = 30 * time.Second
-	// maxExonerated bounds the requests of which that is known.
-	maxExonerated = 4096
 )
 
 // suspect is a request that ran on a server when it crashed.
@@ -74,50 +70,18 @@
 type suspectTable struct {
 	byKey map[quarantineKey]*suspect
 	// order holds the keys by time of their first crash.
-	order []quarantineKey
-	// exonerated has the requests that got a whole answer, by when they last did; exonerations
-	// holds them in that order, with repetitions.
-	exonerated   map[quarantineKey]time.Duration
-	exonerations []exoneration
-}
-
-type exoneration struct {
-	key quarantineKey
-	at  time.Duration
+	order      []quarantineKey
+	exonerated exonerated
 }
 
 func newSuspectTable() suspectTable {
-	return suspectTable{byKey: make(map[quarantineKey]*suspect), exonerated: make(map[quarantineKey]time.Duration)}
+	return suspectTable{byKey: make(map[quarantineKey]*suspect), exonerated: newExonerated()}
 }
 
 // complete records that a request got its whole answer.
-//
-// Many callers may send the same request at once, such as a look-up of one status. Without this, the
-// loss of two servers, for whatever reason, would quarantine it for all of them.
 func (t *suspectTable) complete(q *request, now time.Duration) {
 	t.remove(q)
-	t.exonerated[q.key()] = now
-	t.exonerations = append(t.exonerations, exoneration{q.key(), now})
-	t.expireExonerations(now)
-}
-
-func (t *suspectTable) expireExonerations(now time.Duration) {
-	expired := 0
-	for _, e := range t.exonerations {
-		if now-e.at < exonerationTime && len(t.exonerations)-expired <= maxExonerated {
-			break
-		}
-		if t.exonerated[e.key] == e.at {
-			delete(t.exonerated, e.key)
-		}
-		expired++
-	}
-	t.exonerations = t.exonerations[expired:]
-}
-
-func (t *suspectTable) isExonerated(q *request, now time.Duration) bool {
-	at, ok := t.exonerated[q.key()]
-	return ok && now-at < exonerationTime
+	t.exonerated.add(q.key(), now)
 }
 
 func (t *suspectTable) expire(now time.Duration) {
@@ -322,7 +286,7 @@
 // If it was charged before, control may just have quarantined it for this death. It waits for that
 // notice before it is sent to another server.
 func (r *Reducer) charge(q *request, s *server, death *pb.ServerDeath) {
-	if r.suspects.isExonerated(q, r.now) {
+	if r.suspects.exonerated.has(q.key(), r.now) {
 		return
 	}
 	score := r.suspects.recordCrash(q, s.deathKey(), r.now)
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -183,11 +183,11 @@
 	for i := range 3 * maxExonerated {
 		table.complete(&request{fingerprint: uint64(i)}, time.Second)
 	}
-	if n := len(table.exonerated); n > maxExonerated || len(table.exonerations) > maxExonerated {
+	if n := len(table.exonerated.last); n > maxExonerated || len(table.exonerated.order) > maxExonerated {
 		t.Errorf("%d requests are remembered", n)
 	}
 	table.complete(&request{fingerprint: 1}, time.Second+exonerationTime)
-	if n := len(table.exonerated); n != 1 {
+	if n := len(table.exonerated.last); n != 1 {
 		t.Errorf("%d requests are remembered after %v", n, exonerationTime)
 	}
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -32,8 +32,9 @@
 	// forwardSlack is how much longer than a request's time this entry waits for the other one's
 	// final answer, which takes the way back.
 	forwardSlack = 20 * time.Millisecond
-	// refusalMemory is for how long an entry that could not reach a server of a pool either is not
-	// asked for that pool again. It bounds what entries ask each other when a whole service is down.
+	// refusalMemory is for how long an entry that could not be reached, or could not reach a server of
+	// a pool either, is not asked for that pool again. It bounds what entries ask each other when a
+	// whole service is down.
 	refusalMemory = time.Second
 	// forwardChunkBytes is the size of the buffer for the body of a forwarded answer.
 	forwardChunkBytes = 8 << 10
@@ -129,27 +130,31 @@
 	}
 	resp, err := j.s.backend.Forward(ctx, e.Address, f)
 	j.log.forwarded(e.Name, reason, resp, err)
-	if err != nil {
-		return j.forwardFailed(ctx, err)
-	}
-	defer resp.Body.Close()
-	if passOnAgain(resp) {
+	if errorx.IsOfType(err, httpconn.NotSent) || err == nil && passOnAgain(resp) {
 		j.s.unableEntries.add(j.unableKey(e.Name))
+		closeBody(resp)
 		return false
 	}
+	if err != nil {
+		j.forwardFailed(ctx)
+		return true
+	}
+	defer closeBody(resp)
 	j.relayForwarded(resp)
 	return true
 }
 
-// forwardFailed reports whether a forward without an answer ends the request: once it was sent, the
-// other entry may have run it.
-func (j *job) forwardFailed(ctx context.Context, err error) bool {
-	if errorx.IsOfType(err, httpconn.NotSent) {
-		return false
+func closeBody(resp *Response) {
+	if resp != nil {
+		resp.Body.Close()
 	}
+}
+
+// forwardFailed ends a request that was passed on and got no answer: the other entry may have run it.
+func (j *job) forwardFailed(ctx context.Context) {
 	if j.callerCtx.Err() != nil {
 		j.log.answered("caller gone")
-		return true
+		return
 	}
 	r := brokenForward()
 	if ctx.Err() != nil {
@@ -157,7 +162,6 @@
 	}
 	j.log.refused(r)
 	j.caller.Refuse(r)
-	return true
 }
 
 // brokenForward is the final answer to a request that another entry may have run.
