Count a request that is passed on once, and pass on none that servers answer

Change: a forwarded request is no new one for the retry limit. A refusal says whether some server that could run the request does not answer this entry; only then, or if a connection failed, is it passed on: servers that answer and take nothing are no matter of links.

Result: TestForwardedRequestIsNoNewRequestForTheRetryLimit (fails before), TestRefusalSaysWhetherServersAreSilent, TestDeliveredRequestIsNotPassedOn.

--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -24,7 +24,9 @@
 		maxRuns: ev.MaxRuns, hardDeadline: ev.HardDeadline, originalFirstTokenBy: ev.Work.FirstTokenBy,
 	}
 	q.work.EngineSpeed = r.speeds.fastestSpeed(r.servers.sorted, &q.work)
-	r.retryLimit.RecordArrival(r.now, ev.Work.Service)
+	if !ev.Forwarded {
+		r.retryLimit.RecordArrival(r.now, ev.Work.Service)
+	}
 	r.countBlockedArrival(&q.work)
 	if ev.Attempt > 0 {
 		q.attempt = (ev.Attempt/attemptStride + 1) * attemptStride
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -61,6 +61,8 @@
 type Refuse struct {
 	RequestID string
 	Refusal   *outcome.Refusal
+	// ServersSilent is set if some server that could run the request does not answer this entry.
+	ServersSilent bool
 }
 
 // Finish ends a request whose answer is complete or whose caller has disconnected.
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -110,6 +110,9 @@
 	// HardDeadline is set if the final answer is due at Work.FinishBy, even if the caller
 	// already has a part of the answer.
 	HardDeadline bool
+	// Forwarded is set if another entry has passed the request on. It counts as a request there: if
+	// both counted it, the deployment would retry more than its limit allows.
+	Forwarded bool
 	// Attempt is the last attempt number that another entry may have used, 0 for none.
 	Attempt uint32
 	// Offset is how many tokens the caller already has.
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -36,7 +36,7 @@
 func (r *Reducer) refuse(q *request, refusal *outcome.Refusal, figures ...Figure) {
 	refusal.Outcome = outcomeOf(q)
 	r.removeRequest(q)
-	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal})
+	r.emit(Refuse{RequestID: q.work.RequestID, Refusal: refusal, ServersSilent: r.anySilent(q)})
 	r.log(LogRefuse, q, "", string(refusal.Code), append([]Figure{
 		{Name: "status", Value: float64(refusal.Status)},
 		{Name: "retry_after_s", Value: refusal.RetryAfter.Seconds()},
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -58,6 +59,17 @@
 // silent reports whether the server has not answered since a request or probe went unanswered.
 func (s *server) silent() bool { return s.unansweredAt > s.aliveAt }
 
+// anySilent reports whether a server that could run the request does not answer this entry.
+func (r *Reducer) anySilent(q *request) bool {
+	return slices.ContainsFunc(r.servers.sorted, func(s *server) bool {
+		if !s.silent() {
+			return false
+		}
+		d := r.decisionServer(s, true)
+		return d.Serves(&q.work)
+	})
+}
+
 // noteUnanswered records which servers have left a request without a sign of life for too long. On
 // a connection that carries no more packets nothing else tells for many seconds.
 func (r *Reducer) noteUnanswered(s *server) {
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -177,3 +178,38 @@
 		t.Errorf("listed %v, though all are cut off", list)
 	}
 }
+
+// Guards against more retries than the deployment's limit allows: a request that one entry refused and
+// passed on counted as a request at both.
+func TestForwardedRequestIsNoNewRequestForTheRetryLimit(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		w := newHarness(t)
+		w.r.retryLimit = admission.NewRetryLimiter(&admission.RetryLimit{Ratio: 1, Window: time.Minute})
+		w.view(serving(2)...)
+		for i := range 10 {
+			ev := w.arrival(fmt.Sprint("r", i), "hotels")
+			ev.Forwarded = forwarded
+			w.step(ev)
+		}
+		if allowed := w.r.retryLimit.AllowRetry(w.now, "eligibility", 1); allowed == forwarded {
+			t.Errorf("forwarded %v: a retry is allowed: %v", forwarded, allowed)
+		}
+	}
+}
+
+// Guards against requests that are passed on though the servers answer, and just take nothing: all
+// entries would ask each other under overload.
+func TestRefusalSaysWhetherServersAreSilent(t *testing.T) {
+	w := reachHarness(t, 2)
+	q := &request{work: w.arrival("r", "hotels").Work}
+	w.probeFailed(0, true)
+	w.probeFailed(1, true)
+	if w.r.anySilent(q) {
+		t.Error("servers that answer count as silent")
+	}
+	w.advance(time.Millisecond)
+	w.probeFailed(0, false)
+	if !w.r.anySilent(q) {
+		t.Error("a server that does not answer is not silent")
+	}
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -163,11 +163,14 @@
 	return j.forward("no server answers this entry")
 }
 
-// othersMayServe reports whether a refusal is due to this entry's links to servers: it sees no server
-// that runs the request, or could not reach one, while others may. What a server has received would be
-// a retry at the other entry, which would take it for the first send and not count it.
-func (j *job) othersMayServe(r *outcome.Refusal) bool {
-	return r.Outcome == outcome.NotRun && !j.delivered && (j.unreached || r.Code == outcome.CodeNoServer || j.cutOff())
+// othersMayServe reports whether a refusal is due to this entry's links to servers: it could not reach
+// one, or sees none that runs the request while some don't answer it. What a server has received would
+// be a retry at the other entry, which would take it for the first send and not count it.
+func (j *job) othersMayServe(e *entry.Refuse) bool {
+	if e.Refusal.Outcome != outcome.NotRun || j.delivered {
+		return false
+	}
+	return j.unreached || e.ServersSilent && e.Refusal.Code == outcome.CodeNoServer || j.cutOff()
 }
 
 // refreshPeers asks the other entries for their load at the engines before one is chosen and,
@@ -210,7 +213,7 @@
 		j.log.decodeDropped(e)
 		return false
 	case entry.Refuse:
-		if j.othersMayServe(e.Refusal) && j.forward(string(e.Refusal.Code)) {
+		if j.othersMayServe(&e) && j.forward(string(e.Refusal.Code)) {
 			return true
 		}
 		j.refuse(e.Refusal)
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -47,6 +47,7 @@
 	return entry.RequestArrived{
 		Work: w, Retry: retryRule(route), Fingerprint: fingerprint(r), RetryBudget: profile.RetryBudget,
 		MaxRuns: route.MaxRuns, HardDeadline: true, MembersOnly: route.MembersOnly, Credential: credentialHash(r),
+		Forwarded: r.ForwardedBy != "",
 	}
 }
 
--- a/internal/relay/work_test.go
+++ b/internal/relay/work_test.go
@@ -101,19 +101,21 @@
 // Guards against sends that nobody counts as retries: a request that a server has received is passed on
 // to another entry, which takes its own send for the first.
 func TestDeliveredRequestIsNotPassedOn(t *testing.T) {
-	noServer := &outcome.Refusal{Code: outcome.CodeNoServer, Outcome: outcome.NotRun}
+	refused := func(code outcome.Code, o outcome.Outcome, silent bool) *entry.Refuse {
+		return &entry.Refuse{Refusal: &outcome.Refusal{Code: code, Outcome: o}, ServersSilent: silent}
+	}
 	for _, c := range []struct {
-		job     *job
-		refusal *outcome.Refusal
-		want    bool
+		job    *job
+		refuse *entry.Refuse
+		want   bool
 	}{
-		{&job{}, noServer, true},
-		{&job{unreached: true}, &outcome.Refusal{Code: outcome.CodeDeadline, Outcome: outcome.NotRun}, true},
-		{&job{unreached: true, delivered: true}, noServer, false},
-		{&job{unreached: true}, &outcome.Refusal{Code: outcome.CodeServerFailed, Outcome: outcome.Unknown}, false},
+		{&job{}, refused(outcome.CodeNoServer, outcome.NotRun, true), true},
+		{&job{unreached: true}, refused(outcome.CodeDeadline, outcome.NotRun, false), true},
+		{&job{unreached: true, delivered: true}, refused(outcome.CodeNoServer, outcome.NotRun, true), false},
+		{&job{unreached: true}, refused(outcome.CodeServerFailed, outcome.Unknown, true), false},
 	} {
-		if got := c.job.othersMayServe(c.refusal); got != c.want {
-			t.Errorf("unreached %v, delivered %v, %s: passed on %v", c.job.unreached, c.job.delivered, c.refusal.Code, got)
+		if got := c.job.othersMayServe(c.refuse); got != c.want {
+			t.Errorf("unreached %v, delivered %v, %s: passed on %v", c.job.unreached, c.job.delivered, c.refuse.Refusal.Code, got)
 		}
 	}
 }
