Tell the other entries of a suspect before its next attempt and its final answer

Callers saw: a request that crashes servers ended three or four where two are the limit, and others' streams with them.

Cause: the entry that saw the crashes sent the suspect's next attempt after 0 to 0.5 s and its final answer at once, and counted on control to have told the others within 20 ms. Without a leader nobody is told at all.

Change: an entry tells the others itself (PeerLoad.Suspects; in groups through the aggregators), and the end of a charged attempt is acted on (next attempt or answer) once they have answered, 0.5 s at most. What they were told counts like what they have seen, so that they refuse or wait by it without control, which stays the record.

Ruled out as the cause: the 0.3 s a known suspect waits; nothing was known. Holds for the native way and the platform's: the reducer and host are one.

--- /dev/null
+++ b/internal/entry/crash_simulation_test.go
@@ -0,0 +1,458 @@
+package entry
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/declaration"
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// crashSimTick is the interval of ticks, simRenewal that of confirmed views.
+	crashSimTick = 20 * time.Millisecond
+	simRenewal   = 400 * time.Millisecond
+	// simLink is how long a message between two processes takes.
+	simLink = time.Millisecond
+	// simStart is when traffic begins: views are applied and no crash is remembered.
+	simStart = 2 * time.Second
+	// simTokens is how many chunks an answer has, simPrefill the time to the first one, simChunk the
+	// time between two. An answer takes 0.45 s.
+	simTokens  = 40
+	simPrefill = 50 * time.Millisecond
+	simChunk   = 10 * time.Millisecond
+	// simEarlyCrash is when a server ends that runs the crashing request.
+	simEarlyCrash = 20 * time.Millisecond
+	// crashingContent is the fingerprint of the request that crashes servers.
+	crashingContent = 1
+)
+
+// crashScenario is a deployment with what crashes its servers.
+type crashScenario struct {
+	entries, servers int
+	// rate is that of harmless requests in a second, over all entries and for the duration.
+	rate     float64
+	duration time.Duration
+	// controlDelay is how long control takes to answer a report and to notify; negative for never.
+	controlDelay time.Duration
+	// crashes is set if a caller sends a request that crashes servers, again at the next entry after
+	// each final answer and the gap.
+	crashes bool
+	gap     time.Duration
+	// crashAfter is when a server ends that runs it, 0 for simEarlyCrash.
+	crashAfter time.Duration
+	// kills ends servers, whatever they run.
+	kills func(*crashSim)
+	// contents is how many different contents harmless requests have; 0 for a new one each.
+	contents int
+	seed     uint64
+}
+
+// crashSim plays a scenario in virtual time with the reducers of several entries.
+type crashSim struct {
+	crashScenario
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	events  simEvents
+	order   int
+	entries []*simEntry
+	servers map[string]*simServer
+	control simControl
+	// harmlessQuarantined, harmlessFinished and endedByCrashing are the results.
+	harmlessQuarantined, harmlessFinished, endedByCrashing int
+	tries                                                  int
+	harmless                                               map[string]bool
+}
+
+type simEntry struct {
+	*Reducer
+	name     string
+	index    int
+	attempts map[string]*simAttempt
+}
+
+// simServer is one incarnation of a server.
+type simServer struct {
+	info    *pb.BackendServer
+	dead    bool
+	refuses map[int]bool
+	running map[*simAttempt]bool
+}
+
+type simAttempt struct {
+	entry  *simEntry
+	server *simServer
+	d      Dispatch
+	tokens int
+	sentAt time.Duration
+	ended  bool
+}
+
+// simControl adds up the scores of all entries, as control does.
+type simControl struct {
+	version    uint64
+	scores     map[quarantineKey]map[string]uint32
+	quarantine map[quarantineKey]bool
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any     { return popLastEvent(e) }
+
+func popLastEvent(e *simEvents) simEvent {
+	last := len(*e) - 1
+	ev := (*e)[last]
+	*e = (*e)[:last]
+	return ev
+}
+
+func (s *crashSim) after(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.events, simEvent{s.now + d, s.order, do})
+}
+
+// playCrashes plays the scenario and returns its results.
+func playCrashes(t *testing.T, scenario crashScenario) *crashSim {
+	t.Helper()
+	s := &crashSim{
+		crashScenario: scenario, t: t, rng: rand.New(rand.NewPCG(scenario.seed, 58)), servers: make(map[string]*simServer),
+		harmless: make(map[string]bool),
+		control:  simControl{scores: make(map[quarantineKey]map[string]uint32), quarantine: make(map[quarantineKey]bool)},
+	}
+	if s.crashAfter == 0 {
+		s.crashAfter = simEarlyCrash
+	}
+	s.startProcesses()
+	s.startTraffic()
+	if s.kills != nil {
+		s.kills(s)
+	}
+	for end := simStart + s.duration + 10*time.Second; len(s.events) > 0 && s.now < end; {
+		ev := heap.Pop(&s.events).(simEvent)
+		s.now = ev.at
+		ev.do()
+	}
+	return s
+}
+
+func (s *crashSim) startProcesses() {
+	s.now = time.Second
+	for i := range s.crashScenario.servers {
+		info := testServer(i, pb.ServerState_SERVER_STATE_SERVING)
+		s.servers[info.Id] = &simServer{info: info, running: make(map[*simAttempt]bool), refuses: make(map[int]bool)}
+	}
+	var identities []*pb.EntryInfo
+	for i := range s.crashScenario.entries {
+		id := &pb.EntryIdentity{
+			Name: fmt.Sprintf("entry-%03d", i), Incarnation: "i1", DataCentre: fmt.Sprintf("dc-%d", i%3),
+			CallerAddress: fmt.Sprintf("caller-%d", i), PeerAddress: fmt.Sprintf("peer-%d", i),
+		}
+		identities = append(identities, &pb.EntryInfo{Identity: id})
+		s.entries = append(s.entries, &simEntry{
+			Reducer: New(Config{Cluster: "test", Identity: id, MaxStreams: 500, AbortOnDisconnect: true}),
+			name:    id.Name, index: i, attempts: make(map[string]*simAttempt),
+		})
+	}
+	s.control.version = 1
+	first := &pb.WatchResponse{Version: 1, Full: true, Revision: 1, LeaseMs: 1500, Objects: testDeclaration(1).ToProto().Objects, Entries: identities}
+	for _, server := range s.servers {
+		first.Servers = append(first.Servers, server.info)
+	}
+	for _, e := range s.entries {
+		s.step(e, ViewReceived{SentAt: s.now, Response: first})
+		s.after(time.Duration(s.rng.Int64N(int64(crashSimTick))), func() { s.tick(e) })
+		s.after(time.Duration(s.rng.Int64N(int64(simRenewal))), func() { s.renewView(e) })
+	}
+}
+
+func (s *crashSim) tick(e *simEntry) {
+	s.step(e, Tick{})
+	s.after(crashSimTick, func() { s.tick(e) })
+}
+
+// renewView confirms the view. An entry's polls are answered late when control's answers are.
+func (s *crashSim) renewView(e *simEntry) {
+	if s.controlDelay >= 0 {
+		s.step(e, ViewReceived{SentAt: s.now, Response: &pb.WatchResponse{
+			Version: e.view.version, KnownVersion: e.view.version, Revision: 1, LeaseMs: 1500,
+		}})
+	}
+	s.after(simRenewal, func() { s.renewView(e) })
+}
+
+func (s *crashSim) startTraffic() {
+	n := 0
+	for at := simStart; at < simStart+s.duration; at += time.Duration(float64(time.Second) / s.rate * (0.5 + s.rng.Float64())) {
+		n++
+		id, content := fmt.Sprintf("harmless-%d", n), uint64(1000+n)
+		if s.contents > 0 {
+			content = uint64(1000 + s.rng.IntN(s.contents))
+		}
+		entry := s.entries[s.rng.IntN(len(s.entries))]
+		s.after(at-s.now, func() {
+			s.harmless[id] = true
+			s.arrive(entry, id, content)
+		})
+	}
+	if s.crashes {
+		s.after(simStart+500*time.Millisecond-s.now, func() { s.sendCrashing() })
+	}
+}
+
+// sendCrashing sends the crashing request to the next entry.
+func (s *crashSim) sendCrashing() {
+	if s.tries++; s.tries > 2*len(s.entries)+2 {
+		return
+	}
+	s.arrive(s.entries[s.tries%len(s.entries)], fmt.Sprintf("crashing-%d", s.tries), crashingContent)
+}
+
+func (s *crashSim) arrive(e *simEntry, id string, content uint64) {
+	s.step(e, RequestArrived{
+		Work: decision.Work{
+			RequestID: id, Member: "hotels", MemberWeight: 1, Service: "eligibility", Profile: "counter", ProfileShare: 1,
+			Class: declaration.ClassUrgent, Kind: declaration.KindModel, Model: testModel,
+			PromptTokens: 100, OutputTokens: simTokens,
+			Arrived: s.now, FirstTokenBy: s.now + 10*second, FinishBy: s.now + 60*second,
+		},
+		Fingerprint: content, RetryBudget: 0.2,
+	})
+}
+
+// step passes an event to an entry and carries out the effects.
+func (s *crashSim) step(e *simEntry, ev Event) {
+	for _, effect := range e.Step(s.now, ev) {
+		s.apply(e, effect)
+	}
+}
+
+func (s *crashSim) apply(e *simEntry, effect Effect) {
+	switch effect := effect.(type) {
+	case Dispatch:
+		s.after(simLink, func() { s.run(e, effect) })
+	case Probe:
+		s.after(2*simLink, func() { s.probe(e, effect) })
+	case Report:
+		s.report(e, effect.Request)
+	case Refuse:
+		delete(e.attempts, effect.RequestID)
+		s.answered(effect.RequestID, effect.Refusal.Code)
+	case Finish:
+		s.answered(effect.RequestID, "")
+	default:
+		s.applyNotice(e, effect)
+	}
+}
+
+func (s *crashSim) answered(id string, code outcome.Code) {
+	switch {
+	case !s.harmless[id]:
+		s.after(s.gap+simLink, s.sendCrashing)
+	case code == outcome.CodeQuarantined:
+		s.harmlessQuarantined++
+	case code == "":
+		s.harmlessFinished++
+	}
+}
+
+// run starts an attempt at a server, or refuses the connection.
+func (s *crashSim) run(e *simEntry, d Dispatch) {
+	server := s.servers[d.Server]
+	if server.dead || server.refuses[e.index] {
+		s.after(simLink, func() {
+			s.step(e, AttemptEnded{
+				RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.NotRun, ServerDied: true, NoAnswer: true, Unsent: true,
+			})
+		})
+		return
+	}
+	a := &simAttempt{entry: e, server: server, d: d, sentAt: s.now}
+	server.running[a], e.attempts[d.RequestID] = true, a
+	if !s.harmless[d.RequestID] {
+		s.after(s.crashAfter, func() {
+			if !server.dead && server.running[a] {
+				s.endedByCrashing++
+				s.kill(server)
+			}
+		})
+	}
+	s.step(e, AttemptProgress{RequestID: d.RequestID, Attempt: d.Attempt})
+	s.after(simPrefill, func() { s.chunk(a) })
+}
+
+func (s *crashSim) chunk(a *simAttempt) {
+	if a.ended {
+		return
+	}
+	a.tokens++
+	s.step(a.entry, AttemptProgress{RequestID: a.d.RequestID, Attempt: a.d.Attempt, Tokens: a.tokens})
+	if a.ended {
+		return
+	}
+	if a.tokens < simTokens {
+		s.after(simChunk, func() { s.chunk(a) })
+		return
+	}
+	s.end(a, AttemptEnded{Complete: true, Outcome: outcome.Ran})
+}
+
+func (s *crashSim) end(a *simAttempt, ev AttemptEnded) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	delete(a.server.running, a)
+	ev.RequestID, ev.Attempt, ev.Tokens, ev.Elapsed = a.d.RequestID, a.d.Attempt, a.tokens, s.now-a.sentAt
+	s.step(a.entry, ev)
+}
+
+// kill ends the server. Entries see their connections break within some milliseconds.
+func (s *crashSim) kill(server *simServer) {
+	server.dead = true
+	s.breakConnections(server, func(*simAttempt) bool { return true })
+}
+
+// breakConnections ends the attempts there, as a connection that breaks and is then refused.
+func (s *crashSim) breakConnections(server *simServer, concerned func(*simAttempt) bool) {
+	for _, e := range s.entries {
+		for _, id := range sortedKeys(e.attempts) {
+			a := e.attempts[id]
+			if a.server != server || a.ended || !concerned(a) {
+				continue
+			}
+			delay := simLink + time.Duration(s.rng.Int64N(int64(4*simLink)))
+			s.after(delay, func() { s.end(a, AttemptEnded{Outcome: outcome.Unknown, ServerDied: true}) })
+		}
+	}
+}
+
+func (s *crashSim) probe(e *simEntry, p Probe) {
+	server := s.servers[p.Server]
+	if server.dead || server.refuses[e.index] {
+		s.step(e, ProbeFailed{Server: p.Server, Incarnation: p.Incarnation})
+		return
+	}
+	s.step(e, ServerReported{Server: p.Server, Incarnation: p.Incarnation, State: engineapi.StateServing})
+}
+
+// report plays control: it adds up the scores, and notifies all entries once it answers.
+func (s *crashSim) report(e *simEntry, req *pb.ReportRequest) {
+	if s.controlDelay < 0 {
+		s.after(time.Second, func() { s.step(e, ReportFailed{Request: req}) })
+		return
+	}
+	s.after(s.controlDelay+2*simLink, func() {
+		s.step(e, ReportAnswered{Request: req, Term: 1})
+		if len(req.Deaths) > 0 {
+			s.control.add(req)
+			s.notify()
+		}
+	})
+}
+
+func (c *simControl) add(req *pb.ReportRequest) {
+	for _, d := range req.Deaths {
+		for _, q := range d.Suspects {
+			key := quarantineKey{q.Member, q.Fingerprint}
+			if c.scores[key] == nil {
+				c.scores[key] = make(map[string]uint32)
+			}
+			death := d.Server + "/" + d.Incarnation
+			c.scores[key][death] = max(c.scores[key][death], q.Score)
+			total := uint32(0)
+			for _, score := range c.scores[key] {
+				total += score
+			}
+			c.quarantine[key] = c.quarantine[key] || total >= 2*scorePerCrash
+		}
+	}
+}
+
+// notify sends all entries what control knows of suspects.
+func (s *crashSim) notify() {
+	s.control.version++
+	resp := &pb.WatchResponse{Version: s.control.version, KnownVersion: s.control.version - 1, Revision: 1, LeaseMs: 1500}
+	for key := range s.control.scores {
+		q := &pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint}
+		if s.control.quarantine[key] {
+			resp.Quarantine = append(resp.Quarantine, q)
+		} else {
+			resp.Suspects = append(resp.Suspects, q)
+		}
+	}
+	for _, e := range s.entries {
+		s.after(simLink, func() { s.step(e, ViewReceived{SentAt: s.now - simLink, Response: resp}) })
+	}
+}
+
+// simSeeds is how many plays of a deployment of that size fit into a run of the tests.
+func simSeeds(entries int) uint64 { return uint64(max(1, min(3, 12/entries))) }
+
+// Guards against a request that crashes a server at each entry that has not heard of it yet, since
+// control takes long to pass on what one entry has seen, or has no leader.
+func TestCrashingRequestEndsFewServersWhateverControlDoes(t *testing.T) {
+	for _, c := range []struct {
+		answers string
+		delay   time.Duration
+		gap     time.Duration
+	}{
+		{"at once", 0, 0},
+		{"after 100 ms", 100 * time.Millisecond, 0},
+		{"after 500 ms", 500 * time.Millisecond, 0},
+		{"after 1 s", time.Second, 100 * time.Millisecond},
+		{"after 2 s", 2 * time.Second, 300 * time.Millisecond},
+		{"never", -1, 300 * time.Millisecond},
+	} {
+		for _, entries := range []int{1, 6, 40} {
+			for _, crashAfter := range []time.Duration{0, 200 * time.Millisecond} {
+				t.Run(fmt.Sprintf("control answers %s, %d entries, crash after %v", c.answers, entries, crashAfter), func(t *testing.T) {
+					for seed := range simSeeds(entries) {
+						s := playCrashes(t, crashScenario{
+							entries: entries, servers: 24, rate: 60, duration: 8 * time.Second, controlDelay: c.delay,
+							crashes: true, gap: c.gap, crashAfter: crashAfter, seed: seed,
+						})
+						if s.endedByCrashing > declaration.DefaultQuarantineCrashes+1 || s.harmlessQuarantined > 0 {
+							t.Errorf("seed %d: %d servers ended, %d harmless requests quarantined", seed, s.endedByCrashing, s.harmlessQuarantined)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// applyNotice carries a notice to other entries.
+func (s *crashSim) applyNotice(e *simEntry, effect Effect) {
+	notify, ok := effect.(NotifySuspects)
+	if !ok {
+		return
+	}
+	for _, address := range notify.Addresses {
+		for _, other := range s.entries {
+			if other.cfg.Identity.PeerAddress != address {
+				continue
+			}
+			s.after(simLink, func() { s.step(other, SuspectsNoticed{Notice: notify.Notice}) })
+			s.after(2*simLink, func() { s.step(e, NoticeAnswered{ID: notify.ID, Address: address}) })
+		}
+	}
+}
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -97,6 +97,14 @@
 	Request   *pb.PeerReport
 }
 
+// NotifySuspects passes a notice on to other entries. Unless ID is 0, each address is answered by a
+// NoticeAnswered.
+type NotifySuspects struct {
+	ID        uint64
+	Addresses []string
+	Notice    *pb.SuspectNotice
+}
+
 // AnswerSum answers a SumRequested. A nil sum says that this entry is no aggregator.
 type AnswerSum struct {
 	Key string
@@ -164,18 +172,19 @@
 // Figure is one number that a decision was based on.
 type Figure = decision.Figure
 
-func (LeaseRenewed) isEffect()  {}
-func (Dispatch) isEffect()      {}
-func (DecodeAt) isEffect()      {}
-func (Refuse) isEffect()        {}
-func (Finish) isEffect()        {}
-func (Cancel) isEffect()        {}
-func (Probe) isEffect()         {}
-func (Report) isEffect()        {}
-func (ReportToPeers) isEffect() {}
-func (AnswerSum) isEffect()     {}
-func (RequestSum) isEffect()    {}
-func (RequestPermit) isEffect() {}
-func (AnswerPermit) isEffect()  {}
-func (Publish) isEffect()       {}
-func (LogDecision) isEffect()   {}
+func (LeaseRenewed) isEffect()   {}
+func (Dispatch) isEffect()       {}
+func (DecodeAt) isEffect()       {}
+func (Refuse) isEffect()         {}
+func (Finish) isEffect()         {}
+func (Cancel) isEffect()         {}
+func (Probe) isEffect()          {}
+func (Report) isEffect()         {}
+func (ReportToPeers) isEffect()  {}
+func (NotifySuspects) isEffect() {}
+func (AnswerSum) isEffect()      {}
+func (RequestSum) isEffect()     {}
+func (RequestPermit) isEffect()  {}
+func (AnswerPermit) isEffect()   {}
+func (Publish) isEffect()        {}
+func (LogDecision) isEffect()    {}
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -62,7 +62,9 @@
 	r.detach(q)
 	q.reserved = nil
 	r.decisions.observe(r.now, s, ev)
-	r.resolveAttempt(q, s, ev)
+	if !r.awaitsNotice(q, s, ev) {
+		r.resolveAttempt(q, s, ev)
+	}
 	if r.report.urgent {
 		r.sendReport()
 	}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -57,6 +57,16 @@
 // PermitTimedOut reports that the entry at an address gave no answer about that server in time.
 type PermitTimedOut struct{ Address, Server, Incarnation string }
 
+// SuspectsNoticed is another entry's notice of servers that crashed.
+type SuspectsNoticed struct{ Notice *pb.SuspectNotice }
+
+// NoticeAnswered reports that the entry at an address knows of a notice, or gave no answer in time.
+type NoticeAnswered struct {
+	ID       uint64
+	Address  string
+	TimedOut bool
+}
+
 // ProbeFailed reports that a health probe failed. Answered is set if the server answered that it is
 // not healthy.
 type ProbeFailed struct {
@@ -217,6 +227,8 @@
 func (SumReceived) isEvent()        {}
 func (AggregatorTimedOut) isEvent() {}
 func (PeerReported) isEvent()       {}
+func (SuspectsNoticed) isEvent()    {}
+func (NoticeAnswered) isEvent()     {}
 func (Tick) isEvent()               {}
 func (ViewReceived) isEvent()       {}
 func (Announced) isEvent()          {}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -64,6 +64,7 @@
 	speeds    speeds
 	peers     peerBacklogs
 	suspects  suspectTable
+	notices   notices
 	permits   permits
 	reach     reach
 	// held is accepted work that waits outside of the queue.
@@ -106,6 +107,7 @@
 		speeds:     newSpeeds(cfg.AssumedSpeed),
 		peers:      newPeerBacklogs(),
 		suspects:   newSuspectTable(),
+		notices:    newNotices(),
 		permits:    newPermits(),
 		reach:      newReach(),
 		report:     newReportBuffer(),
@@ -159,6 +161,10 @@
 		r.sumReceived(ev)
 	case AggregatorTimedOut:
 		r.aggregatorTimedOut(ev)
+	case SuspectsNoticed:
+		r.suspectsNoticed(ev)
+	case NoticeAnswered:
+		r.noticeAnswered(ev)
 	case PermitRequested:
 		r.permitRequested(ev)
 	case PermitAnswered:
@@ -169,6 +175,7 @@
 		r.stop(ev)
 	}
 	r.requestPermits()
+	r.sendNotice()
 	r.reportToPeers()
 	r.publish()
 	r.emitLease()
@@ -197,6 +204,7 @@
 	r.updateReach()
 	r.sendProbes()
 	r.pollCaches()
+	r.expireNotices()
 	r.expireWaiting()
 	r.dispatchWaiting()
 	r.refuseBlocked()
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -71,6 +71,8 @@
 	mayHaveRun bool
 	// usageCounted is set once the request is included in its member's usage.
 	usageCounted bool
+	// pendingEnd is set while the end of the last attempt is not acted on.
+	pendingEnd *pendingEnd
 	// notBefore delays a retry. waitingSince is when the request began to wait.
 	notBefore    time.Duration
 	waitingSince time.Duration
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -106,15 +106,22 @@
 	return sum
 }
 
+// add returns the suspect, after adding it if it is none yet. One that is only known from other entries
+// is not on probation here.
+func (t *suspectTable) add(key quarantineKey) *suspect {
+	s := t.byKey[key]
+	if s == nil {
+		s = &suspect{deaths: make(map[string]int), cleared: true}
+		t.byKey[key] = s
+		t.order = append(t.order, key)
+	}
+	return s
+}
+
 // recordCrash charges a request with a death, once. It returns the score that control is told, 0 if
 // the request was charged with as much before or if it may not have been started.
 func (t *suspectTable) recordCrash(q *request, death string, now time.Duration) int {
-	s := t.byKey[q.key()]
-	if s == nil {
-		s = &suspect{deaths: make(map[string]int)}
-		t.byKey[q.key()] = s
-		t.order = append(t.order, q.key())
-	}
+	s := t.add(q.key())
 	score := q.crashScore()
 	if score <= s.deaths[death] {
 		return 0
@@ -305,6 +312,7 @@
 func (r *Reducer) reportSuspects(death *pb.ServerDeath) {
 	if len(death.Suspects) > 0 {
 		r.report.death(death)
+		r.notices.addDeath(death)
 	}
 }
 
@@ -325,11 +333,12 @@
 	return ok && r.now < until
 }
 
-// refuseQuarantined refuses waiting requests once they are quarantined.
+// refuseQuarantined refuses waiting requests once they are quarantined. Those whose last crash the other
+// entries don't know yet are refused later.
 func (r *Reducer) refuseQuarantined() {
 	for _, id := range sortedKeys(r.requests) {
 		q := r.requests[id]
-		if q.server == nil && r.view.quarantine[q.key()] {
+		if q.server == nil && q.pendingEnd == nil && r.quarantined(q) {
 			r.refuse(q, refuseQuarantined())
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -127,6 +127,8 @@
 		h.Spawn(func() { h.sendReport(e.Request) })
 	case entry.ReportToPeers:
 		h.peers.sendAll(e)
+	case entry.NotifySuspects:
+		h.peers.notifySuspects(e)
 	case entry.AnswerSum:
 		h.peers.sumRequests.resolve(e.Key, e.Sum)
 	case entry.AnswerPermit:
