Judge a crash by what else crashed before it counts against a request

Callers saw: harmless requests refused for an hour, finally (422 natively). Nothing tested for it.

Cause: every crash counts the same, whatever else happens. Servers that end, or are only cut off, for reasons of their own are charged to whoever ran there; the charges add up over an hour, over all entries, also beside the request that is the real cause, and though the request has got whole answers since.

Change: a crash is judged 0.6 s after it (at once where there are no other entries). It counts a half or a quarter if one or several servers crashed about then without the request, a half if another request as likely was on all of its servers; a fifth crash counts in full. What would be quarantined waits for that, and runs again only in calm, 3 s at most. A crash is taken back once the server answers as the same incarnation; a whole answer clears a request at control and the other entries; what a quarantined request crashed is charged to nobody else.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -184,6 +184,68 @@
 	}
 }
 
+// reportDeath reports that the request with that content ran on the server as it died.
+func reportDeath(h *harness, server string, content uint64, score uint32) {
+	h.send(&pb.ReportRequest{ClusterId: cluster, Deaths: []*pb.ServerDeath{{
+		Server: server, Incarnation: "i1", Suspects: []*pb.Quarantine{{Member: "m1", Fingerprint: content, Score: score}},
+	}}})
+}
+
+// Guards against the quarantine of a request under which two servers were only cut off, and against a
+// quarantine that stays once one of them has answered.
+func TestServerThatLivesIsNoDeath(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	alive := func(server string) {
+		h.send(&pb.ReportRequest{ClusterId: cluster, Alive: []*pb.ServerDeath{{Server: server, Incarnation: "i1"}}})
+	}
+	reportDeath(h, "a", 7, 4)
+	alive("a")
+	reportDeath(h, "b", 7, 4)
+	if n := len(h.State().View(0).GetQuarantine()); n != 0 {
+		t.Fatalf("%d quarantined, one server of two lives", n)
+	}
+	reportDeath(h, "c", 7, 4)
+	version := h.State().ViewVersion()
+	if n := len(h.State().View(0).GetQuarantine()); n != 1 {
+		t.Fatalf("%d quarantined after two deaths", n)
+	}
+	alive("b")
+	if v := h.State().View(version); len(v.GetRemovedQuarantine()) != 1 {
+		t.Fatalf("the quarantine stays though one server of two lives: %v", v)
+	}
+}
+
+// Guards against two deaths, an hour of whole answers between them, that quarantine a harmless request.
+func TestWholeAnswerClearsASuspect(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	reportDeath(h, "a", 7, 4)
+	h.send(&pb.ReportRequest{ClusterId: cluster, Cleared: []*pb.Quarantine{{Member: "m1", Fingerprint: 7}, {Member: "m2", Fingerprint: 8}}})
+	reportDeath(h, "b", 7, 4)
+	if n := len(h.State().View(0).GetQuarantine()); n != 0 {
+		t.Fatalf("%d quarantined, it got a whole answer between the deaths", n)
+	}
+}
+
+// Guards against the quarantine of requests that ran beside one that crashes servers: what it has crashed
+// is charged to nobody else, neither before nor after it is quarantined.
+func TestDeathsOfAQuarantinedRequestAreItsOwn(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	for _, server := range []string{"a", "b"} {
+		reportDeath(h, server, 8, 3)
+		reportDeath(h, server, 7, 4)
+	}
+	reportDeath(h, "b", 9, 4)
+	for _, content := range []uint64{8, 9} {
+		reportDeath(h, "c", content, 4)
+	}
+	if list := h.State().View(0).GetQuarantine(); len(list) != 1 || list[0].GetFingerprint() != 7 {
+		t.Fatalf("quarantined: %v", list)
+	}
+}
+
 // Guards against suspects of a snapshot of an earlier build, whose deaths have no scores, that
 // would need as many deaths again.
 func TestDeathsWithoutScoreCountWhole(t *testing.T) {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -30,18 +30,49 @@
 			r.lead.lastDemandAt = r.now
 		}
 	}
-	deaths := r.uncountedDeaths(req.GetDeaths())
-	if len(deaths) == 0 {
+	update := &pb.QuarantineUpdate{
+		Deaths: r.uncountedDeaths(req.GetDeaths()), Alive: r.chargedDeaths(req.GetAlive()), Cleared: r.knownSuspects(req.GetCleared()),
+	}
+	if len(update.Deaths)+len(update.Alive)+len(update.Cleared) == 0 {
 		r.reply(id, resp, nil)
 		return
 	}
-	cmd := &pb.Command{Op: &pb.Command_Quarantine{Quarantine: &pb.QuarantineUpdate{Deaths: deaths}}}
+	cmd := &pb.Command{Op: &pb.Command_Quarantine{Quarantine: update}}
 	r.propose(cmd, func(_ proto.Message, ok bool) {
-		r.logDeaths(req.GetEntry().GetName(), deaths, ok)
+		r.logDeaths(req.GetEntry().GetName(), update.Deaths, ok)
+		r.logTakenBack(req.GetEntry().GetName(), update, ok)
 		r.replyApplied(id, resp, ok)
 	})
 }
 
+// chargedDeaths returns the deaths that some suspect is charged with.
+func (r *Reducer) chargedDeaths(list []*pb.ServerDeath) []*pb.ServerDeath {
+	return slices.DeleteFunc(slices.Clone(list), func(d *pb.ServerDeath) bool {
+		for _, suspect := range r.state.suspects.byKey {
+			if slices.Contains(suspect.GetDeaths(), deathKey(d)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// knownSuspects returns the requests that are suspects.
+func (r *Reducer) knownSuspects(list []*pb.Quarantine) []*pb.Quarantine {
+	return slices.DeleteFunc(slices.Clone(list), func(q *pb.Quarantine) bool {
+		return r.state.suspects.byKey[suspectKey{q.GetMember(), q.GetFingerprint()}] == nil
+	})
+}
+
+// logTakenBack logs which charges an entry's report has taken back.
+func (r *Reducer) logTakenBack(entry string, update *pb.QuarantineUpdate, committed bool) {
+	if len(update.GetAlive())+len(update.GetCleared()) == 0 {
+		return
+	}
+	r.log(slog.LevelInfo, "charges of suspects taken back", Field{"via", entry}, Field{"committed", committed},
+		Field{"servers_alive", len(update.GetAlive())}, Field{"requests_cleared", len(update.GetCleared())})
+}
+
 // logDeaths logs what an entry's report of deaths has changed.
 func (r *Reducer) logDeaths(entry string, deaths []*pb.ServerDeath, committed bool) {
 	for _, d := range deaths {
@@ -69,7 +100,7 @@
 
 func (s *State) deathCounted(d *pb.ServerDeath, q *pb.Quarantine) bool {
 	suspect := s.suspects.byKey[suspectKey{q.GetMember(), q.GetFingerprint()}]
-	return chargedScore(suspect, d.GetServer()+"/"+d.GetIncarnation()) >= reportedScore(q)
+	return chargedScore(suspect, deathKey(d)) >= reportedScore(q)
 }
 
 // onAnnouncement renews a server's lease and registers changes.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -112,7 +112,7 @@
 		s.applySettlements(op.Settle)
 		return &pb.SettleResponse{}
 	case *pb.Command_Quarantine:
-		s.applyDeaths(op.Quarantine)
+		s.applyQuarantine(op.Quarantine)
 	case *pb.Command_Entry:
 		s.applyEntries(op.Entry)
 	case *pb.Command_Usage:
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -17,6 +17,8 @@
 	// scorePerDeath is the score of a whole death; entries report lower ones for a request that
 	// is less likely its cause.
 	scorePerDeath = 4
+	// scoreOfUnlikelyDeath is reported for a request that may have been sent after the death.
+	scoreOfUnlikelyDeath = 1
 )
 
 // suspectKey identifies a request by member and fingerprint, so that one member's request
@@ -34,21 +36,35 @@
 
 func newSuspects() suspects { return suspects{byKey: make(map[suspectKey]*pb.Suspect)} }
 
-// applyDeaths counts the death of one incarnation once per suspect, no matter how many
-// entries report it.
-func (s *State) applyDeaths(u *pb.QuarantineUpdate) {
+// applyQuarantine counts the death of one incarnation once per suspect, no matter how many
+// entries report it, and takes charges back.
+func (s *State) applyQuarantine(u *pb.QuarantineUpdate) {
+	for _, death := range u.GetAlive() {
+		s.takeBackDeath(deathKey(death))
+	}
+	for _, q := range u.GetCleared() {
+		if suspect := s.suspects.byKey[suspectKey{q.GetMember(), q.GetFingerprint()}]; suspect != nil {
+			s.removeSuspect(suspect)
+		}
+	}
 	for _, death := range u.GetDeaths() {
 		list := death.GetSuspects()
 		for _, q := range list[:min(len(list), maxSuspectsPerDeath)] {
-			s.countDeath(death.GetServer()+"/"+death.GetIncarnation(), q)
+			s.countDeath(deathKey(death), q)
 		}
 	}
 	s.evictSuspects()
 }
 
+// deathKey identifies the death of a server's incarnation.
+func deathKey(d *pb.ServerDeath) string { return d.GetServer() + "/" + d.GetIncarnation() }
+
 func (s *State) countDeath(death string, q *pb.Quarantine) {
 	key := suspectKey{q.GetMember(), q.GetFingerprint()}
 	suspect := s.suspects.byKey[key]
+	if s.suspects.explained(death) && suspect.GetVersion() == 0 {
+		return
+	}
 	if suspect == nil {
 		suspect = &pb.Suspect{Member: key.member, Fingerprint: key.fingerprint}
 		s.suspects.byKey[key] = suspect
@@ -68,6 +84,55 @@
 	if totalScore(suspect) >= needed {
 		suspect.Version = s.index
 		suspect.ExpiresUnixMs = s.nowMS + limits.QuarantineTime.Milliseconds()
+		s.explainDeaths(suspect)
+	}
+}
+
+// explainDeaths takes the deaths of a quarantined request off all other suspects: they had the
+// misfortune to run beside it.
+func (s *State) explainDeaths(quarantined *pb.Suspect) {
+	for i, death := range quarantined.GetDeaths() {
+		if scoreAt(quarantined, i) <= scoreOfUnlikelyDeath {
+			continue
+		}
+		for _, suspect := range s.suspects.sorted() {
+			if suspect.GetVersion() == 0 {
+				s.uncharge(suspect, death)
+			}
+		}
+	}
+}
+
+// explained reports whether a quarantined request is charged with the death.
+func (q *suspects) explained(death string) bool {
+	for _, suspect := range q.byKey {
+		if suspect.GetVersion() > 0 && chargedScore(suspect, death) > scoreOfUnlikelyDeath {
+			return true
+		}
+	}
+	return false
+}
+
+// takeBackDeath takes back what was charged for a server that was only cut off from an entry.
+func (s *State) takeBackDeath(death string) {
+	for _, suspect := range s.suspects.sorted() {
+		s.uncharge(suspect, death)
+	}
+}
+
+// uncharge takes a death off a suspect, and ends its quarantine if the rest is not enough for it.
+func (s *State) uncharge(suspect *pb.Suspect, death string) {
+	i := slices.Index(suspect.GetDeaths(), death)
+	if i < 0 {
+		return
+	}
+	suspect.Deaths = slices.Delete(suspect.Deaths, i, i+1)
+	if i < len(suspect.Scores) {
+		suspect.Scores = slices.Delete(suspect.Scores, i, i+1)
+	}
+	needed := scorePerDeath * uint32(s.limits().QuarantineCrashes)
+	if len(suspect.GetDeaths()) == 0 || suspect.GetVersion() > 0 && totalScore(suspect) < needed {
+		s.removeSuspect(suspect)
 	}
 }
 
--- a/internal/entry/announcements.go
+++ b/internal/entry/announcements.go
@@ -31,9 +31,12 @@
 	if s == nil {
 		return
 	}
+	answeredAfter := r.now
 	if ev.FromResponse {
 		r.applyBackpressure(s, ev.SentAt, ev.Backpressure)
+		answeredAfter = ev.SentAt
 	}
+	r.serverLives(s, answeredAfter)
 	if ev.State != "" {
 		r.applyServerState(s, ev.State, ev.Load, ev.HasLoad)
 	}
--- a/internal/entry/crash_simulation_test.go
+++ b/internal/entry/crash_simulation_test.go
@@ -362,35 +362,55 @@
 	}
 	s.after(s.controlDelay+2*simLink, func() {
 		s.step(e, ReportAnswered{Request: req, Term: 1})
-		if len(req.Deaths) > 0 {
-			s.control.add(req)
-			s.notify()
+		if len(req.Deaths)+len(req.Alive)+len(req.Cleared) > 0 {
+			removed := s.control.add(req)
+			s.notify(removed)
 		}
 	})
 }
 
-func (c *simControl) add(req *pb.ReportRequest) {
+// add applies a report and returns the requests that are not quarantined any more.
+func (c *simControl) add(req *pb.ReportRequest) []*pb.Quarantine {
 	for _, d := range req.Deaths {
 		for _, q := range d.Suspects {
 			key := quarantineKey{q.Member, q.Fingerprint}
 			if c.scores[key] == nil {
 				c.scores[key] = make(map[string]uint32)
 			}
-			death := d.Server + "/" + d.Incarnation
-			c.scores[key][death] = max(c.scores[key][death], q.Score)
-			total := uint32(0)
-			for _, score := range c.scores[key] {
-				total += score
-			}
-			c.quarantine[key] = c.quarantine[key] || total >= 2*scorePerCrash
+			c.scores[key][deathKeyOf(d)] = max(c.scores[key][deathKeyOf(d)], q.Score)
+			c.quarantine[key] = c.quarantine[key] || c.total(key) >= 2*scorePerCrash
+		}
+	}
+	for _, d := range req.Alive {
+		for _, scores := range c.scores {
+			delete(scores, deathKeyOf(d))
+		}
+	}
+	for _, q := range req.Cleared {
+		delete(c.scores, quarantineKey{q.Member, q.Fingerprint})
+	}
+	var removed []*pb.Quarantine
+	for key := range c.quarantine {
+		if c.total(key) < 2*scorePerCrash {
+			delete(c.quarantine, key)
+			removed = append(removed, &pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint})
 		}
 	}
+	return removed
+}
+
+func (c *simControl) total(key quarantineKey) uint32 {
+	total := uint32(0)
+	for _, score := range c.scores[key] {
+		total += score
+	}
+	return total
 }
 
 // notify sends all entries what control knows of suspects.
-func (s *crashSim) notify() {
+func (s *crashSim) notify(removed []*pb.Quarantine) {
 	s.control.version++
-	resp := &pb.WatchResponse{Version: s.control.version, KnownVersion: s.control.version - 1, Revision: 1, LeaseMs: 1500}
+	resp := &pb.WatchResponse{Version: s.control.version, KnownVersion: s.control.version - 1, Revision: 1, LeaseMs: 1500, RemovedQuarantine: removed}
 	for key := range s.control.scores {
 		q := &pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint}
 		if s.control.quarantine[key] {
@@ -404,6 +424,34 @@
 	}
 }
 
+// killEach kills n servers of the deployment, as many at once as told, at intervals.
+func killEach(n, atOnce int, interval time.Duration) func(*crashSim) {
+	return func(s *crashSim) {
+		for i := range n {
+			server := s.servers[fmt.Sprintf("engine-%d", i)]
+			at := simStart + time.Second + time.Duration(i/atOnce)*interval
+			s.after(at-s.now, func() { s.kill(server) })
+		}
+	}
+}
+
+// refuseLinks refuses the links of some entries to one server after the other; no server ends.
+func refuseLinks(entries int, each, outage time.Duration) func(*crashSim) {
+	return func(s *crashSim) {
+		for i := range s.crashScenario.servers {
+			server := s.servers[fmt.Sprintf("engine-%d", i)]
+			at := simStart + time.Second + time.Duration(i)*each
+			s.after(at-s.now, func() {
+				for e := range entries {
+					server.refuses[e] = true
+				}
+				s.breakConnections(server, func(a *simAttempt) bool { return server.refuses[a.entry.index] })
+			})
+			s.after(at+outage-s.now, func() { server.refuses = make(map[int]bool) })
+		}
+	}
+}
+
 // simSeeds is how many plays of a deployment of that size fit into a run of the tests.
 func simSeeds(entries int) uint64 { return uint64(max(1, min(3, 12/entries))) }
 
@@ -440,6 +488,33 @@
 	}
 }
 
+// Guards against the quarantine of requests that only happened to run on servers which ended or were
+// cut off one after the other.
+func TestHarmlessRequestsAreNotQuarantined(t *testing.T) {
+	for name, kills := range map[string]func(*crashSim){
+		"one server each 250 ms":            killEach(16, 1, 250*time.Millisecond),
+		"four servers each second":          killEach(16, 4, time.Second),
+		"two servers each 100 ms":           killEach(16, 2, 100*time.Millisecond),
+		"links of two entries, each server": refuseLinks(2, 300*time.Millisecond, 300*time.Millisecond),
+		"links of all entries, each server": refuseLinks(6, 300*time.Millisecond, 300*time.Millisecond),
+	} {
+		for _, contents := range []int{0, 50} {
+			t.Run(fmt.Sprintf("%s, %d contents", name, contents), func(t *testing.T) {
+				quarantined := 0
+				for seed := range uint64(10) {
+					s := playCrashes(t, crashScenario{
+						entries: 6, servers: 20, rate: 60, duration: 8 * time.Second, kills: kills, contents: contents, seed: seed,
+					})
+					quarantined += s.harmlessQuarantined
+				}
+				if quarantined > 0 {
+					t.Errorf("%d harmless requests were quarantined in 10 plays", quarantined)
+				}
+			})
+		}
+	}
+}
+
 // applyNotice carries a notice to other entries.
 func (s *crashSim) applyNotice(e *simEntry, effect Effect) {
 	notify, ok := effect.(NotifySuspects)
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -88,7 +88,7 @@
 	switch {
 	case ev.Complete:
 		r.decisions.admission.RecordServed(q.work.Profile, q.retryBudget)
-		r.suspects.complete(q, r.now)
+		r.clearSuspect(q.key())
 		r.finish(q)
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
@@ -173,7 +173,7 @@
 	q.work.FirstTokenBy = q.work.FinishBy
 	q.notBefore = max(q.notBefore, r.now+r.suspects.stagger(q))
 	q.waitingSince = max(r.now, q.notBefore)
-	if q.notBefore > r.now || r.suspects.onProbation(q) {
+	if q.notBefore > r.now || r.suspects.onProbation(q) || r.awaitsCalm(q) {
 		r.held = append(r.held, q)
 		return
 	}
@@ -190,7 +190,7 @@
 	for _, q := range held {
 		switch {
 		case r.requests[q.work.RequestID] != q:
-		case r.now < q.notBefore:
+		case r.now < q.notBefore || r.awaitsVerdict(q.key()) || r.awaitsCalm(q):
 			r.held = append(r.held, q)
 		case !r.suspects.onProbation(q):
 			r.decisions.queue.Push(q.work)
--- /dev/null
+++ b/internal/entry/evidence.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// otherCrashesPeriod is how close in time crashes are that may have one cause: trouble with
+	// servers or links ends several within seconds.
+	otherCrashesPeriod = 2 * time.Second
+	// crashRetention is how long a crash is remembered; an entry may find it late by itself.
+	crashRetention = 30 * time.Second
+	// verdictDelay is how long a request waits that its last crash would quarantine. By then the
+	// other entries have told of what ran on the server, and a server that was only cut off has
+	// answered a probe.
+	verdictDelay = 600 * time.Millisecond
+	// doubtfulScore is charged for a crash that may have had another cause, veryDoubtfulScore if several
+	// other servers crashed about then.
+	doubtfulScore     = 2
+	veryDoubtfulScore = 1
+	// maxDoubtfulCrashes is how many crashes may be in doubt. Beside others that never end, or beside
+	// other requests that crash servers, nothing else would stop one.
+	maxDoubtfulCrashes = 4
+	// maxCalmWait bounds how long a request that was charged with several crashes waits until no
+	// other servers crash.
+	maxCalmWait = 3 * time.Second
+	// aliveProofDelay is how long after a crash an answer of the same incarnation shows that there
+	// was none: one from before the crash has arrived by then.
+	aliveProofDelay = 300 * time.Millisecond
+)
+
+// crash is the end of a server's incarnation, as far as the entries know.
+type crash struct {
+	at time.Duration
+	// explained is set once a request is quarantined that it was charged to.
+	explained bool
+}
+
+// crashLog holds the recent crashes by deathKey, oldest first in order.
+type crashLog struct {
+	byKey map[string]*crash
+	order []string
+}
+
+func newCrashLog() crashLog { return crashLog{byKey: make(map[string]*crash)} }
+
+func (l *crashLog) add(death string, now time.Duration) {
+	for len(l.order) > 0 && (l.byKey[l.order[0]] == nil || now-l.byKey[l.order[0]].at >= crashRetention) {
+		delete(l.byKey, l.order[0])
+		l.order = l.order[1:]
+	}
+	if l.byKey[death] == nil {
+		l.byKey[death] = &crash{at: now}
+		l.order = append(l.order, death)
+	}
+}
+
+func (l *crashLog) explained(death string) bool {
+	c := l.byKey[death]
+	return c != nil && c.explained
+}
+
+// charge is what a request is charged with for a crash.
+type charge struct {
+	score int
+	// uncertain is set if the request may have been sent after the crash.
+	uncertain bool
+	// pending is set until it is judged whether the crash counts in full.
+	pending bool
+}
+
+// judgement is a charge to be judged. own is set if control is told by this entry.
+type judgement struct {
+	key                 quarantineKey
+	server, incarnation string
+	own                 bool
+	due                 time.Duration
+}
+
+func (j *judgement) death() string { return j.server + "/" + j.incarnation }
+
+// mostScore returns how much a crash may count against the request: less if it may well have had another
+// cause, as other servers crashed about then without it, or another request was there each time as well.
+//
+// Servers end, or are cut off, for reasons of their own, some of them one after the other. A harmless
+// request that happens to run on two of them must not be refused.
+func (t *suspectTable) mostScore(key quarantineKey, death string) int {
+	if t.byKey[key].counted() > maxDoubtfulCrashes {
+		return scorePerCrash
+	}
+	others := 0
+	if own := t.crashes.byKey[death]; own != nil {
+		others = t.otherCrashesAround(t.byKey[key], own.at)
+	}
+	switch {
+	case others > 1:
+		return veryDoubtfulScore
+	case others == 1 || t.alwaysBesideAnother(key, death):
+		return doubtfulScore
+	default:
+		return scorePerCrash
+	}
+}
+
+// otherCrashesAround counts the servers that crashed about that time, for a reason that is not known, and
+// of which the request was not charged.
+func (t *suspectTable) otherCrashesAround(s *suspect, at time.Duration) int {
+	n := 0
+	for death, c := range t.crashes.byKey {
+		apart := max(at, c.at) - min(at, c.at)
+		if _, charged := s.deaths[death]; !c.explained && !charged && apart < otherCrashesPeriod {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitsCalm reports whether the request should run only once no other servers crash: then its next
+// crash, or its answer, tells whether it is the cause.
+func (r *Reducer) awaitsCalm(q *request) bool {
+	s := r.suspects.byKey[q.key()]
+	if s == nil || s.counted() < 2 || r.now >= s.at+maxCalmWait {
+		return false
+	}
+	return r.suspects.otherCrashesAround(s, r.now) > 0
+}
+
+// alwaysBesideAnother reports whether another request was on all of the servers that crashed under this
+// one, up to the last of them, and is no less likely to be the cause.
+func (t *suspectTable) alwaysBesideAnother(key quarantineKey, last string) bool {
+	s := t.byKey[key]
+	if len(s.deaths) < 2 || t.lastCrash(s) != last {
+		return false
+	}
+	for otherKey, other := range t.byKey {
+		if otherKey != key && other.chargedAsMuch(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastCrash returns the last crash that the request is charged with.
+func (t *suspectTable) lastCrash(s *suspect) string {
+	last, at := "", time.Duration(-1)
+	for death := range s.deaths {
+		if c := t.crashes.byKey[death]; c != nil && (c.at > at || c.at == at && death > last) {
+			last, at = death, c.at
+		}
+	}
+	return last
+}
+
+func (s *suspect) chargedAsMuch(than *suspect) bool {
+	total := 0
+	for death := range than.deaths {
+		if c, charged := s.deaths[death]; !charged || c.uncertain {
+			return false
+		}
+		total += s.deaths[death].score
+	}
+	return total >= than.highestScore()
+}
+
+// counted is how many crashes the request was surely sent before.
+func (s *suspect) counted() int {
+	n := 0
+	for _, c := range s.deaths {
+		if !c.uncertain {
+			n++
+		}
+	}
+	return n
+}
+
+// highestScore is the score if all crashes count in full.
+func (s *suspect) highestScore() int {
+	sum := 0
+	for _, c := range s.deaths {
+		sum += c.score
+	}
+	return sum
+}
+
+// score sums up what was judged.
+func (s *suspect) score() int {
+	sum := 0
+	if s != nil {
+		for _, c := range s.deaths {
+			if !c.pending {
+				sum += c.score
+			}
+		}
+	}
+	return sum
+}
+
+// chargeFor charges a request with a crash and returns the score that counts for now. If there are other
+// entries, it is judged after verdictDelay whether the crash counts in full.
+func (r *Reducer) chargeFor(j judgement, score int) int {
+	t := &r.suspects
+	s := t.byKey[j.key]
+	s.deaths[j.death()] = charge{score: score, pending: true}
+	if len(r.noticeTargets()) == 0 {
+		return r.judge(&j)
+	}
+	j.due = r.now + verdictDelay
+	t.judgements = append(t.judgements, j)
+	return veryDoubtfulScore
+}
+
+// judge decides how much a crash counts, and returns it.
+func (r *Reducer) judge(j *judgement) int {
+	s := r.suspects.byKey[j.key]
+	c := s.deaths[j.death()]
+	c.score, c.pending = min(c.score, r.suspects.mostScore(j.key, j.death())), false
+	s.deaths[j.death()] = c
+	return c.score
+}
+
+// awaitsVerdict reports whether a request is quarantined if the crashes that are not judged yet count in
+// full. It is neither sent to a server nor refused before.
+func (r *Reducer) awaitsVerdict(key quarantineKey) bool {
+	s := r.suspects.byKey[key]
+	if s == nil || r.isQuarantined(key) {
+		return false
+	}
+	return s.highestScore() >= scorePerCrash*r.quarantineCrashes() && s.score() < s.highestScore()
+}
+
+// giveVerdicts judges the crashes that are due.
+func (r *Reducer) giveVerdicts() {
+	t := &r.suspects
+	due := 0
+	for due < len(t.judgements) && r.now >= t.judgements[due].due {
+		r.giveVerdict(&t.judgements[due])
+		due++
+	}
+	if due > 0 {
+		t.judgements = t.judgements[due:]
+		r.refuseQuarantined()
+	}
+}
+
+func (r *Reducer) giveVerdict(j *judgement) {
+	s := r.suspects.byKey[j.key]
+	if s == nil || !s.deaths[j.death()].pending {
+		return
+	}
+	score := r.judge(j)
+	if j.own && score > veryDoubtfulScore {
+		r.report.death(&pb.ServerDeath{Server: j.server, Incarnation: j.incarnation, Suspects: []*pb.Quarantine{{
+			Member: j.key.member, Fingerprint: j.key.fingerprint, Score: uint32(score),
+		}}})
+	}
+	if len(s.deaths) > 1 {
+		r.emit(LogDecision{Kind: LogSuspect, Member: j.key.member, Server: j.server, Reason: "crash judged", Figures: []Figure{
+			{Name: "score", Value: float64(score)}, {Name: "total_score", Value: float64(s.score())},
+			{Name: "crashes", Value: float64(len(s.deaths))},
+		}})
+	}
+	r.explainCrashes(j.key)
+}
+
+// explainCrashes takes the crashes of a quarantined request off all other suspects.
+func (r *Reducer) explainCrashes(key quarantineKey) {
+	t := &r.suspects
+	s := t.byKey[key]
+	if s == nil || !r.isQuarantined(key) {
+		return
+	}
+	for death, own := range s.deaths {
+		if own.uncertain {
+			continue
+		}
+		if c := t.crashes.byKey[death]; c != nil {
+			c.explained = true
+		}
+		for otherKey, other := range t.byKey {
+			if otherKey != key && !r.isQuarantined(otherKey) {
+				delete(other.deaths, death)
+			}
+		}
+	}
+}
+
+// takeBackCrash forgets a crash of a server that has answered since.
+func (t *suspectTable) takeBackCrash(death string) {
+	delete(t.crashes.byKey, death)
+	for _, s := range t.byKey {
+		delete(s.deaths, death)
+	}
+}
+
+// serverLives takes back what was charged for a server that was only cut off from this entry.
+func (r *Reducer) serverLives(s *server, answeredAfter time.Duration) {
+	if s.diedAt == 0 || answeredAfter < s.diedAt+aliveProofDelay {
+		return
+	}
+	s.diedAt = 0
+	r.suspects.takeBackCrash(s.deathKey())
+	r.tellAlive(&pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation})
+	r.logServer(s, "lives: it was only cut off")
+}
+
+// clearSuspect forgets what a request was charged with that has got a whole answer, and tells control and
+// the other entries, which would otherwise add later crashes to it.
+func (r *Reducer) clearSuspect(key quarantineKey) {
+	known := r.suspects.byKey[key] != nil || r.view.suspected[key] > 0 || r.view.quarantine[key]
+	r.suspects.drop(key)
+	r.suspects.exonerated.add(key, r.now)
+	if !known {
+		return
+	}
+	delete(r.view.suspected, key)
+	r.tellCleared(&pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint})
+}
+
+func (r *Reducer) tellAlive(d *pb.ServerDeath) {
+	r.report.alive = append(r.report.alive, d)
+	r.report.urgent = true
+	r.notices.alive = append(r.notices.alive, d)
+}
+
+func (r *Reducer) tellCleared(q *pb.Quarantine) {
+	r.report.cleared = append(r.report.cleared, q)
+	r.report.urgent = true
+	r.notices.cleared = append(r.notices.cleared, q)
+}
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -21,8 +21,10 @@
 // request whose caller repeats it at another entry would crash one more server there. So neither its
 // next attempt nor its final answer leaves this entry before the others know of its last crash.
 type notices struct {
-	// deaths are those of this step.
-	deaths []*pb.ServerDeath
+	// deaths, alive and cleared are those of this step.
+	deaths  []*pb.ServerDeath
+	alive   []*pb.ServerDeath
+	cleared []*pb.Quarantine
 	// unanswered are the notices that entries have not answered, by id.
 	unanswered map[uint64]*notice
 	lastID     uint64
@@ -50,23 +52,32 @@
 	return notices{unanswered: make(map[uint64]*notice), avoidUntil: make(map[string]time.Duration)}
 }
 
-// addDeath adds a death to the notice of this step.
-func (n *notices) addDeath(d *pb.ServerDeath) { n.deaths = append(n.deaths, d) }
+// addSuspect adds a request that ran on a server that crashed to the notice of this step.
+func (n *notices) addSuspect(d *pb.ServerDeath, q *pb.Quarantine) {
+	if last := len(n.deaths) - 1; last < 0 || deathKeyOf(n.deaths[last]) != deathKeyOf(d) {
+		n.deaths = append(n.deaths, &pb.ServerDeath{Server: d.GetServer(), Incarnation: d.GetIncarnation()})
+	}
+	death := n.deaths[len(n.deaths)-1]
+	death.Suspects = append(death.Suspects, q)
+}
 
 // sendNotice sends the notice of this step, if there is one.
 func (r *Reducer) sendNotice() {
 	n := &r.notices
-	if len(n.deaths) == 0 {
+	if len(n.deaths)+len(n.alive)+len(n.cleared) == 0 {
 		return
 	}
-	deaths := n.deaths
-	n.deaths = nil
+	content := &pb.SuspectNotice{
+		ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity.GetName(), Deaths: n.deaths, Alive: n.alive, Cleared: n.cleared,
+		Forward: r.peers.group.formed,
+	}
+	n.deaths, n.alive, n.cleared = nil, nil, nil
 	addresses := r.noticeTargets()
 	if len(addresses) == 0 {
 		return
 	}
 	n.lastID++
-	sent := &notice{keys: suspectKeys(deaths), waiting: make(map[string]bool), until: r.now + NoticeTimeout}
+	sent := &notice{keys: suspectKeys(content.Deaths), waiting: make(map[string]bool), until: r.now + NoticeTimeout}
 	for _, address := range addresses {
 		if r.now >= n.avoidUntil[address] {
 			sent.waiting[address] = true
@@ -75,11 +86,9 @@
 	if len(sent.waiting) > 0 {
 		n.unanswered[n.lastID] = sent
 	}
-	r.emit(NotifySuspects{ID: n.lastID, Addresses: addresses, Notice: &pb.SuspectNotice{
-		ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity.GetName(), Deaths: deaths, Forward: r.peers.group.formed,
-	}})
+	r.emit(NotifySuspects{ID: n.lastID, Addresses: addresses, Notice: content})
 	if r.peers.group.isAggregator {
-		r.forwardNotice(&pb.SuspectNotice{ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity.GetName(), Deaths: deaths})
+		r.forwardNotice(content)
 	}
 }
 
@@ -118,9 +127,13 @@
 		}
 		members++
 	}
-	if len(addresses) > 0 {
-		r.emit(NotifySuspects{Addresses: addresses, Notice: notice})
+	if len(addresses) == 0 {
+		return
 	}
+	r.emit(NotifySuspects{Addresses: addresses, Notice: &pb.SuspectNotice{
+		ClusterId: notice.GetClusterId(), Entry: notice.GetEntry(),
+		Deaths: notice.GetDeaths(), Alive: notice.GetAlive(), Cleared: notice.GetCleared(),
+	}})
 }
 
 // suspectsNoticed adds what another entry has seen to what this one knows.
@@ -130,12 +143,22 @@
 		return
 	}
 	for _, d := range notice.GetDeaths() {
+		r.suspects.crashes.add(deathKeyOf(d), r.now)
 		for _, q := range d.GetSuspects() {
 			r.chargeNoticed(d, q)
 		}
 	}
+	for _, d := range notice.GetAlive() {
+		r.suspects.takeBackCrash(deathKeyOf(d))
+	}
+	for _, q := range notice.GetCleared() {
+		key := quarantineKey{q.GetMember(), q.GetFingerprint()}
+		r.suspects.drop(key)
+		r.suspects.exonerated.add(key, r.now)
+		delete(r.view.suspected, key)
+	}
 	if notice.GetForward() && r.peers.group.isAggregator {
-		r.forwardNotice(&pb.SuspectNotice{ClusterId: notice.GetClusterId(), Entry: notice.GetEntry(), Deaths: notice.GetDeaths()})
+		r.forwardNotice(notice)
 	}
 	r.refuseQuarantined()
 }
@@ -143,13 +166,19 @@
 // chargeNoticed charges a request with a death that another entry has seen.
 func (r *Reducer) chargeNoticed(d *pb.ServerDeath, q *pb.Quarantine) {
 	key := quarantineKey{q.GetMember(), q.GetFingerprint()}
+	death := deathKeyOf(d)
 	if r.suspects.exonerated.has(key, r.now) {
+		r.tellCleared(q)
+		return
+	}
+	if r.suspects.crashes.explained(death) && !r.isQuarantined(key) {
 		return
 	}
 	s := r.suspects.add(key)
-	death := deathKeyOf(d)
-	s.deaths[death] = max(s.deaths[death], min(int(q.GetScore()), scorePerCrash))
-	s.at = r.now
+	if score := min(int(q.GetScore()), scorePerCrash); score > s.deaths[death].score {
+		s.at = r.now
+		r.chargeFor(judgement{key: key, server: d.GetServer(), incarnation: d.GetIncarnation()}, score)
+	}
 	if r.view.suspected[key] == 0 {
 		r.view.suspected[key] = r.now + suspectDelayPeriod
 	}
@@ -175,6 +204,9 @@
 // othersKnow reports whether the other entries know all that this one does of the request, or have had
 // the time to.
 func (r *Reducer) othersKnow(key quarantineKey) bool {
+	if r.awaitsVerdict(key) {
+		return false
+	}
 	if suspectKeys(r.notices.deaths)[key] && len(r.noticeTargets()) > 0 {
 		return false
 	}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -204,6 +204,7 @@
 	r.updateReach()
 	r.sendProbes()
 	r.pollCaches()
+	r.giveVerdicts()
 	r.expireNotices()
 	r.expireWaiting()
 	r.dispatchWaiting()
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -35,6 +35,9 @@
 	sent          sentTable
 	demand        map[demandKey]*pb.Demand
 	deaths        []*pb.ServerDeath
+	// alive are servers of which a death was reported, cleared are suspects with a whole answer.
+	alive   []*pb.ServerDeath
+	cleared []*pb.Quarantine
 	// urgent requests a report at once, changing requests one soon.
 	urgent       bool
 	changing     bool
@@ -69,6 +72,12 @@
 	b.urgent = true
 }
 
+// boundPending drops the oldest of what takes charges back. What control keeps then expires there.
+func (b *reportBuffer) boundPending() {
+	b.alive = b.alive[max(0, len(b.alive)-maxPendingDeaths):]
+	b.cleared = b.cleared[max(0, len(b.cleared)-maxPendingDeaths):]
+}
+
 // countDemand counts what callers ask for, including refused work: role decisions depend on the
 // offered load and not on the admitted load.
 func (b *reportBuffer) countDemand(w *decision.Work) {
@@ -96,6 +105,8 @@
 	for _, d := range req.Deaths {
 		b.death(d)
 	}
+	b.alive, b.cleared = append(b.alive, req.Alive...), append(b.cleared, req.Cleared...)
+	b.boundPending()
 	for _, a := range req.Announcements {
 		b.sent.forget(a.GetServer().GetId())
 	}
@@ -108,7 +119,7 @@
 }
 
 func (b *reportBuffer) empty() bool {
-	return len(b.announcements) == 0 && len(b.deaths) == 0 && len(b.demand) == 0
+	return len(b.announcements) == 0 && len(b.deaths) == 0 && len(b.demand) == 0 && len(b.alive) == 0 && len(b.cleared) == 0
 }
 
 func (r *Reducer) sendReport() {
@@ -117,7 +128,7 @@
 	if !usage && (!b.due(r.now) || b.empty()) {
 		return
 	}
-	req := &pb.ReportRequest{ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity, Deaths: b.deaths}
+	req := &pb.ReportRequest{ClusterId: r.cfg.Cluster, Entry: r.cfg.Identity, Deaths: b.deaths, Alive: b.alive, Cleared: b.cleared}
 	for _, id := range sortedKeys(b.announcements) {
 		r.addAnnouncement(req, b.announcements[id])
 	}
@@ -126,7 +137,8 @@
 	}
 	r.usage.fill(r.now, req)
 	b.announcements = make(map[string]engineapi.Announcement)
-	b.deaths, b.urgent, b.changing, b.lastReportAt = nil, false, false, r.now
+	b.deaths, b.alive, b.cleared = nil, nil, nil
+	b.urgent, b.changing, b.lastReportAt = false, false, r.now
 	r.emit(Report{Request: req})
 }
 
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -42,6 +42,8 @@
 	coolUntil       time.Duration
 	// died is set once this incarnation was reported dead, until it proves alive.
 	died bool
+	// diedAt is when it was last taken for dead, 0 once an answer has shown that it was not.
+	diedAt time.Duration
 	// running holds the ids of this entry's requests there.
 	running []string
 	cache   cacheCursor
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -53,7 +53,7 @@
 // suspect is a request that ran on a server when it crashed.
 type suspect struct {
 	// deaths has the score of each death that it is charged with, by deathKey.
-	deaths map[string]int
+	deaths map[string]charge
 	// at is the time of the last crash.
 	at time.Duration
 	// cleared is set once the request has made progress again.
@@ -72,10 +72,13 @@
 	// order holds the keys by time of their first crash.
 	order      []quarantineKey
 	exonerated exonerated
+	crashes    crashLog
+	// judgements are the charges that are not judged yet, by when they are due.
+	judgements []judgement
 }
 
 func newSuspectTable() suspectTable {
-	return suspectTable{byKey: make(map[quarantineKey]*suspect), exonerated: newExonerated()}
+	return suspectTable{byKey: make(map[quarantineKey]*suspect), exonerated: newExonerated(), crashes: newCrashLog()}
 }
 
 // complete records that a request got its whole answer.
@@ -95,51 +98,24 @@
 	}
 }
 
-// score sums the scores of the deaths.
-func (s *suspect) score() int {
-	sum := 0
-	if s != nil {
-		for _, score := range s.deaths {
-			sum += score
-		}
-	}
-	return sum
-}
-
 // add returns the suspect, after adding it if it is none yet. One that is only known from other entries
 // is not on probation here.
 func (t *suspectTable) add(key quarantineKey) *suspect {
 	s := t.byKey[key]
 	if s == nil {
-		s = &suspect{deaths: make(map[string]int), cleared: true}
+		s = &suspect{deaths: make(map[string]charge), cleared: true}
 		t.byKey[key] = s
 		t.order = append(t.order, key)
 	}
 	return s
 }
 
-// recordCrash charges a request with a death, once. It returns the score that control is told, 0 if
-// the request was charged with as much before or if it may not have been started.
-func (t *suspectTable) recordCrash(q *request, death string, now time.Duration) int {
-	s := t.add(q.key())
-	score := q.crashScore()
-	if score <= s.deaths[death] {
-		return 0
-	}
-	s.deaths[death] = score
-	s.at, s.cleared = now, score != earlyCrashScore
-	if score > uncertainCrashScore {
-		return score
-	}
-	return s.uncertainCrash()
-}
-
 // uncertainCrash returns the score of a whole crash for each scorePerCrash deaths under which the
 // request may not have been started, else 0.
 func (s *suspect) uncertainCrash() int {
 	uncertain := 0
-	for _, score := range s.deaths {
-		if score == uncertainCrashScore {
+	for _, c := range s.deaths {
+		if c.uncertain {
 			uncertain++
 		}
 	}
@@ -173,10 +149,12 @@
 	return true
 }
 
-func (t *suspectTable) remove(q *request) {
-	if s := t.byKey[q.key()]; s != nil {
-		delete(t.byKey, q.key())
-		t.order = slices.DeleteFunc(t.order, func(k quarantineKey) bool { return k == q.key() })
+func (t *suspectTable) remove(q *request) { t.drop(q.key()) }
+
+func (t *suspectTable) drop(key quarantineKey) {
+	if s := t.byKey[key]; s != nil {
+		delete(t.byKey, key)
+		t.order = slices.DeleteFunc(t.order, func(k quarantineKey) bool { return k == key })
 	}
 }
 
@@ -248,11 +226,13 @@
 }
 
 // quarantined reports whether the request gets no more attempts.
-func (r *Reducer) quarantined(q *request) bool {
-	if r.view.quarantine[q.key()] {
+func (r *Reducer) quarantined(q *request) bool { return r.isQuarantined(q.key()) }
+
+func (r *Reducer) isQuarantined(key quarantineKey) bool {
+	if r.view.quarantine[key] {
 		return true
 	}
-	return r.suspects.byKey[q.key()].score() >= scorePerCrash*r.quarantineCrashes()
+	return r.suspects.byKey[key].score() >= scorePerCrash*r.quarantineCrashes()
 }
 
 func (r *Reducer) quarantineCrashes() int {
@@ -277,7 +257,8 @@
 		r.reportSuspects(death)
 		return
 	}
-	s.died = true
+	s.died, s.diedAt = true, r.now
+	r.suspects.crashes.add(s.deathKey(), r.now)
 	r.recordDeath(s.pb.Id, s.incarnationHash(), r.now)
 	for _, id := range s.running {
 		if other := r.requests[id]; other != q || ev.started() {
@@ -288,31 +269,50 @@
 	r.logServer(s, "died")
 }
 
-// charge charges the request with a death, and adds it to the suspects that control is told of.
+// charge charges the request with a death, once, and adds it to the suspects that control is told of.
 //
 // If it was charged before, control may just have quarantined it for this death. It waits for that
 // notice before it is sent to another server.
 func (r *Reducer) charge(q *request, s *server, death *pb.ServerDeath) {
-	if r.suspects.exonerated.has(q.key(), r.now) {
+	key := q.key()
+	if r.suspects.exonerated.has(key, r.now) || r.suspects.crashes.explained(s.deathKey()) && !r.quarantined(q) {
 		return
 	}
-	score := r.suspects.recordCrash(q, s.deathKey(), r.now)
+	score := r.chargeScore(q, s)
 	r.logSuspect(q, s, score)
 	if score == 0 {
 		return
 	}
+	r.explainCrashes(key)
 	if r.recentlySuspected(q) {
 		q.notBefore = max(q.notBefore, r.now+suspectStartDelay)
 	}
 	death.Suspects = append(death.Suspects, &pb.Quarantine{
 		Member: q.work.Member, Fingerprint: q.fingerprint, Score: uint32(score),
 	})
+	r.notices.addSuspect(death, &pb.Quarantine{
+		Member: q.work.Member, Fingerprint: q.fingerprint, Score: uint32(max(score, r.suspects.byKey[key].deaths[s.deathKey()].score)),
+	})
+}
+
+// chargeScore charges the request with a death and returns the score that control is told, 0 if the
+// request was charged with as much before or if it may not have been started.
+func (r *Reducer) chargeScore(q *request, server *server) int {
+	s, death, score := r.suspects.add(q.key()), server.deathKey(), q.crashScore()
+	if score <= s.deaths[death].score {
+		return 0
+	}
+	s.at, s.cleared = r.now, score != earlyCrashScore
+	if score == uncertainCrashScore {
+		s.deaths[death] = charge{score: score, uncertain: true}
+		return s.uncertainCrash()
+	}
+	return r.chargeFor(judgement{key: q.key(), server: server.pb.Id, incarnation: server.pb.Incarnation, own: true}, score)
 }
 
 func (r *Reducer) reportSuspects(death *pb.ServerDeath) {
 	if len(death.Suspects) > 0 {
 		r.report.death(death)
-		r.notices.addDeath(death)
 	}
 }
 
@@ -320,7 +320,7 @@
 func (r *Reducer) logSuspect(q *request, s *server, score int) {
 	r.log(LogSuspect, q, s.pb.Id, "ran on a server that crashed", []Figure{
 		{Name: "score", Value: float64(score)},
-		{Name: "total_score", Value: float64(r.suspects.byKey[q.key()].score())},
+		{Name: "total_score", Value: float64(r.suspects.byKey[q.key()].highestScore())},
 		{Name: "tokens", Value: float64(q.serverTokens + q.attemptTokens)},
 		{Name: "sent_ms_ago", Value: float64((r.now - q.sentAt).Milliseconds())},
 	})
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -177,6 +177,55 @@
 	}
 }
 
+// Guards against the quarantine of a request under which a server was only cut off from the entry: what was
+// charged for it is taken back at control and at the other entries once the server answers.
+func TestServerThatAnswersIsNoCrash(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(2)...)
+	w.arrive("r1")
+	d := w.singleDispatch()
+	w.startAttempt(d)
+	w.endAttempt(d, serverDied)
+	index := int(d.Server[len(d.Server)-1] - '0')
+	w.advance(aliveProofDelay / 2)
+	w.reportState(index, engineapi.StateServing)
+	if len(w.r.suspects.byKey) != 1 {
+		t.Fatal("taken back by an answer that may be from before the crash")
+	}
+	w.advance(aliveProofDelay)
+	w.reportState(index, engineapi.StateServing)
+	reports := effectsOf[Report](w.effects)
+	if len(w.r.suspects.byKey[quarantineKey{"hotels", 2}].deaths) != 0 {
+		t.Error("the request is still charged here")
+	}
+	w.renew()
+	w.step(Tick{})
+	reports = append(reports, effectsOf[Report](w.effects)...)
+	if len(reports) != 1 || len(reports[0].Request.Alive) != 1 {
+		t.Errorf("control was not told: %v", reports)
+	}
+}
+
+// Guards against two crashes, whole answers between them, that quarantine a harmless request: control
+// would add them up.
+func TestWholeAnswerClearsASuspectAtControl(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(2)...)
+	w.arrive("r1")
+	first := w.singleDispatch()
+	w.startAttempt(first)
+	w.endAttempt(first, serverDied)
+	w.advance(maxStagger)
+	w.renew()
+	second := w.singleDispatch()
+	w.startAttempt(second)
+	w.endAttempt(second, func(ev *AttemptEnded) { ev.Complete, ev.Outcome = true, outcome.Ran })
+	reports := effectsOf[Report](w.effects)
+	if len(reports) != 1 || len(reports[0].Request.Cleared) != 1 {
+		t.Fatalf("control was not told: %v", w.effects)
+	}
+}
+
 // Guards against a memory of answers that grows with the requests.
 func TestMemoryOfAnswersIsBounded(t *testing.T) {
 	table := newSuspectTable()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -82,6 +82,9 @@
 		v.leaseUntil = until
 	}
 	if len(resp.Quarantine) > 0 {
+		for _, q := range resp.Quarantine {
+			r.explainCrashes(quarantineKey{q.Member, q.Fingerprint})
+		}
 		r.refuseQuarantined()
 	}
 	r.dispatchWaiting()
