Say that no entry knows a request only if all have answered

Cause: a lookup at the other entries ends after 0.7 s, and an entry that has not answered by then counted like one that does not know the request. On a starved machine most don't.

Change: if none is found and an entry has not answered, the resume is answered 503, outcome unknown, with Retry-After. An entry that refuses connections has ended and counts as an answer, so that a request that only it knew is still sent again at once.

Natively only: on the platform's way streams are not looked up at other entries.

--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -152,8 +154,9 @@
 	}
 }
 
-// lookup asks all other entries for a member's record.
-func (p *peerClient) lookup(ctx context.Context, member, requestID string) *pb.StreamRecord {
+// lookup asks all other entries for a member's record. complete is false if none is found and an entry
+// that may have it did not answer.
+func (p *peerClient) lookup(ctx context.Context, member, requestID string) (record *pb.StreamRecord, complete bool) {
 	var others []entry.EntryWeight
 	for _, e := range p.snapshot().Entries {
 		if e.Name != p.identity.Name {
@@ -163,48 +166,69 @@
 	return p.lookupAt(ctx, others, member, requestID)
 }
 
+// lookupAnswer is what one entry answers: a record, none, or nothing at all.
+type lookupAnswer struct {
+	record   *pb.StreamRecord
+	answered bool
+}
+
 // lookupAt asks the given entries in parallel and returns the most advanced
 // record.
-func (p *peerClient) lookupAt(ctx context.Context, others []entry.EntryWeight, member, requestID string) *pb.StreamRecord {
+func (p *peerClient) lookupAt(ctx context.Context, others []entry.EntryWeight, member, requestID string) (record *pb.StreamRecord, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	found := make(chan *pb.StreamRecord, len(others))
+	answers := make(chan lookupAnswer, len(others))
 	for _, e := range others {
 		p.spawn(func() {
 			resp, err := p.client(e.PeerAddress).Lookup(ctx, &pb.LookupRequest{
 				ClusterId: p.cluster, Member: member, RequestId: requestID,
 			})
-			if err != nil {
-				found <- nil
-				return
-			}
-			found <- resp.Record
+			answers <- readLookup(resp, err)
 		})
 	}
-	return mostAdvanced(ctx, found, len(others))
+	record, answered := mostAdvanced(ctx, answers, len(others))
+	return record, record != nil || answered == len(others)
+}
+
+func readLookup(resp *pb.LookupResponse, err error) lookupAnswer {
+	var twerr twirp.Error
+	switch {
+	case err == nil:
+		return lookupAnswer{resp.Record, true}
+	case errors.As(err, &twerr) && twerr.Code() == twirp.NotFound:
+		return lookupAnswer{nil, true}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// The entry's process has ended, and what it alone knew with it.
+		return lookupAnswer{nil, true}
+	default:
+		return lookupAnswer{}
+	}
 }
 
 // lookupGrace is how long a lookup waits for a more advanced record after it
 // got the first one.
 const lookupGrace = 20 * time.Millisecond
 
-func mostAdvanced(ctx context.Context, found <-chan *pb.StreamRecord, n int) *pb.StreamRecord {
-	var best *pb.StreamRecord
+// mostAdvanced returns the most advanced record and how many entries answered.
+func mostAdvanced(ctx context.Context, answers <-chan lookupAnswer, n int) (best *pb.StreamRecord, answered int) {
 	var graceExpired <-chan time.Time
 	for range n {
 		select {
-		case r := <-found:
-			best = moreAdvanced(best, r)
+		case a := <-answers:
+			if a.answered {
+				answered++
+			}
+			best = moreAdvanced(best, a.record)
 			if best != nil && graceExpired == nil {
 				graceExpired = time.After(lookupGrace)
 			}
 		case <-graceExpired:
-			return best
+			return best, answered
 		case <-ctx.Done():
-			return best
+			return best, answered
 		}
 	}
-	return best
+	return best, answered
 }
 
 // moreAdvanced returns the record with the later attempt or, in the same
--- a/internal/traffic/resume.go
+++ b/internal/traffic/resume.go
@@ -60,7 +60,13 @@
 	if refusal != nil {
 		return refusal
 	}
-	record := s.findRecord(c, call)
+	record, complete := s.findRecord(c, call)
+	if record == nil && !complete {
+		return &outcome.Refusal{
+			Status: http.StatusServiceUnavailable, Code: outcome.CodeStaleView, Outcome: outcome.Unknown,
+			Message: "an entry that may know this request has not answered; resume it again", RetryAfter: time.Second,
+		}
+	}
 	if record == nil {
 		return &outcome.Refusal{
 			Status: http.StatusNotFound, Code: outcome.CodeNotFound, Outcome: outcome.Unknown,
@@ -95,13 +101,14 @@
 
 // findRecord looks for the record at this entry, then at the other entries. The
 // lookup uses the authenticated member, so a request id of another member finds
-// nothing.
-func (s *Server) findRecord(c *fiber.Ctx, call *callerCall) *pb.StreamRecord {
+// nothing. complete is false if it may be known to an entry that did not answer.
+func (s *Server) findRecord(c *fiber.Ctx, call *callerCall) (record *pb.StreamRecord, complete bool) {
 	own := s.records.lookup(call.member.Name, call.requestID)
 	if own != nil && (own.Finished || s.jobs.isRunning(own.WireId)) {
-		return own
+		return own, true
 	}
-	return moreAdvanced(own, s.peers.lookup(c.UserContext(), call.member.Name, call.requestID))
+	others, complete := s.peers.lookup(c.UserContext(), call.member.Name, call.requestID)
+	return moreAdvanced(own, others), complete
 }
 
 // answerFinished sends the rest of an answer whose stream has finished.
