Let all entries follow the judgement of the one that saw the crash

Two of six entries held 6 of 8 quarters where the others held 8, and the caller's repetition reached one of them.

Cause, from their lines: the first crash was judged 0.6 s after it, just as the second happened. Word of the second came first from an entry where other requests had run there, so that for a millisecond it seemed a crash without the suspect, and the first one counted a half there for good.

Change: a crash makes others doubtful once all entries have told what ran on the server, 0.2 s after it; and the entry that saw a crash tells its judgement, which replaces the others' own.

TestJudgementOfTheEntryThatSawTheCrashCounts fails without it (not refused); the tests in virtual time stay as they were: 3 servers at the most, no harmless request quarantined.

--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -26,6 +26,9 @@
 	// maxCalmWait bounds how long a request that was charged with several crashes waits until no
 	// other servers crash.
 	maxCalmWait = 3 * time.Second
+	// crashSettles is how long after a crash all entries have told which requests it is charged to.
+	// Until then it may seem that a request was not there.
+	crashSettles = 200 * time.Millisecond
 	// aliveProofDelay is how long after a crash an answer of the same incarnation shows that there
 	// was none: one from before the crash has arrived by then.
 	aliveProofDelay = 300 * time.Millisecond
@@ -86,13 +89,13 @@
 //
 // Servers end, or are cut off, for reasons of their own, some of them one after the other. A harmless
 // request that happens to run on two of them must not be refused.
-func (t *suspectTable) mostScore(key quarantineKey, death string) int {
+func (t *suspectTable) mostScore(key quarantineKey, death string, now time.Duration) int {
 	if t.byKey[key].counted() > maxDoubtfulCrashes {
 		return scorePerCrash
 	}
 	others := 0
 	if own := t.crashes.byKey[death]; own != nil {
-		others = t.otherCrashesAround(t.byKey[key], own.at)
+		others = t.otherCrashesAround(t.byKey[key], own.at, now-crashSettles)
 	}
 	switch {
 	case others > 1:
@@ -104,13 +107,13 @@
 	}
 }
 
-// otherCrashesAround counts the servers that crashed about that time, for a reason that is not known, and
-// of which the request was not charged.
-func (t *suspectTable) otherCrashesAround(s *suspect, at time.Duration) int {
+// otherCrashesAround counts the servers that crashed about that time and until then, for a reason that is
+// not known, and of which the request was not charged.
+func (t *suspectTable) otherCrashesAround(s *suspect, at, until time.Duration) int {
 	n := 0
 	for death, c := range t.crashes.byKey {
 		apart := max(at, c.at) - min(at, c.at)
-		if _, charged := s.deaths[death]; !c.explained && !charged && apart < otherCrashesPeriod {
+		if _, charged := s.deaths[death]; !c.explained && !charged && apart < otherCrashesPeriod && c.at <= until {
 			n++
 		}
 	}
@@ -124,7 +127,7 @@
 	if s == nil || s.counted() < 2 || r.now >= s.at+maxCalmWait {
 		return false
 	}
-	return r.suspects.otherCrashesAround(s, r.now) > 0
+	return r.suspects.otherCrashesAround(s, r.now, r.now) > 0
 }
 
 // alwaysBesideAnother reports whether another request was on all of the servers that crashed under this
@@ -215,7 +218,7 @@
 func (r *Reducer) judge(j *judgement) int {
 	s := r.suspects.byKey[j.key]
 	c := s.deaths[j.death()]
-	c.score, c.pending = min(c.score, r.suspects.mostScore(j.key, j.death())), false
+	c.score, c.pending = min(c.score, r.suspects.mostScore(j.key, j.death(), r.now)), false
 	s.deaths[j.death()] = c
 	return c.score
 }
@@ -250,6 +253,11 @@
 		return
 	}
 	score := r.judge(j)
+	if j.own {
+		r.notices.addSuspect(&pb.ServerDeath{Server: j.server, Incarnation: j.incarnation}, &pb.Quarantine{
+			Member: j.key.member, Fingerprint: j.key.fingerprint, Score: uint32(score), Judged: true,
+		})
+	}
 	if j.own && score > veryDoubtfulScore {
 		r.report.death(&pb.ServerDeath{Server: j.server, Incarnation: j.incarnation, Suspects: []*pb.Quarantine{{
 			Member: j.key.member, Fingerprint: j.key.fingerprint, Score: uint32(score),
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -175,7 +175,13 @@
 		return
 	}
 	s := r.suspects.add(key)
-	if score := min(int(q.GetScore()), scorePerCrash); score > s.deaths[death].score {
+	known, score := s.deaths[death], min(int(q.GetScore()), scorePerCrash)
+	switch {
+	case q.GetJudged():
+		// The judgement of the entry that saw the crash replaces this one's own, so that all agree.
+		s.deaths[death] = charge{score: score}
+		r.explainCrashes(key)
+	case score > known.score && (known.pending || known.score <= veryDoubtfulScore):
 		s.at = r.now
 		r.chargeFor(judgement{key: key, server: d.GetServer(), incarnation: d.GetIncarnation()}, score)
 	}
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -240,3 +240,32 @@
 		t.Errorf("%d requests are remembered after %v", n, exonerationTime)
 	}
 }
+
+// Guards against entries that judge one crash differently, as the word of what ran on a server reaches them
+// at different times: the one that holds it for doubtful would send the request on.
+func TestJudgementOfTheEntryThatSawTheCrashCounts(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(3)...)
+	noticed := func(server string, q *pb.Quarantine) {
+		w.step(SuspectsNoticed{Notice: &pb.SuspectNotice{
+			ClusterId: "test", Entry: "entry-b1", Deaths: []*pb.ServerDeath{{Server: server, Incarnation: "life-1", Suspects: []*pb.Quarantine{q}}},
+		}})
+	}
+	crashing := func(score uint32, judged bool) *pb.Quarantine {
+		return &pb.Quarantine{Member: "hotels", Fingerprint: 7, Score: score, Judged: judged}
+	}
+	noticed("engine-0", crashing(scorePerCrash, false))
+	noticed("engine-1", &pb.Quarantine{Member: "importers", Fingerprint: 8, Score: lateCrashScore})
+	w.advance(verdictDelay)
+	w.step(Tick{})
+	noticed("engine-1", crashing(scorePerCrash, false))
+	noticed("engine-0", crashing(scorePerCrash, true))
+	noticed("engine-1", crashing(scorePerCrash, true))
+	w.renew()
+	again := w.arrival("sent-again", "hotels")
+	again.Fingerprint = 7
+	w.step(again)
+	if r := w.singleRefusal(); r.Code != outcome.CodeQuarantined {
+		t.Fatalf("refusal %+v", r)
+	}
+}
