Refuse new requests while the entry itself is late

Callers saw, where processes are short of processor time: accepted streams silent for seconds, resumed again and again at other entries, and given up; nothing refused.

Cause: admission looks at the servers' rates, and those are idle; nothing looks at the entry's own processor. What it can't relay in time falls silent, and each resume of it is more work.

Change: an entry refuses new requests as not run (429 overloaded, Retry-After) while three timer events in a row come over 0.1 s late and it has four requests or more. Resumed ones are taken.

--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -74,6 +74,11 @@
 		return refuseQuarantined(), nil
 	case len(r.requests) >= r.cfg.MaxStreams:
 		return refuseFull(), nil
+	case !q.work.Resumed && r.lateness.Refuses(len(r.requests)):
+		return refuseBusy(), []Figure{
+			{Name: "late_ms", Value: float64(r.lateness.Least().Milliseconds())},
+			{Name: "requests", Value: float64(len(r.requests))},
+		}
 	}
 	fleet := r.fleet(q)
 	if r.stale() && !anyServesInTime(&fleet, &q.work) {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -13,8 +13,8 @@
 // Event is an input of Reducer.Step.
 type Event interface{ isEvent() }
 
-// Tick advances the time.
-type Tick struct{}
+// Tick advances the time. Late is how long after its time it comes.
+type Tick struct{ Late time.Duration }
 
 // ViewReceived is a response of control. The lease counts from SentAt, when the request was
 // sent.
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -67,6 +67,7 @@
 	notices   notices
 	permits   permits
 	reach     reach
+	lateness  admission.Lateness
 	// held is accepted work that waits outside of the queue.
 	held []*request
 	// retryLimit is nil if Config.RetryLimit is.
@@ -124,6 +125,7 @@
 	r.retryLimit.SetEntries(now, r.retrySharers())
 	switch ev := ev.(type) {
 	case Tick:
+		r.lateness.Observe(ev.Late)
 		r.tick()
 	case ViewReceived:
 		r.viewReceived(ev)
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -58,6 +58,13 @@
 	}
 }
 
+func refuseBusy() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusTooManyRequests, Code: outcome.CodeOverloaded,
+		Message: "this entry has more requests than it can pass on in time", RetryAfter: retryLater,
+	}
+}
+
 // refuseQuarantined uses status 422, since sending the same content again can't succeed.
 func refuseQuarantined() *outcome.Refusal {
 	return &outcome.Refusal{
--- a/internal/host/loop.go
+++ b/internal/host/loop.go
@@ -60,6 +60,11 @@
 	defer close(l.stopped)
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
+	due := clock.SinceBoot() + tickInterval
+	restart := func(interval time.Duration) {
+		due = clock.SinceBoot() + interval
+		timer.Reset(interval)
+	}
 	idle := false
 	for {
 		select {
@@ -69,12 +74,12 @@
 			l.step(ev)
 			if idle && !l.reducer.Idle() {
 				idle = false
-				timer.Reset(tickInterval)
+				restart(tickInterval)
 			}
 		case <-timer.C:
-			l.step(entry.Tick{})
+			l.step(entry.Tick{Late: max(0, clock.SinceBoot()-due)})
 			idle = l.reducer.Idle()
-			timer.Reset(nextTickInterval(idle))
+			restart(nextTickInterval(idle))
 		}
 	}
 }
