--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -88,7 +88,7 @@
 	switch {
 	case ev.Complete:
 		r.decisions.admission.RecordServed(q.work.Profile, q.retryBudget)
-		r.clearSuspect(q.key())
+		r.clearSuspect(q)
 		r.finish(q)
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -315,15 +315,14 @@
 
 // clearSuspect forgets what a request was charged with that has got a whole answer, and tells control and
 // the other entries, which would otherwise add later crashes to it.
-func (r *Reducer) clearSuspect(key quarantineKey) {
+func (r *Reducer) clearSuspect(q *request) {
+	key := q.key()
 	known := r.suspects.byKey[key] != nil || r.view.suspected[key] > 0 || r.view.quarantine[key]
-	r.suspects.drop(key)
-	r.suspects.exonerated.add(key, r.now)
-	if !known {
-		return
+	r.suspects.complete(q, r.now)
+	if known {
+		delete(r.view.suspected, key)
+		r.tellCleared(&pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint})
 	}
-	delete(r.view.suspected, key)
-	r.tellCleared(&pb.Quarantine{Member: key.member, Fingerprint: key.fingerprint})
 }
 
 func (r *Reducer) tellAlive(d *pb.ServerDeath) {
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -168,7 +168,10 @@
 	key := quarantineKey{q.GetMember(), q.GetFingerprint()}
 	death := deathKeyOf(d)
 	if r.suspects.exonerated.has(key, r.now) {
-		r.tellCleared(q)
+		// In groups the aggregators answer, so that hundreds of entries don't.
+		if !r.peers.group.isGroupMember() {
+			r.tellCleared(q)
+		}
 		return
 	}
 	if r.suspects.crashes.explained(death) && !r.isQuarantined(key) {
