--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -82,7 +82,7 @@
 	due                 time.Duration
 }
 
-func (j *judgement) death() string { return j.server + "/" + j.incarnation }
+func (j *judgement) death() string { return deathKey(j.server, j.incarnation) }
 
 // mostScore returns how much a crash may count against the request: less if it may well have had another
 // cause, as other servers crashed about then without it, or another request was there each time as well.
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -273,5 +273,5 @@
 	r.resolveEnds()
 }
 
-// deathKeyOf is deathKey for a reported death.
-func deathKeyOf(d *pb.ServerDeath) string { return d.GetServer() + "/" + d.GetIncarnation() }
+// deathKeyOf identifies a reported death.
+func deathKeyOf(d *pb.ServerDeath) string { return deathKey(d.GetServer(), d.GetIncarnation()) }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -125,8 +125,10 @@
 	return scorePerCrash
 }
 
-// deathKey identifies the death of the server's incarnation.
-func (s *server) deathKey() string { return s.pb.Id + "/" + s.pb.Incarnation }
+// deathKey identifies the death of a server's incarnation.
+func deathKey(server, incarnation string) string { return server + "/" + incarnation }
+
+func (s *server) deathKey() string { return deathKey(s.pb.Id, s.pb.Incarnation) }
 
 func (q *request) crashScore() int {
 	switch {
