Say what part a replica has in elections, and why an entry is not ready, since when

Change: each replica logs its standing (voter, learner, spare, not formed, replaced, restoring), role, leader, votes and the replicas that it awaits, at each change and every 5 s while it knows no leader; a refusal names standing and age. An entry logs its readiness by itself, at each change and every 5 s while it is not ready, with its age and what each replica answered; the readiness check answers with the reason and its age.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -206,11 +206,16 @@
 
 func (n *Node) wonElection() bool {
 	voters := voterIDs(n.members.current())
+	return len(voters) > 0 && n.countVotes(voters) >= quorumSize(len(voters))
+}
+
+// countVotes counts the voters that have granted their vote.
+func (n *Node) countVotes(voters []uint64) int {
 	granted := 0
 	for _, id := range voters {
 		if n.votes[id] {
 			granted++
 		}
 	}
-	return len(voters) > 0 && granted >= quorumSize(len(voters))
+	return granted
 }
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -11,6 +11,11 @@
 	Term   uint64
 	Leader uint64
 	Role   Role
+	// Standing is the replica's part in elections, Election its progress in one.
+	Standing Standing
+	Election ElectionStatus
+	// AwaitedPeers is the number of replicas that have not answered this boot's HELLO.
+	AwaitedPeers int
 	// Ready is true for a leader that has committed an entry of its term.
 	Ready     bool
 	Commit    uint64
@@ -45,6 +50,7 @@
 func (n *Node) Status() Status {
 	s := Status{
 		Term: n.term, Leader: n.leader, Role: n.role, Ready: n.ready(),
+		Standing: n.standing(), Election: n.electionStatus(), AwaitedPeers: len(n.unansweredPeers()),
 		Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), FirstIndex: n.log.baseIndex + 1,
 		SnapshotIndex: n.snapshot.GetIndex(),
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -40,6 +40,8 @@
 	nextEffects []consensus.Effect
 	// replicas is what Status returns about the group.
 	replicas []consensus.ReplicaStatus
+	// standing is what Status returns about the replica itself.
+	standing consensus.Standing
 	// changes are the proposed changes of the member list.
 	changes []consensus.MembershipChange
 	// commitsBlocked keeps proposals from committing; they wait in blocked.
@@ -49,7 +51,7 @@
 
 func (n *fakeNode) LeaseUntil() time.Duration { return n.leaseUntil }
 func (n *fakeNode) Status() consensus.Status {
-	return consensus.Status{Term: n.term, Replicas: n.replicas}
+	return consensus.Status{Term: n.term, Replicas: n.replicas, Standing: n.standing}
 }
 func (n *fakeNode) IsRemoved(id *pb.ReplicaIdentity) bool { return false }
 
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -62,7 +62,8 @@
 	// committed is the latest member list known to be committed.
 	committed *pb.Membership
 	// lead is the state of a ready leader; nil otherwise.
-	lead *leadership
+	lead     *leadership
+	standing standing
 
 	nextID    uint64
 	proposals map[uint64]*proposal
@@ -146,6 +147,7 @@
 	if r.lead != nil {
 		r.leaderTick()
 	}
+	r.observeStanding()
 }
 
 func (r *Reducer) onConsensus(ev consensus.Event) {
@@ -257,10 +259,10 @@
 	r.failProposals()
 }
 
-// notLeader is the error of a replica that can't serve a call, with the leader's address if
-// it is known.
+// notLeader is the error of a replica that can't serve a call, with the reason and its age, and
+// the leader's address if it is known.
 func (r *Reducer) notLeader() error {
-	return twirp.NewError(twirp.Unavailable, "this replica does not lead").
+	return twirp.NewError(twirp.Unavailable, "this replica does not lead: "+r.standing.describe(r.now)).
 		WithMeta("leader", r.addressOf(r.leader))
 }
 
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -192,7 +192,7 @@
 			}
 		})
 	}
-	r.log.Info("serving", "address", r.cfg.Address, "replica", r.store.Identity().GetId(),
+	r.log.Info("serving", "address", r.cfg.Address, "control", r.cfg.Control, "replica", r.store.Identity().GetId(),
 		"incarnation", r.store.Identity().GetIncarnation())
 	err = r.wait(ctx)
 	r.stop()
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -43,6 +44,8 @@
 	clients   map[string]pb.Control
 	// silentAt holds by address when a replica last failed to answer at all.
 	silentAt map[string]time.Time
+	// refusals holds by address why a replica did not serve the last call.
+	refusals map[string]string
 }
 
 // NewControlClient returns a client that starts with a random one of the addresses.
@@ -50,10 +53,28 @@
 	return &ControlClient{
 		auth: auth, http: auth.Client(), addresses: slices.Clone(addresses),
 		current: addresses[rand.IntN(len(addresses))], clients: make(map[string]pb.Control),
-		silentAt: make(map[string]time.Time),
+		silentAt: make(map[string]time.Time), refusals: make(map[string]string),
 	}
 }
 
+// Refusals returns by address why replicas did not serve their last call.
+func (c *ControlClient) Refusals() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.refusals)
+}
+
+// recordOutcome keeps the reason of a refusal until the replica serves a call.
+func (c *ControlClient) recordOutcome(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.refusals, address)
+		return
+	}
+	c.refusals[address] = err.Error()
+}
+
 // AddAddresses adds replica addresses to those already known.
 func (c *ControlClient) AddAddresses(addresses []string) {
 	c.mu.Lock()
@@ -148,6 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := fn(ctx, client)
+	c.recordOutcome(address, err)
 	if err != nil {
 		c.selectNext(address, err)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,8 +73,8 @@
 	tasks        conc.WaitGroup
 	peerListener net.Listener
 	// callerHandOver times the hand-over of accepted caller connections.
-	callerHandOver     busyTimer
-	lastNotReadyReason atomic.Pointer[NotReadyReason]
+	callerHandOver busyTimer
+	lastReadiness  atomic.Pointer[readiness]
 	// watchFailureLog limits the rate of log lines about unanswered polls.
 	watchFailureLog rate.Sometimes
 }
@@ -215,7 +215,7 @@
 	peerServer := &http.Server{Handler: h.peerHandler(frontend.PeerHandler), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, len(frontend.Serve)+1)
 	var loops conc.WaitGroup
-	for _, loop := range append([]func(context.Context){h.loop.run, h.writeDecisions, h.watch}, frontend.Loops...) {
+	for _, loop := range append([]func(context.Context){h.loop.run, h.writeDecisions, h.watch, h.observeReadiness}, frontend.Loops...) {
 		loops.Go(func() { h.ExitOnPanic(func() { loop(loopCtx) }) })
 	}
 	for _, serve := range append(frontend.Serve, func() error { return peerServer.Serve(h.peerListener) }) {
@@ -225,7 +225,7 @@
 		loops.Go(func() { h.ExitOnPanic(func() { h.Metrics.Serve(loopCtx, h.Settings.MetricsAddress, h.Log) }) })
 	}
 	h.Log.Info("entry is serving", "callers", h.Identity.CallerAddress, "peers", h.PeerAddress(),
-		"incarnation", h.Identity.Incarnation)
+		"control", h.Settings.Control, "incarnation", h.Identity.Incarnation)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/host/readiness.go
+++ b/internal/host/readiness.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -28,18 +29,56 @@
 	AcceptLoopStalled  NotReadyReason = "caller connections are not accepted"
 )
 
+// notReadyLogInterval is how often an entry that stays not ready logs that.
+const notReadyLogInterval = 5 * time.Second
+
+// readiness is an entry's readiness as last observed, and since when, as time since boot.
+type readiness struct {
+	reason   NotReadyReason
+	since    time.Duration
+	loggedAt time.Duration
+}
+
 // NotReadyReason returns why this entry can't serve callers at present, or the empty reason if
-// it can. It logs each change.
+// it can.
+func (h *Host) NotReadyReason() NotReadyReason {
+	reason, _ := h.NotReady()
+	return reason
+}
+
+// NotReady returns why this entry can't serve callers at present, empty if it can, and for how
+// long that has been observed. It logs each change, and at intervals an entry that stays not ready
+// with what control's replicas answer.
 //
 // Without the stall checks, an entry that has a configuration but no longer processes events
 // or accepts connections would report ready forever and attract callers that get no answer.
-func (h *Host) NotReadyReason() NotReadyReason {
-	reason := h.notReadyReason()
-	if last := h.lastNotReadyReason.Swap(&reason); last == nil || *last != reason {
-		h.Log.Info(obs.LineReadiness, "ready", reason == "", "reason", string(reason),
-			"event_ms", h.loop.busyFor().Milliseconds(), "hand_over_ms", h.callerHandOver.busyFor().Milliseconds())
+func (h *Host) NotReady() (NotReadyReason, time.Duration) {
+	now := clock.SinceBoot()
+	observed := &readiness{reason: h.notReadyReason(), since: now, loggedAt: now}
+	last := h.lastReadiness.Load()
+	if last != nil && last.reason == observed.reason {
+		if observed.reason == "" || now < last.loggedAt+notReadyLogInterval {
+			return last.reason, now - last.since
+		}
+		observed.since = last.since
 	}
-	return reason
+	if h.lastReadiness.CompareAndSwap(last, observed) {
+		h.logReadiness(observed, now)
+	}
+	return observed.reason, now - observed.since
+}
+
+// observeReadiness logs changes of the readiness also where nobody asks for it.
+func (h *Host) observeReadiness(ctx context.Context) {
+	for Sleep(ctx, time.Second) {
+		h.NotReady()
+	}
+}
+
+func (h *Host) logReadiness(r *readiness, now time.Duration) {
+	h.Log.Info(obs.LineReadiness, "ready", r.reason == "", "reason", string(r.reason), "since_ms", (now - r.since).Milliseconds(),
+		"event_ms", h.loop.busyFor().Milliseconds(), "hand_over_ms", h.callerHandOver.busyFor().Milliseconds(),
+		"control_refusals", h.Control.Refusals())
 }
 
 func (h *Host) notReadyReason() NotReadyReason {
--- a/internal/host/readiness_test.go
+++ b/internal/host/readiness_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
 
@@ -135,3 +138,23 @@
 		t.Fatal("busy after the work ended")
 	}
 }
+
+// Guards against an entry that is not ready without saying for how long, or what control answered.
+func TestNotReadyTellsItsAgeAndControlsAnswers(t *testing.T) {
+	h := newHost(t, func(entry.Effect) {})
+	h.loop.publish(&entry.Snapshot{})
+	if reason, _ := h.NotReady(); reason != NoConfiguration {
+		t.Fatalf("reason %q, want %q", reason, NoConfiguration)
+	}
+	const waited = 30 * time.Millisecond
+	time.Sleep(waited)
+	if _, age := h.NotReady(); age < waited {
+		t.Errorf("not ready for %v, want at least %v", age, waited)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waited)
+	defer cancel()
+	_ = h.Control.Call(ctx, waited, func(context.Context, pb.Control) error { return twirp.Unavailable.Error("knows no leader") })
+	if refusals := h.Control.Refusals(); !strings.Contains(refusals["127.0.0.1:1"], "knows no leader") {
+		t.Errorf("control's refusals are %v", refusals)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -214,6 +214,9 @@
 // NotReadyReason returns why the entry can't serve callers at present, empty if it can.
 func (s *Server) NotReadyReason() host.NotReadyReason { return s.host.NotReadyReason() }
 
+// NotReady returns the same with how long that has been observed.
+func (s *Server) NotReady() (host.NotReadyReason, time.Duration) { return s.host.NotReady() }
+
 // Settings returns the entry's settings.
 func (s *Server) Settings() *settings.Entry { return s.host.Settings }
 
