Tell the replicas that are asked first who leads

What callers saw: all machines had returned, the group had a leader within a second, and no entry got ready again, for good.

Cause: only voters keep the addresses of the group on disk. Everyone else starts with the seeds alone. Membership moves on (a replica that is down for 2.5 s is replaced and waits as a spare), the seeds stay; once no seed is a voter with a disk, nobody who is asked can name the leader. Spares and emptied replicas look for the group at the same seeds, so they never join either, and the group stays at three of five voters.

Change: a leader with a lease introduces itself each 500 ms to the seeds, to members that don't answer it and to replicas that asked to join within a minute, except to those that it has just heard from; a new leader to all seeds at once. Who follows no leader names the one it has heard of, for 3 s, in refusals, redirects and for its own Join, whose answer names the members. A running replica takes new seeds from its settings file. It is a hint: votes, leases and commits don't look at it. In internal/control and its runner, so native and relayed entries have it alike.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
@@ -56,14 +57,14 @@
 	defer out.Close()
 	log := obs.NewLogger(out, s.Name, s.Log)
 	ctx := cli.ShutdownContext(cmd.Context())
-	go cli.WatchFile(ctx, file, log, func() {
-		log.Info("settings file changed; changes take effect at the next start", "settings", file)
-	})
+	var current atomic.Pointer[runner.Runner]
+	go cli.WatchFile(ctx, file, log, func() { reload(file, log, current.Load()) })
 	for {
 		r, err := runner.New(s, log, drivers(s, log))
 		if err != nil {
 			return err
 		}
+		current.Store(r)
 		err = r.Run(ctx)
 		if !errorx.IsOfType(err, runner.Removed) || !s.BootstrapFromControl {
 			return err
@@ -75,6 +76,22 @@
 		}
 		log.Warn("removed from the group; rejoining as a new replica", "cause", err.Error())
 		s.Join, s.ReplicaID, s.Bootstrap = true, 0, nil
+		if latest, findings := settings.LoadControl(file); len(findings) == 0 {
+			s.Control = latest.Control
+		}
+	}
+}
+
+// reload applies a changed settings file to the running replica, nil if there is none yet.
+func reload(file string, log *slog.Logger, r *runner.Runner) {
+	s, findings := settings.LoadControl(file)
+	if len(findings) > 0 {
+		log.Error("settings not reloaded", "findings", findings.Err().Error())
+		return
+	}
+	log.Info("settings file changed; other changes than of control take effect at the next start", "settings", file, "control", s.Control)
+	if r != nil {
+		r.Reload(s)
 	}
 }
 
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -16,7 +16,7 @@
 }
 
 // onCall handles an RPC. It first rejects calls with another cluster's id; the rest is
-// served only by a leader that is ready.
+// served only by a leader that is ready, except for introductions.
 func (r *Reducer) onCall(c Call) {
 	req, ok := c.Request.(clusterRequest)
 	if !ok || req.GetClusterId() != r.cfg.Cluster {
@@ -25,6 +25,10 @@
 		r.reply(c.ID, nil, invalid("the cluster id is not "+r.cfg.Cluster))
 		return
 	}
+	if introduction, ok := req.(*pb.IntroduceRequest); ok {
+		r.onIntroduce(c.ID, introduction)
+		return
+	}
 	if r.lead == nil {
 		r.reply(c.ID, nil, r.notLeader())
 		return
--- a/internal/control/effect.go
+++ b/internal/control/effect.go
@@ -52,6 +52,17 @@
 	Leader    uint64
 	// IsLeader is true while this replica leads and is ready.
 	IsLeader bool
+	// LeaderAddress is the leader's address, also of one that this replica has only heard of;
+	// empty if unknown. Replicas are the members' addresses as heard of.
+	LeaderAddress string
+	Replicas      []string
+}
+
+// Introduce sends the request to replicas that may not know the group; see introduce. A call that
+// fails needs no answer: the next Introduce repeats it.
+type Introduce struct {
+	To      []string
+	Request *pb.IntroduceRequest
 }
 
 // Fatal ends the process: continuing could serve answers from a corrupt state.
@@ -75,5 +86,6 @@
 func (Reply) isEffect()           {}
 func (SendOrder) isEffect()       {}
 func (Members) isEffect()         {}
+func (Introduce) isEffect()       {}
 func (Fatal) isEffect()           {}
 func (Log) isEffect()             {}
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -51,6 +51,17 @@
 	Identity *pb.ReplicaIdentity
 }
 
+// LeaderFound reports the leader that has answered this replica's Join, and the members'
+// addresses.
+type LeaderFound struct {
+	Leader   string
+	Term     uint64
+	Replicas []string
+}
+
+// SeedsChanged carries a new value of Config.Seeds.
+type SeedsChanged struct{ Seeds []string }
+
 // Stop begins a planned shutdown by transferring leadership.
 type Stop struct{}
 
@@ -61,4 +72,6 @@
 func (OrderAnswered) isEvent()   {}
 func (OrderUnanswered) isEvent() {}
 func (QueryRemoved) isEvent()    {}
+func (LeaderFound) isEvent()     {}
+func (SeedsChanged) isEvent()    {}
 func (Stop) isEvent()            {}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -97,6 +97,8 @@
 	// watchAnswers counts the answers to Watch calls.
 	watchAnswers int
 	orders       []SendOrder
+	// introductions are the addressees of introductions.
+	introductions []string
 	// repeatedAnnouncements are sent again each second.
 	repeatedAnnouncements []*pb.Announcement
 	lastReportAt          time.Duration
@@ -160,6 +162,8 @@
 			}
 		case SendOrder:
 			h.orders = append(h.orders, e)
+		case Introduce:
+			h.introductions = append(h.introductions, e.To...)
 		}
 	}
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -60,6 +60,7 @@
 	// is true while a change of the member list is in progress.
 	joiners                 map[string]*joiner
 	membershipChangePending bool
+	introductions           introductions
 
 	// departing counts the calls of incarnations that left unknown, until the commit.
 	departing map[string]int
@@ -116,16 +117,17 @@
 func newLeadership(now time.Duration, s *State) *leadership {
 	l := &leadership{
 		startedAt: now, lastContactAt: now, lastDemandAt: now, lastSweepAt: now, lastExpiryCheckAt: now,
-		servers:    make(map[string]*trackedServer),
-		entries:    make(map[string]*trackedEntry),
-		deliveries: make(map[string]*delivery),
-		demand:     newDemandWindow(now),
-		plans:      make(map[string]*modelPlan),
-		joiners:    make(map[string]*joiner),
-		departing:  make(map[string]int),
-		usage:      newLeaderUsage(),
-		duties:     newLeaderDuties(),
-		scale:      newLeaderScale(),
+		servers:       make(map[string]*trackedServer),
+		entries:       make(map[string]*trackedEntry),
+		deliveries:    make(map[string]*delivery),
+		demand:        newDemandWindow(now),
+		plans:         make(map[string]*modelPlan),
+		joiners:       make(map[string]*joiner),
+		introductions: introductions{askedAt: make(map[string]time.Duration)},
+		departing:     make(map[string]int),
+		usage:         newLeaderUsage(),
+		duties:        newLeaderDuties(),
+		scale:         newLeaderScale(),
 	}
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.info.GetId()] = &trackedServer{
@@ -145,6 +147,7 @@
 // leaderTick performs the leader's periodic work.
 func (r *Reducer) leaderTick() {
 	r.answerExpiredWatches()
+	r.introduce()
 	if r.now < r.lead.lastSweepAt+sweepInterval {
 		return
 	}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -36,7 +36,8 @@
 			Field{"address", m.GetAddress()}, Field{"mends", r.cfg.TargetVoters > 0})
 	}
 	r.lead.joiners[m.GetAddress()] = &joiner{member: proto.CloneOf(m), lastSeenAt: r.now}
-	r.reply(id, &pb.JoinResponse{}, nil)
+	r.lead.introductions.recordAsked(m.GetAddress(), r.now)
+	r.reply(id, &pb.JoinResponse{Term: r.term, Replicas: memberAddresses(r.members)}, nil)
 }
 
 // reconcileMembership proposes the next change that brings the member list to the target
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -27,8 +27,11 @@
 type Config struct {
 	// Cluster is the cluster id; calls with another id are rejected.
 	Cluster string
-	// ID is the id of this replica.
-	ID uint64
+	// ID is the id of this replica, Address its address, host:port.
+	ID      uint64
+	Address string
+	// Seeds are the addresses of replicas that processes ask first, host:port; see Introduce.
+	Seeds []string
 	// Sender identifies this process and its incarnation in orders.
 	Sender string
 	// TargetVoters is the number of voters that the group maintains by itself; 0: only
@@ -64,6 +67,11 @@
 	// lead is the state of a ready leader; nil otherwise.
 	lead     *leadership
 	standing standing
+	// seeds are Config.Seeds as last changed, heard is the leader that was heard of, and
+	// namedLeader is the leader's address as last emitted.
+	seeds       []string
+	heard       heardLeader
+	namedLeader string
 
 	nextID    uint64
 	proposals map[uint64]*proposal
@@ -89,7 +97,7 @@
 // NewReducer returns a replica that starts from state.
 func NewReducer(cfg Config, node Node, state *State) *Reducer {
 	return &Reducer{
-		cfg: cfg, node: node, state: state, members: &pb.Membership{}, committed: &pb.Membership{},
+		cfg: cfg, node: node, state: state, seeds: cfg.Seeds, members: &pb.Membership{}, committed: &pb.Membership{},
 		proposals: make(map[uint64]*proposal),
 		appended:  make(map[uint64]*proposal),
 		reads:     make(map[uint64]func(bool)),
@@ -125,6 +133,10 @@
 		r.onDutyAnswered(e)
 	case QueryRemoved:
 		r.reply(e.ID, &pb.StepResponse{Removed: r.node.IsRemoved(e.Identity)}, nil)
+	case LeaderFound:
+		r.hear(e.Leader, e.Term, e.Replicas)
+	case SeedsChanged:
+		r.onSeedsChanged(e)
 	case Stop:
 		r.stepNode(consensus.TransferLeadership{})
 	}
@@ -148,6 +160,9 @@
 		r.leaderTick()
 	}
 	r.observeStanding()
+	if r.leaderAddress() != r.namedLeader {
+		r.emitMembers()
+	}
 }
 
 func (r *Reducer) onConsensus(ev consensus.Event) {
@@ -244,7 +259,11 @@
 }
 
 func (r *Reducer) emitMembers() {
-	r.emit(Members{Membership: r.members, Committed: r.committed, Leader: r.leader, IsLeader: r.lead != nil})
+	r.namedLeader = r.leaderAddress()
+	r.emit(Members{
+		Membership: r.members, Committed: r.committed, Leader: r.leader, IsLeader: r.lead != nil,
+		LeaderAddress: r.namedLeader, Replicas: r.heard.replicas,
+	})
 }
 
 // endLeadership answers all waiting calls with an error: their commands may still be
@@ -263,7 +282,7 @@
 // the leader's address if it is known.
 func (r *Reducer) notLeader() error {
 	return twirp.NewError(twirp.Unavailable, "this replica does not lead: "+r.standing.describe(r.now)).
-		WithMeta("leader", r.addressOf(r.leader))
+		WithMeta("leader", r.leaderAddress())
 }
 
 func (r *Reducer) addressOf(id uint64) string {
--- a/internal/control/runner/join.go
+++ b/internal/control/runner/join.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/control"
 	"goldcrestseam.dev/goldcrestseam/internal/ctl"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -44,7 +45,7 @@
 }
 
 func (r *Runner) requestJoin(ctx context.Context) error {
-	others := slices.DeleteFunc(slices.Clone(r.cfg.Control), func(a string) bool { return a == r.cfg.Address })
+	others := r.knownReplicas()
 	if len(others) == 0 {
 		return Failed.New("no other replica's address is known")
 	}
@@ -52,16 +53,30 @@
 	defer cancel()
 	identity := r.store.Identity()
 	client := ctl.NewClient(r.cfg.Cluster, others, r.auth)
+	var resp *pb.JoinResponse
 	err := client.Call(ctx, func(ctx context.Context, c pb.Operator) error {
-		_, err := c.Join(ctx, &pb.JoinRequest{ClusterId: r.cfg.Cluster, Member: &pb.ReplicaMember{
+		var err error
+		resp, err = c.Join(ctx, &pb.JoinRequest{ClusterId: r.cfg.Cluster, Member: &pb.ReplicaMember{
 			Identity: &pb.ReplicaIdentity{Id: identity.GetId(), Incarnation: identity.GetIncarnation()},
 			Address:  r.cfg.Address, DataCentre: r.cfg.DataCentre, Region: r.cfg.Region,
 		}})
 		return err
 	})
 	if err == nil {
-		leader := client.Leader()
-		r.loop.joinLeader.Store(&leader)
+		r.loop.post(control.LeaderFound{Leader: client.Leader(), Term: resp.GetTerm(), Replicas: resp.GetReplicas()})
 	}
 	return err
 }
+
+// knownReplicas returns the addresses of other replicas to ask: the leader if it is known, the
+// seeds, and the members as last heard of.
+func (r *Runner) knownReplicas() []string {
+	g := r.loop.currentGroup()
+	var addresses []string
+	for _, a := range slices.Concat([]string{g.leaderAddress}, *r.seeds.Load(), g.replicas) {
+		if a != "" && a != r.cfg.Address && !slices.Contains(addresses, a) {
+			addresses = append(addresses, a)
+		}
+	}
+	return addresses
+}
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -37,6 +37,10 @@
 	members  *pb.Membership
 	leader   uint64
 	isLeader bool
+	// leaderAddress and replicas are what is known of the leader and the members, also from
+	// outside of the group.
+	leaderAddress string
+	replicas      []string
 }
 
 // loop is the control goroutine, the only one that steps the reducer.
@@ -48,6 +52,7 @@
 	net     *transport
 	engines *engineSender
 	duties  *dutyCaller
+	intro   *introducer
 
 	// callCounters counts the calls of other processes.
 	callCounters *rpc.CallCounters
@@ -58,9 +63,6 @@
 	done   chan struct{}
 	failed chan error
 	group  atomic.Pointer[group]
-	// joinLeader is the address of the leader that this replica has asked to be added; nil
-	// if none.
-	joinLeader atomic.Pointer[string]
 
 	lastCallID   atomic.Uint64
 	mu           sync.Mutex
@@ -155,9 +157,11 @@
 	case control.DutyCall:
 		l.duties.call(e)
 	case control.Members:
-		l.group.Store(&group{members: e.Committed, leader: e.Leader, isLeader: e.IsLeader})
+		l.group.Store(&group{members: e.Committed, leader: e.Leader, isLeader: e.IsLeader, leaderAddress: e.LeaderAddress, replicas: e.Replicas})
 		l.net.setMembers(e.Membership)
 		l.scope.Gauge("leads").Update(boolGauge(e.IsLeader))
+	case control.Introduce:
+		l.intro.send(e)
 	case control.Fatal:
 		l.fail(e.Err)
 	case control.Log:
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -84,13 +84,7 @@
 // and whether this replica is the leader.
 func (p *Port) Leader() (address string, self bool) {
 	g := p.loop.currentGroup()
-	if address = addressOf(g.members, g.leader); address != "" {
-		return address, g.isLeader
-	}
-	if joinLeader := p.loop.joinLeader.Load(); joinLeader != nil {
-		return *joinLeader, false
-	}
-	return "", false
+	return g.leaderAddress, g.isLeader
 }
 
 // ReplicaFor returns the address of the replica that should take a server's next
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -56,6 +57,8 @@
 	server  *http.Server
 	relay   *announcementRelay
 	drivers Drivers
+	// seeds are the addresses of replicas to ask first; see Reload.
+	seeds atomic.Pointer[[]string]
 }
 
 // New opens the data folder and restores the state. The drivers serve additional protocols.
@@ -83,9 +86,10 @@
 	r := &Runner{
 		cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st, drivers: drivers,
 	}
+	r.seeds.Store(&cfg.Control)
 	auth.CountBytes(r.metrics.Scope)
 	reducer := control.NewReducer(control.Config{
-		Cluster: cfg.Cluster, ID: id,
+		Cluster: cfg.Cluster, ID: id, Address: cfg.Address, Seeds: cfg.Control,
 		Sender:       cfg.Name + "/" + uuid.NewString(),
 		OrderPause:   cfg.OrderPause,
 		TargetVoters: cfg.TargetVoters(),
@@ -97,9 +101,17 @@
 	r.engines = newEngineSender(r.loop, drivers.Orders)
 	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
+	r.loop.intro = newIntroducer(auth, log)
 	return r, nil
 }
 
+// Reload applies the settings that can change while the replica runs: the addresses of control.
+// The others take effect at the next start.
+func (r *Runner) Reload(cfg *settings.Control) {
+	r.seeds.Store(&cfg.Control)
+	r.loop.post(control.SeedsChanged{Seeds: cfg.Control})
+}
+
 // dutiesConfig returns the duties that the settings enable; without an address there are
 // none.
 func dutiesConfig(cfg *settings.Control) control.DutiesConfig {
@@ -244,6 +256,7 @@
 	close(r.loop.stop)
 	// Only the control goroutine enqueues disk writes, so it must end first.
 	<-r.loop.done
+	r.loop.intro.wait()
 	r.net.close()
 	close(r.loop.disk.writes)
 	if err := r.store.Close(); err != nil {
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -204,6 +204,11 @@
 	return typedAnswer[*pb.JoinResponse](s.loop.call(ctx, q))
 }
 
+// Introduce implements pb.Operator.
+func (s *services) Introduce(ctx context.Context, q *pb.IntroduceRequest) (*pb.IntroduceResponse, error) {
+	return typedAnswer[*pb.IntroduceResponse](s.loop.call(ctx, q))
+}
+
 // ChangeReplica implements pb.Operator.
 func (s *services) ChangeReplica(ctx context.Context, q *pb.ChangeReplicaRequest) (*pb.ChangeReplicaResponse, error) {
 	return typedAnswer[*pb.ChangeReplicaResponse](s.loop.call(ctx, q))
