Let elections end where a round of votes takes longer than the election timeout

What callers saw: no entry gets a view for 30 s and more; the group's replicas are all there and hold the log.

Cause: with 400 ms as the one measure of time, a candidate whose votes arrive after its timeout drops them and campaigns again in a higher term, as do all others; and a leader that was elected all the same steps down 400 ms later, before its first heartbeat can be answered. So replicas that get little processor time elect nobody for as long as that lasts.

Change: a vote counts for its whole term; the answers to requests for votes return the time of the request, and until there is a leader a replica waits for two such round trips, 8 election timeouts at most, before it campaigns again, or steps down for want of answers. With no answers nothing changes, so replicas that were cut off are as quick as before; refusals of votes and the lease keep their fixed times.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -6,8 +6,22 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
+// maxAnswerTimeout bounds answerTimeout, in ElectionTimeouts.
+const maxAnswerTimeout = 8
+
+// answerTimeout is how long this replica waits for the answers of others: an ElectionTimeout, or
+// two round trips of the last election if that is longer.
+//
+// Where a round trip takes longer than an ElectionTimeout, as on replicas that get little
+// processor time, candidates would all campaign again before an answer can arrive, and a new
+// leader would step down before its first heartbeat is answered: nobody would lead.
+func (n *Node) answerTimeout() time.Duration {
+	return max(n.cfg.ElectionTimeout, min(2*n.voteRoundTrip, maxAnswerTimeout*n.cfg.ElectionTimeout))
+}
+
+// resetElectionDeadline draws when this replica campaigns next.
 func (n *Node) resetElectionDeadline() {
-	wait := n.cfg.ElectionTimeout
+	wait := n.answerTimeout()
 	n.electionDeadline = n.now + wait + time.Duration(n.random.Int64N(int64(wait)))
 }
 
@@ -46,8 +60,8 @@
 		return
 	}
 	n.role, n.leader = preCandidate, 0
-	n.votes = map[uint64]bool{n.cfg.ID: true}
-	if n.wonElection() {
+	n.preVotes = map[uint64]bool{n.cfg.ID: true}
+	if n.hasQuorum(n.preVotes) {
 		n.startElection(false)
 		return
 	}
@@ -72,7 +86,7 @@
 			continue
 		}
 		m := n.message(kind, id)
-		m.Term, m.Force = term, force
+		m.Term, m.Force, m.Context = term, force, uint64(n.now)
 		m.Index, m.LogTerm = n.log.lastIndex(), n.log.lastTerm()
 		if kind == pb.MessageKind_MESSAGE_KIND_VOTE {
 			n.sendAfterSync(m)
@@ -152,19 +166,32 @@
 // sendPreVoteResponse needs no sync, since a pre-vote is no commitment.
 func (n *Node) sendPreVoteResponse(m *pb.Message, granted bool) {
 	resp := n.message(pb.MessageKind_MESSAGE_KIND_PRE_VOTE_RESPONSE, m.From)
-	resp.Reject = !granted
+	resp.Reject, resp.Context = !granted, m.Context
 	if granted {
 		resp.Term = m.Term
 	}
 	n.send(resp)
 }
 
+// observeVoteRoundTrip learns from an answer how long a round of votes takes. The answer returns
+// this replica's own time; one of before a loss of power may bear a later time than the present.
+func (n *Node) observeVoteRoundTrip(m *pb.Message) {
+	switch m.Kind {
+	case pb.MessageKind_MESSAGE_KIND_PRE_VOTE_RESPONSE, pb.MessageKind_MESSAGE_KIND_VOTE_RESPONSE:
+	default:
+		return
+	}
+	if sentAt := time.Duration(m.Context); sentAt > 0 && sentAt <= n.now {
+		n.voteRoundTrip = max(n.now-sentAt, (n.voteRoundTrip+n.now-sentAt)/2)
+	}
+}
+
 func (n *Node) onPreVoteResponse(m *pb.Message) {
 	if n.role != preCandidate || m.Reject || m.Term != n.term+1 {
 		return
 	}
-	n.votes[m.From] = true
-	if n.wonElection() {
+	n.preVotes[m.From] = true
+	if n.hasQuorum(n.preVotes) {
 		n.startElection(false)
 	}
 }
@@ -187,33 +214,36 @@
 
 func (n *Node) sendVoteResponse(m *pb.Message, granted bool) {
 	resp := n.message(pb.MessageKind_MESSAGE_KIND_VOTE_RESPONSE, m.From)
-	resp.Reject = !granted
+	resp.Reject, resp.Context = !granted, m.Context
 	n.sendAfterSync(resp)
 }
 
+// onVoteResponse counts a vote of this term, also after the election timeout: a vote binds its
+// voter for the whole term. If late ones were dropped, replicas that need longer than an election
+// timeout for a round of votes would hold elections forever.
 func (n *Node) onVoteResponse(m *pb.Message) {
-	if n.role == candidate && !m.Reject {
+	if n.votes != nil && !m.Reject {
 		n.recordVote(m.From, true)
 	}
 }
 
 func (n *Node) recordVote(voter uint64, granted bool) {
 	n.votes[voter] = granted
-	if n.wonElection() {
+	if n.hasQuorum(n.votes) {
 		n.becomeLeader()
 	}
 }
 
-func (n *Node) wonElection() bool {
+func (n *Node) hasQuorum(votes map[uint64]bool) bool {
 	voters := voterIDs(n.members.current())
-	return len(voters) > 0 && n.countVotes(voters) >= quorumSize(len(voters))
+	return len(voters) > 0 && countVotes(votes, voters) >= quorumSize(len(voters))
 }
 
 // countVotes counts the voters that have granted their vote.
-func (n *Node) countVotes(voters []uint64) int {
+func countVotes(votes map[uint64]bool, voters []uint64) int {
 	granted := 0
 	for _, id := range voters {
-		if n.votes[id] {
+		if votes[id] {
 			granted++
 		}
 	}
--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -89,7 +89,7 @@
 }
 
 func (n *Node) leaderTick() {
-	if n.now >= n.leaderState.quorumCheckedAt+n.cfg.ElectionTimeout {
+	if n.now >= n.leaderState.quorumCheckedAt+n.answerTimeout() {
 		n.leaderState.quorumCheckedAt = n.now
 		if !n.quorumActive() {
 			n.stepDown()
@@ -102,19 +102,19 @@
 	n.continueTransfer()
 }
 
-// quorumActive reports whether a quorum has answered within an ElectionTimeout. A
+// quorumActive reports whether a quorum has answered within an answerTimeout. A
 // leader that is partitioned steps down, so that its callers turn to another
 // replica.
 func (n *Node) quorumActive() bool {
 	voters := voterIDs(n.members.current())
-	return n.countActive(voters) >= quorumSize(len(voters))
+	return n.countActive(voters, n.answerTimeout()) >= quorumSize(len(voters))
 }
 
-// countActive counts the replicas that have answered within an ElectionTimeout.
-func (n *Node) countActive(ids []uint64) int {
+// countActive counts the replicas that have answered within that time.
+func (n *Node) countActive(ids []uint64, within time.Duration) int {
 	active := 0
 	for _, id := range ids {
-		if pr := n.leaderState.progress[id]; id == n.cfg.ID || pr.active(n.now, n.cfg.ElectionTimeout) {
+		if pr := n.leaderState.progress[id]; id == n.cfg.ID || pr.active(n.now, within) {
 			active++
 		}
 	}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -163,7 +163,7 @@
 	m.Removed = m.Removed[max(0, len(m.Removed)-maxRemoved):]
 	m.Members = slices.DeleteFunc(m.Members, func(other *pb.ReplicaMember) bool { return other == member })
 	voters := voterIDs(m)
-	if len(voters) == 0 || n.countActive(voters) < quorumSize(len(voters)) {
+	if len(voters) == 0 || n.countActive(voters, n.cfg.ElectionTimeout) < quorumSize(len(voters)) {
 		return QuorumAtRisk
 	}
 	return 0
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -66,7 +66,13 @@
 	// have answered a leader just before it restarted.
 	lastLeaderContact time.Duration
 	electionDeadline  time.Duration
-	votes             map[uint64]bool
+	// votes are those of this term, nil unless this replica stands for election in it; preVotes
+	// are those of the present campaign.
+	votes    map[uint64]bool
+	preVotes map[uint64]bool
+	// voteRoundTrip is how long answers to this replica's requests for votes took of late, zero
+	// once there is a leader.
+	voteRoundTrip time.Duration
 
 	leaderState      leaderState
 	incomingSnapshot snapshotReceiver
@@ -176,6 +182,7 @@
 	if n.onHello(m, e.Incarnation) {
 		return
 	}
+	n.observeVoteRoundTrip(m)
 	if m.Term > n.term && !n.onHigherTerm(m) {
 		return
 	}
@@ -221,6 +228,9 @@
 		n.persist.hardStateDirty = true
 	}
 	n.role, n.leader, n.votes = follower, leaderID, nil
+	if leaderID != 0 {
+		n.voteRoundTrip = 0
+	}
 	n.resetElectionDeadline()
 }
 
--- a/internal/consensus/persist.go
+++ b/internal/consensus/persist.go
@@ -112,7 +112,7 @@
 	p.syncedTerm = p.hardState.Term
 	n.log.stable = max(n.log.stable, p.stableAfter)
 	n.sendDeferred()
-	if n.role == candidate && p.hardState.Term == n.term && p.hardState.Vote == n.cfg.ID {
+	if n.votes != nil && p.hardState.Term == n.term && p.hardState.Vote == n.cfg.ID {
 		n.recordVote(n.cfg.ID, true)
 	}
 	if n.role == leader {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -65,7 +65,9 @@
 	// write in a simStep.
 	faultRate      float64
 	writeDelayRate float64
-	timers         []timer
+	// maxDelay is the longest additional delay of a message; without one, none is drawn.
+	maxDelay time.Duration
+	timers   []timer
 	// stateHashAt maps an applied index to the hash of the state after it on
 	// any replica.
 	stateHashAt   map[uint64]uint64
@@ -248,6 +250,9 @@
 		if c.random.Float64() < c.lossRate {
 			delay *= time.Duration(1 + c.random.IntN(100))
 		}
+		if c.maxDelay > 0 {
+			delay += time.Duration(c.random.Int64N(int64(c.maxDelay)))
+		}
 		c.packets = append(c.packets, packet{
 			at: c.now + delay, from: from, to: to, m: proto.Clone(m).(*pb.Message),
 		})
--- /dev/null
+++ b/internal/consensus/slow_election_test.go
@@ -0,0 +1,81 @@
+package consensus
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+// restartWithSlowMessages ends all replicas of a group of five at once, and starts them again in a
+// network in which a message takes up to maxDelay.
+func restartWithSlowMessages(seed uint64, maxDelay time.Duration) *cluster {
+	c := newCluster(seed, 5)
+	c.run(3 * time.Second)
+	for _, id := range c.ids {
+		c.crash(c.hosts[id])
+	}
+	c.packets, c.maxDelay = nil, maxDelay
+	for _, id := range c.ids {
+		c.start(c.hosts[id])
+	}
+	return c
+}
+
+// Guards against a group that elects nobody, or whose leaders step down at once, while a round of
+// votes takes longer than an election timeout, as on replicas that get little processor time.
+func TestSlowReplicasElectALeaderInTime(t *testing.T) {
+	t.Parallel()
+	const (
+		maxDelay = 900 * time.Millisecond
+		// bound is the shortest time in which a deployment's users want service back.
+		bound = 12 * time.Second
+		seeds = 40
+	)
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			c := restartWithSlowMessages(seed, maxDelay)
+			for end := c.now + bound; c.leader() == nil; c.run(20 * time.Millisecond) {
+				if c.now >= end || len(c.violations) > 0 {
+					t.Fatalf("no ready leader within %v; violations %v", bound, c.violations)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a vote that counts in a later term than its own, or after another leader was
+// heard of in its term.
+func TestLateVoteCountsInItsTermOnly(t *testing.T) {
+	c := newCluster(1, 3)
+	c.run(3 * time.Second)
+	n := c.leader().node
+	other := c.ids[0]
+	if other == n.cfg.ID {
+		other = c.ids[1]
+	}
+	vote := func(term uint64) Receive {
+		return Receive{Message: voteResponse(other, n.cfg.ID, term), Incarnation: c.hosts[other].disk.identity.Incarnation}
+	}
+	n.stepDown()
+	n.startPreVote()
+	n.Step(n.now, vote(n.term))
+	if n.role == leader {
+		t.Fatal("a replica that has stepped down leads again in its term by a late vote")
+	}
+	n.startElection(false)
+	n.Step(n.now, vote(n.term-1))
+	if n.role == leader || len(n.votes) > 0 {
+		t.Fatal("a vote of an earlier term counts")
+	}
+	n.becomeFollower(n.term, other)
+	n.Step(n.now, vote(n.term))
+	if n.role == leader {
+		t.Fatal("a vote counts after another leader of the term was heard of")
+	}
+}
+
+func voteResponse(from, to, term uint64) *pb.Message {
+	return &pb.Message{Kind: pb.MessageKind_MESSAGE_KIND_VOTE_RESPONSE, From: from, To: to, Term: term}
+}
--- a/internal/consensus/standing.go
+++ b/internal/consensus/standing.go
@@ -53,9 +53,14 @@
 }
 
 func (n *Node) electionStatus() ElectionStatus {
-	if n.role != preCandidate && n.role != candidate {
+	votes := n.votes
+	switch n.role {
+	case preCandidate:
+		votes = n.preVotes
+	case candidate:
+	default:
 		return ElectionStatus{}
 	}
 	voters := voterIDs(n.members.current())
-	return ElectionStatus{VotesGranted: n.countVotes(voters), VotesNeeded: quorumSize(len(voters))}
+	return ElectionStatus{VotesGranted: countVotes(votes, voters), VotesNeeded: quorumSize(len(voters))}
 }
