Leaders forget a slow election by the answers to their heartbeats

Cause, found by reading the diff: a vote that comes late, from a replica that was frozen, made the new leader wait for up to 3.2 s in place of 0.4 s for its whole leadership before it steps down as cut off.

Change: answers to votes count while the replica campaigns only; as a leader it learns from the answers to its heartbeats, each of which counts half.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -10,13 +10,13 @@
 const maxAnswerTimeout = 8
 
 // answerTimeout is how long this replica waits for the answers of others: an ElectionTimeout, or
-// two round trips of the last election if that is longer.
+// two round trips of late if that is longer.
 //
 // Where a round trip takes longer than an ElectionTimeout, as on replicas that get little
 // processor time, candidates would all campaign again before an answer can arrive, and a new
 // leader would step down before its first heartbeat is answered: nobody would lead.
 func (n *Node) answerTimeout() time.Duration {
-	return max(n.cfg.ElectionTimeout, min(2*n.voteRoundTrip, maxAnswerTimeout*n.cfg.ElectionTimeout))
+	return max(n.cfg.ElectionTimeout, min(2*n.roundTrip, maxAnswerTimeout*n.cfg.ElectionTimeout))
 }
 
 // resetElectionDeadline draws when this replica campaigns next.
@@ -176,17 +176,22 @@
 // observeVoteRoundTrip learns from an answer how long a round of votes takes. The answer returns
 // this replica's own time; one of before a loss of power may bear a later time than the present.
 func (n *Node) observeVoteRoundTrip(m *pb.Message) {
-	switch m.Kind {
-	case pb.MessageKind_MESSAGE_KIND_PRE_VOTE_RESPONSE, pb.MessageKind_MESSAGE_KIND_VOTE_RESPONSE:
-	default:
+	sentAt := time.Duration(m.Context)
+	if n.role != preCandidate && n.role != candidate || sentAt <= 0 || sentAt > n.now {
 		return
 	}
-	if sentAt := time.Duration(m.Context); sentAt > 0 && sentAt <= n.now {
-		n.voteRoundTrip = max(n.now-sentAt, (n.voteRoundTrip+n.now-sentAt)/2)
-	}
+	n.roundTrip = max(n.now-sentAt, n.roundTrip)
+}
+
+// observeHeartbeatRoundTrip learns the same from an answer to a leader's heartbeat. Each answer counts
+// half, so that a slow election is soon forgotten: a leader that waited long for answers
+// would notice late that it has been cut off.
+func (n *Node) observeHeartbeatRoundTrip(sentAt time.Duration) {
+	n.roundTrip = (n.roundTrip + n.now - sentAt) / 2
 }
 
 func (n *Node) onPreVoteResponse(m *pb.Message) {
+	n.observeVoteRoundTrip(m)
 	if n.role != preCandidate || m.Reject || m.Term != n.term+1 {
 		return
 	}
@@ -222,6 +227,7 @@
 // voter for the whole term. If late ones were dropped, replicas that need longer than an election
 // timeout for a round of votes would hold elections forever.
 func (n *Node) onVoteResponse(m *pb.Message) {
+	n.observeVoteRoundTrip(m)
 	if n.votes != nil && !m.Reject {
 		n.recordVote(m.From, true)
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -70,9 +70,9 @@
 	// are those of the present campaign.
 	votes    map[uint64]bool
 	preVotes map[uint64]bool
-	// voteRoundTrip is how long answers to this replica's requests for votes took of late, zero
-	// once there is a leader.
-	voteRoundTrip time.Duration
+	// roundTrip is how long answers to this replica's requests for votes, or to its heartbeats,
+	// took of late; zero while it follows a leader.
+	roundTrip time.Duration
 
 	leaderState      leaderState
 	incomingSnapshot snapshotReceiver
@@ -182,7 +182,6 @@
 	if n.onHello(m, e.Incarnation) {
 		return
 	}
-	n.observeVoteRoundTrip(m)
 	if m.Term > n.term && !n.onHigherTerm(m) {
 		return
 	}
@@ -229,7 +228,7 @@
 	}
 	n.role, n.leader, n.votes = follower, leaderID, nil
 	if leaderID != 0 {
-		n.voteRoundTrip = 0
+		n.roundTrip = 0
 	}
 	n.resetElectionDeadline()
 }
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -212,6 +212,7 @@
 func (n *Node) onHeartbeatResponse(m *pb.Message, pr *progress) {
 	if at, ok := n.leaderState.rounds.sendTime(m.Context); ok && m.Context > pr.ackedRound {
 		pr.ackedRound, pr.ackedSentAt = m.Context, at
+		n.observeHeartbeatRoundTrip(at)
 	}
 	n.confirmReads()
 	stalled := n.now >= pr.lastActivityAt+stallIntervals*n.cfg.HeartbeatInterval
--- a/internal/consensus/slow_election_test.go
+++ b/internal/consensus/slow_election_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Guards against a leader that notices late that it is cut off, since an answer to its election came late.
+func TestLeaderForgetsASlowElection(t *testing.T) {
+	c := newCluster(1, 3)
+	c.run(3 * time.Second)
+	n := c.leader().node
+	n.roundTrip = 4 * time.Second
+	c.run(time.Second)
+	if n.answerTimeout() != n.cfg.ElectionTimeout {
+		t.Errorf("the leader waits %v for answers that take %v", n.answerTimeout(), n.roundTrip)
+	}
+}
+
 // Guards against a vote that counts in a later term than its own, or after another leader was
 // heard of in its term.
 func TestLateVoteCountsInItsTermOnly(t *testing.T) {
