Say who was asked where a stream began, which builds serve, and how late a change was

Cause: a refusal of a stream that is taken up said neither which entries were asked nor which of them knew, nor which builds serve; a stream that went on said nothing of it at all. The leader's line about a declaration did not name the bound of the sheet, and counted the ticks behind the last entry. Control takes the bound from the settings (in_force_within) and warns when less than a third of it was left; after_ms ends with the last entry.

--- a/internal/control/inforce.go
+++ b/internal/control/inforce.go
@@ -14,6 +14,8 @@
 	pendingLogInterval = time.Second
 	// maxNamedEntries bounds the entries that such a line names.
 	maxNamedEntries = 5
+	// lateShare is the share of Config.InForceWithin after which a declaration counts as nearly late.
+	lateShare = 2.0 / 3
 )
 
 // pendingRevision is a declaration that some entry in touch with the leader may not have yet.
@@ -56,13 +58,23 @@
 			r.logLacking(p, lacking)
 			return
 		}
-		r.log(slog.LevelInfo, "declaration in force at all entries", Field{"revision", p.revision},
-			Field{"after_ms", (r.now - p.since).Milliseconds()}, Field{"last_entry", f.lastEntry},
-			Field{"last_ms_ago", (r.now - f.lastAt).Milliseconds()})
+		r.logInForce(p)
 		f.pending = f.pending[1:]
 	}
 }
 
+// logInForce logs when the last entry in touch had a declaration. It is a warning if less than a third of the time for it was left.
+func (r *Reducer) logInForce(p *pendingRevision) {
+	f, bound, level := &r.lead.inForce, r.cfg.InForceWithin, slog.LevelInfo
+	after := max(0, f.lastAt-p.since)
+	if bound > 0 && after > time.Duration(lateShare*float64(bound)) {
+		level = slog.LevelWarn
+	}
+	r.log(level, "declaration in force at all entries", Field{"revision", p.revision},
+		Field{"after_ms", after.Milliseconds()}, Field{"bound_ms", bound.Milliseconds()}, Field{"last_entry", f.lastEntry},
+		Field{"entries", len(r.lead.entries)}, Field{"last_ms_ago", (r.now - f.lastAt).Milliseconds()})
+}
+
 // entriesLacking returns the names of the entries in touch with this leader that have an older
 // declaration, in order.
 func (r *Reducer) entriesLacking(revision uint64) []string {
--- a/internal/control/inforce_test.go
+++ b/internal/control/inforce_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"log/slog"
 	"slices"
 	"testing"
 	"time"
@@ -46,3 +47,35 @@
 		t.Errorf("last entries: %v", got)
 	}
 }
+
+// Guards against a declaration that was nearly late at the last entry, and of which no line warns.
+func TestNearlyLateDeclarationIsAWarning(t *testing.T) {
+	h := newHarness(t)
+	h.cfg.InForceWithin = 2 * time.Second
+	late := h.addEntry("entry-1")
+	h.advance(time.Second)
+	for n, c := range []struct {
+		silent time.Duration
+		want   slog.Level
+	}{{100 * time.Millisecond, slog.LevelInfo}, {1400 * time.Millisecond, slog.LevelWarn}} {
+		late.silent = true
+		h.apply(testDeclaration(uint64(n+1), uint64(n), "a", "one"))
+		h.advance(c.silent)
+		late.silent = false
+		h.advance(time.Second)
+		if got := h.levels("declaration in force at all entries"); len(got) != n+1 || got[n] != c.want {
+			t.Errorf("silent for %v: %v", c.silent, got)
+		}
+	}
+}
+
+// levels returns the levels of the lines with that message.
+func (h *harness) levels(message string) []slog.Level {
+	var levels []slog.Level
+	for _, l := range h.logs {
+		if l.Message == message {
+			levels = append(levels, l.Level)
+		}
+	}
+	return levels
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -92,8 +92,8 @@
 		Cluster: cfg.Cluster, ID: id, Address: cfg.Address, Seeds: cfg.Control,
 		Sender:       cfg.Name + "/" + uuid.NewString(),
 		OrderPause:   cfg.OrderPause,
-		TargetVoters: cfg.TargetVoters(),
-		Duties:       dutiesConfig(cfg),
+		TargetVoters: cfg.TargetVoters(), InForceWithin: cfg.InForceWithin,
+		Duties: dutiesConfig(cfg),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
 	r.relay = newAnnouncementRelay(cfg, auth, log)
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -61,7 +61,7 @@
 	s := &Snapshot{
 		Declaration: v.declaration, Members: v.members, Routes: v.routes, ViewVersion: v.version,
 		Revision: v.revision, ViewFrom: v.receivedFrom, Control: v.control,
-		Leaving: r.leaving, Drained: make(map[string]bool), Servers: len(r.servers.sorted), Load: r.loadShare(),
+		Leaving: r.leaving, Drained: make(map[string]bool), Servers: len(r.servers.sorted), Builds: r.servers.builds, Load: r.loadShare(),
 		Aggregator: r.peers.group.aggregatorAddress(r.now), AskAggregatorFrom: r.peers.group.backoffUntil,
 		LeaseExpiring: r.leaseExpiring(),
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -112,7 +112,9 @@
 	pending map[string]engineapi.Announcement
 	// restricted are the servers that accept less than they have slots for, in order of id.
 	restricted []*server
-	ended      endedIncarnations
+	// builds counts the servers of the view by the build of their software.
+	builds []Build
+	ended  endedIncarnations
 }
 
 func newServerTable() serverTable {
@@ -148,6 +150,7 @@
 		replaced = append(replaced, id)
 	}
 	t.sort()
+	t.builds = countBuilds(t.sorted)
 	t.findRestricted(now)
 	return replaced
 }
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -21,8 +21,10 @@
 	ViewFrom string
 	// Drained holds the backend servers that operators have drained.
 	Drained map[string]bool
-	// Servers is the number of backend servers in the view.
+	// Servers is the number of backend servers in the view, Builds counts them by the build of their
+	// software.
 	Servers int
+	Builds  []Build
 	// UnavailableUntil tells until when server incarnations accept no requests, in time since
 	// boot.
 	UnavailableUntil map[string]time.Duration
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"syscall"
 	"time"
@@ -141,12 +142,47 @@
 	return err
 }
 
-// Find returns where a stream began, nil if that is not known. complete is false if an entry that may
-// know it has not answered.
-func (o *Origins) Find(ctx context.Context, k origin.Key) (from *decision.Origin, complete bool) {
-	if own, known := o.store.Get(k, clock.SinceBoot()); known {
-		return &own, true
+// Lookup is what a search for the origin of a stream found.
+type Lookup struct {
+	// Origin is where the stream began, nil if that is not known.
+	Origin *decision.Origin
+	// Holder is the address that knew it, empty for this entry itself.
+	Holder string
+	// Asked is how many were asked, Answered how many of them have said whether they know it.
+	Asked, Answered int
+	// Took is how long the search took.
+	Took time.Duration
+}
+
+// Complete reports whether all that may know the origin have answered.
+func (l *Lookup) Complete() bool { return l.Origin != nil || l.Answered == l.Asked }
+
+// Attr describes the search in a log line.
+func (l *Lookup) Attr() slog.Attr {
+	attrs := []any{
+		slog.Bool("known", l.Origin != nil), slog.Int("asked", l.Asked), slog.Int("answered", l.Answered),
+		slog.Int64("took_ms", l.Took.Milliseconds()),
+	}
+	if l.Origin != nil {
+		attrs = append(attrs, slog.String("holder", l.Holder), slog.String("pool", l.Origin.Pool),
+			slog.String("version", l.Origin.Version), slog.String("incarnation", l.Origin.Incarnation))
+	}
+	return slog.Group("origin", attrs...)
+}
+
+// Find searches for the place where a stream began.
+func (o *Origins) Find(ctx context.Context, k origin.Key) *Lookup {
+	start := clock.SinceBoot()
+	if own, known := o.store.Get(k, start); known {
+		return &Lookup{Origin: &own}
 	}
+	l := o.askEntries(ctx, k)
+	l.Took = clock.SinceBoot() - start
+	return l
+}
+
+// askEntries asks those of the other entries that may know the origin.
+func (o *Origins) askEntries(ctx context.Context, k origin.Key) *Lookup {
 	asked := o.host.Snapshot().OriginHolders(k.String(), o.host.Settings.Name, true)
 	asked = asked[:min(originsAsked, len(asked))]
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
@@ -155,19 +191,23 @@
 	for _, address := range asked {
 		o.host.Spawn(func() { answers <- o.ask(ctx, address, k) })
 	}
-	complete = true
+	l := &Lookup{Asked: len(asked)}
 	for range asked {
 		a := <-answers
+		if a.answered {
+			l.Answered++
+		}
 		if a.origin != nil {
-			return a.origin, true
+			l.Origin, l.Holder = a.origin, a.address
+			return l
 		}
-		complete = complete && a.answered
 	}
-	return nil, complete
+	return l
 }
 
 // originAnswer is what an entry says of a stream: where it began, nothing, or no answer at all.
 type originAnswer struct {
+	address  string
 	origin   *decision.Origin
 	answered bool
 }
@@ -176,22 +216,22 @@
 	found, err := o.host.peers.clientFor(address).FindOrigin(ctx, &pb.FindOriginRequest{
 		ClusterId: o.host.Settings.Cluster, Member: k.Member, RequestId: k.RequestID,
 	})
+	answer := originAnswer{address: address, answered: true}
 	var twerr twirp.Error
 	switch {
 	case err == nil:
-		return originAnswer{&decision.Origin{Pool: found.GetPool(), Version: found.GetSoftwareVersion(), Incarnation: found.GetIncarnation()}, true}
+		answer.origin = &decision.Origin{Pool: found.GetPool(), Version: found.GetSoftwareVersion(), Incarnation: found.GetIncarnation()}
 	case errors.As(err, &twerr) && twerr.Code() == twirp.NotFound:
-		return originAnswer{answered: true}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		// Its process has ended, and what it alone knew with it.
-		return originAnswer{answered: true}
 	case errors.Is(ctx.Err(), context.Canceled):
 		// Another entry has answered.
-		return originAnswer{}
+		answer.answered = false
 	default:
+		answer.answered = false
 		o.host.Log.Info("another entry has not said where a stream began", "address", address, "request_id", k.RequestID, "error", err.Error())
-		return originAnswer{}
 	}
+	return answer
 }
 
 // RememberOrigins stores where streams of another entry began.
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -30,10 +31,12 @@
 	req   *Request
 	route *declaration.HostRoute
 	// basis is the view in which the route was found.
-	basis   host.ViewBasis
-	service *declaration.Service
-	caller  *trackedCaller
-	arrived entry.RequestArrived
+	basis host.ViewBasis
+	// resumeAttrs describe the search for the origin of a stream that is taken up.
+	resumeAttrs []slog.Attr
+	service     *declaration.Service
+	caller      *trackedCaller
+	arrived     entry.RequestArrived
 	// response is the complete response for the caller.
 	response *bufferedResponse
 	effects  <-chan entry.Effect
@@ -78,13 +81,17 @@
 		return
 	}
 	var from *decision.Origin
+	var found *host.Lookup
 	if req.resumes(route) {
-		if from, refusal = s.findOrigin(ctx, req, route, snap); refusal != nil {
-			s.refuse(req, caller, refusal, basis.Attr())
+		if from, found, refusal = s.findOrigin(ctx, req, route, snap); refusal != nil {
+			s.refuse(req, caller, refusal, append(resumeAttrs(found, snap), basis.Attr())...)
 			return
 		}
 	}
-	j := &job{s: s, req: req, route: route, basis: basis, caller: caller, arrived: s.requestArrived(req, at, route, snap, from)}
+	j := &job{
+		s: s, req: req, route: route, basis: basis, caller: caller, arrived: s.requestArrived(req, at, route, snap, from),
+		resumeAttrs: resumeAttrs(found, snap),
+	}
 	j.service = snap.Declaration.Service(j.arrived.Work.Service)
 	j.log = newJobLog(j)
 	j.run(ctx)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -116,6 +116,9 @@
 	if l.firstEventAt > 0 {
 		args = append(args, "first_ms", l.firstEventAt.Milliseconds())
 	}
+	for _, a := range l.job.resumeAttrs {
+		args = append(args, a)
+	}
 	l.write(obs.LineAnswered, args...)
 }
 
@@ -128,7 +131,8 @@
 	took := time.Since(l.start)
 	l.job.s.count(l.job.route.Profile, "refused", took)
 	l.job.s.logRefused(l.job.req, l.job.route.Name, r, slog.Int("attempts", l.attempts), l.job.basis.Attr(),
-		slog.Int64("ms", took.Milliseconds()), slog.Int64("limit_ms", l.timeLimit().Milliseconds()))
+		slog.Int64("ms", took.Milliseconds()), slog.Int64("limit_ms", l.timeLimit().Milliseconds()),
+		slog.Attr{Value: slog.GroupValue(l.job.resumeAttrs...)})
 }
 
 func (s *Server) logRefused(req *Request, route string, r *outcome.Refusal, extra ...slog.Attr) {
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/origin"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -29,32 +31,40 @@
 
 // findOrigin returns where the stream began that the request takes up, or the refusal of a request
 // whose stream began nobody knows where. Another server than the right one would join what doesn't
-// fit together.
+// fit together. The lookup is nil if nobody was asked.
 func (s *Server) findOrigin(
 	ctx context.Context, r *Request, route *declaration.HostRoute, snap *entry.Snapshot,
-) (*decision.Origin, *outcome.Refusal) {
+) (*decision.Origin, *host.Lookup, *outcome.Refusal) {
 	if r.Resumes == "" {
-		return nil, refuseUnknownOrigin()
+		return nil, nil, refuseUnknownOrigin()
 	}
 	member := memberOf(r, snap)
 	if route.MembersOnly && member == "" {
 		// The reducer refuses the credential, which says more than that there is no such stream.
-		return &decision.Origin{}, nil
+		return &decision.Origin{}, nil, nil
 	}
-	from, complete := s.host.Origins.Find(ctx, origin.Key{Member: member, RequestID: r.Resumes})
+	found := s.host.Origins.Find(ctx, origin.Key{Member: member, RequestID: r.Resumes})
 	switch {
-	case from != nil:
-		return from, nil
-	case complete:
-		return nil, refuseUnknownOrigin()
+	case found.Origin != nil:
+		return found.Origin, found, nil
+	case found.Complete():
+		return nil, found, refuseUnknownOrigin()
 	default:
 		refusal := refuseUnknownOrigin()
-		refusal.Message = "an entry that may know where this stream began has not answered; ask again"
+		refusal.Message = "one that may know where this stream began has not answered; ask again"
 		refusal.RetryAfter = originRetryAfter
-		return nil, refusal
+		return nil, found, refusal
 	}
 }
 
+// resumeAttrs describe a taken-up stream in a log line: who was asked where it began, and which builds serve.
+func resumeAttrs(found *host.Lookup, snap *entry.Snapshot) []slog.Attr {
+	if found == nil {
+		return nil
+	}
+	return []slog.Attr{found.Attr(), slog.Any("builds", snap.Builds)}
+}
+
 func memberOf(r *Request, snap *entry.Snapshot) string {
 	if m := snap.Members[credentialHash(r)]; m != nil && r.Credential != "" {
 		return m.Name
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -58,6 +58,9 @@
 	MaxFiles int `yaml:"max_files"`
 	// Roles configures role changes for documents received at RegistryAddress, which can't.
 	Roles declaration.Roles `yaml:"roles"`
+	// InForceWithin is the time within which a confirmed declaration should be in force at all entries
+	// in touch. The leader warns when little of it was left. Default 0: not checked.
+	InForceWithin time.Duration `yaml:"in_force_within"`
 	// Duties configures the calls to external services that one replica at a time makes.
 	Duties Duties `yaml:"duties"`
 	// ElectionTimeout is the base of the randomized election timeout: a follower without contact to
@@ -146,6 +149,7 @@
 	checkDuration(file, "election_timeout", s.ElectionTimeout, 50*time.Millisecond, time.Minute)
 	checkPositive(file, "snapshot_entries", s.SnapshotEntries)
 	checkDuration(file, "order_pause", s.OrderPause, time.Second, time.Hour)
+	checkDuration(file, "in_force_within", s.InForceWithin, 0, time.Hour)
 }
 
 func (s *Control) checkBootstrap(file *yamlfile.File) {
--- a/internal/traffic/origin.go
+++ b/internal/traffic/origin.go
@@ -29,17 +29,19 @@
 	if j.offset == 0 {
 		return nil
 	}
-	from, complete := j.server.host.Origins.Find(ctx, originKey(record))
-	if from != nil {
-		j.arrived.Work.Origin = from
+	found := j.server.host.Origins.Find(ctx, originKey(record))
+	j.server.host.Log.Info("origin of an answer that is resumed", "request_id", record.GetRequestId(), found.Attr(),
+		"builds", j.server.host.Snapshot().Builds)
+	if found.Origin != nil {
+		j.arrived.Work.Origin = found.Origin
 		return nil
 	}
 	refusal := &outcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeOriginUnknown, Outcome: outcome.Unknown,
 		Message: "no entry knows which software began this answer; send the request again",
 	}
-	if !complete {
-		refusal.Message = "an entry that may know which software began this answer has not answered; resume it again"
+	if !found.Complete() {
+		refusal.Message = "one that may know which software began this answer has not answered; resume it again"
 		refusal.RetryAfter = time.Second
 	}
 	return refusal
