Control's replicas know where streams began once all entries have ended

Cause: where a stream began was in the memory of four entries only. Change: an origin is also told to two of control's replicas, which keep it in memory: no log, no disk, no leader, since it never changes and what is lost is refused, not guessed. Entries tell them themselves, in fleets with aggregators the first holder does; messages to one replica are 50 ms apart. Who takes a stream up asks the entries, then all replicas; one that doesn't answer is borne, with two it is said to ask again. A name that was used for streams of builds that don't fit together is no longer known. A try may also name the one that took the stream up before it. Why it holds: entries and control fail apart; what either knows is final when told.

--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -14,6 +14,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/origin"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/store"
 )
@@ -34,6 +35,8 @@
 	protected.Handle(replica.PathPrefix(), replica)
 	protected.Handle(control.PathPrefix(), control)
 	protected.Handle(operator.PathPrefix(), operator)
+	origins := pb.NewOriginsServer(&originHolder{cluster: r.cfg.Cluster, store: origin.NewStore()})
+	protected.Handle(origins.PathPrefix(), origins)
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.metrics.Handler)
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -219,6 +219,19 @@
 	return addresses
 }
 
+// TellsControl reports whether the entry self tells control's replicas itself where streams began. In
+// large fleets the aggregators do, so that the replicas receive fewer and larger messages.
+func (s *Snapshot) TellsControl(self string) bool {
+	grouped := false
+	for _, e := range s.Entries {
+		if e.IsAggregator && e.Name == self {
+			return true
+		}
+		grouped = grouped || e.IsAggregator
+	}
+	return !grouped
+}
+
 // compareByHash orders entries by the hash of their name with the key, highest first.
 func compareByHash(a, b EntryWeight, key string) int {
 	return cmp.Or(cmp.Compare(rendezvousHash(b, key), rendezvousHash(a, key)), cmp.Compare(a.Name, b.Name))
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// Addresses returns the addresses of the replicas that are known.
+func (c *ControlClient) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.addresses)
+}
+
 // currentReplica returns the replica that is presumed to be the leader.
 func (c *ControlClient) currentReplica() Replica {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/host/origin_queue.go
@@ -0,0 +1,122 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+)
+
+const (
+	// controlHolders is how many of control's replicas are told where a stream began.
+	controlHolders = 2
+	// controlOriginPause is the time between two messages to a replica. Hundreds of entries would
+	// otherwise cost it more processor time than all else.
+	controlOriginPause = 50 * time.Millisecond
+	// originTimeout bounds one call that tells origins.
+	originTimeout = 500 * time.Millisecond
+	// maxUntoldOrigins bounds what waits for one process that is slow to answer.
+	maxUntoldOrigins = 1024
+)
+
+// originHolder is a process that is told where streams began.
+type originHolder struct {
+	address string
+	// control is set for one of control's replicas, else it is an entry.
+	control bool
+}
+
+// originQueue holds what one process has still to be told, while a call to it is under way.
+type originQueue struct {
+	waiting []untoldOrigin
+	sending bool
+}
+
+// untoldOrigin is an origin with the addresses of those that may hold it instead, best first.
+type untoldOrigin struct {
+	origin *pb.StreamOrigin
+	others []string
+}
+
+// tellControl tells two of control's replicas where a stream began.
+func (o *Origins) tellControl(told *pb.StreamOrigin) {
+	replicas := o.controlReplicas()
+	holders := min(controlHolders, len(replicas))
+	for n, address := range replicas[:holders] {
+		o.tell(originHolder{address: address, control: true}, untoldOrigin{origin: told, others: everyNth(replicas[holders:], n, holders)})
+	}
+}
+
+// tell passes an origin to a process, together with the others that come while a call is under way.
+func (o *Origins) tell(to originHolder, u untoldOrigin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := o.queues[to]
+	if q == nil {
+		q = &originQueue{}
+		o.queues[to] = q
+	}
+	if len(q.waiting) >= maxUntoldOrigins {
+		o.host.Metrics.Scope.Counter("origins_dropped").Inc(1)
+		return
+	}
+	q.waiting = append(q.waiting, u)
+	if !q.sending {
+		q.sending = true
+		o.host.Spawn(func() { o.drain(to, q) })
+	}
+}
+
+// drain tells a process all that waits for it. What it does not take goes to the next best one.
+func (o *Origins) drain(to originHolder, q *originQueue) {
+	for {
+		o.mu.Lock()
+		batch := q.waiting
+		q.waiting = nil
+		if len(batch) == 0 {
+			q.sending = false
+			delete(o.queues, to)
+			o.mu.Unlock()
+			return
+		}
+		o.mu.Unlock()
+		if err := o.send(to, batch); err != nil {
+			o.passToOthers(to, batch, err)
+		}
+		if to.control {
+			Sleep(o.host.TaskContext, controlOriginPause)
+		}
+	}
+}
+
+func (o *Origins) passToOthers(to originHolder, batch []untoldOrigin, err error) {
+	o.host.Log.Info("it has not been taken where streams began", "address", to.address, "control", to.control,
+		"streams", len(batch), "error", err.Error())
+	for _, u := range batch {
+		if len(u.others) > 0 {
+			o.tell(originHolder{address: u.others[0], control: to.control}, untoldOrigin{origin: u.origin, others: u.others[1:]})
+		}
+	}
+}
+
+func (o *Origins) send(to originHolder, batch []untoldOrigin) error {
+	ctx, cancel := context.WithTimeout(o.host.TaskContext, originTimeout)
+	defer cancel()
+	req := &pb.RememberOriginsRequest{ClusterId: o.host.Settings.Cluster}
+	for _, u := range batch {
+		req.Origins = append(req.Origins, u.origin)
+	}
+	var err error
+	if to.control {
+		_, err = o.controlClient(to.address).RememberOrigins(ctx, req)
+	} else {
+		_, err = o.host.peers.clientFor(to.address).RememberOrigins(ctx, req)
+	}
+	o.host.Metrics.Scope.Tagged(map[string]string{"ok": okLabel(err)}).Counter("origins_told").Inc(int64(len(batch)))
+	return err
+}
+
+// controlClient returns a client for the replica at an address.
+func (o *Origins) controlClient(address string) pb.Origins {
+	return pb.NewOriginsProtobufClient(o.host.Auth.URL(address), o.host.peers.http)
+}
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -1,13 +1,16 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
@@ -23,16 +26,14 @@
 	// originsAsked is how many entries are asked. It is more than are told: by the view of the entry
 	// that asks, others may have come before the holders.
 	originsAsked = 6
-	// originTimeout bounds one call that tells origins, originLookupTimeout the search for one.
-	originTimeout       = 500 * time.Millisecond
+	// originLookupTimeout bounds each half of the search for an origin: at entries, then at control.
 	originLookupTimeout = 250 * time.Millisecond
-	// maxUntoldOrigins bounds what waits for one entry that is slow to answer.
-	maxUntoldOrigins = 1024
 )
 
 // Origins tells where streams began. An entry that ends takes its callers' streams with it, and they
 // take them up at any other one, so each origin is held by several entries, which are found by a
-// rendezvous hash of the stream's key.
+// rendezvous hash of the stream's key, and by two of control's replicas, for the case that all entries
+// end.
 //
 // What is not found is not known: an old record must never stand in for a newer one, and there is
 // none, since an origin is told only once it is final, with the first event.
@@ -41,37 +42,31 @@
 	store *origin.Store
 
 	mu     sync.Mutex
-	queues map[string]*originQueue
-}
-
-// originQueue holds what one entry has still to be told, while a call to it is under way.
-type originQueue struct {
-	waiting []untoldOrigin
-	sending bool
-}
-
-// untoldOrigin is an origin with the addresses of those that may hold it instead, best first.
-type untoldOrigin struct {
-	origin *pb.StreamOrigin
-	others []string
+	queues map[originHolder]*originQueue
 }
 
 func newOrigins(h *Host) *Origins {
-	return &Origins{host: h, store: origin.NewStore(), queues: make(map[string]*originQueue)}
+	return &Origins{host: h, store: origin.NewStore(), queues: make(map[originHolder]*originQueue)}
 }
 
 // Began records where a stream began, for as long as it may be resumed. It must be called before the
-// first event leaves this entry, and does not wait until the other entries know.
+// first event leaves this entry, and does not wait until the others know.
 func (o *Origins) Began(k origin.Key, from decision.Origin, keep time.Duration) {
 	o.store.Put(k, from, clock.SinceBoot(), keep)
-	told := &pb.StreamOrigin{
-		Member: k.Member, RequestId: k.RequestID, Pool: from.Pool, SoftwareVersion: from.Version,
-		Incarnation: from.Incarnation, KeepMs: uint32(keep.Milliseconds()),
-	}
-	candidates := o.host.Snapshot().OriginHolders(k.String(), o.host.Settings.Name, false)
+	told, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
+	candidates := snap.OriginHolders(k.String(), o.host.Settings.Name, false)
 	holders := min(originHolders, len(candidates))
+	passOn := holders > 0 && !snap.TellsControl(o.host.Settings.Name)
 	for n, address := range candidates[:holders] {
-		o.tell(address, untoldOrigin{origin: told, others: everyNth(candidates[holders:], n, holders)})
+		u := untoldOrigin{origin: told, others: everyNth(candidates[holders:], n, holders)}
+		if n == 0 && passOn {
+			u.origin = origin.ToWire(k, from, keep)
+			u.origin.TellControl = true
+		}
+		o.tell(originHolder{address: address}, u)
+	}
+	if !passOn {
+		o.tellControl(told)
 	}
 }
 
@@ -84,62 +79,15 @@
 	return out
 }
 
-// tell passes an origin to an entry, together with the others that come while a call is under way.
-func (o *Origins) tell(address string, u untoldOrigin) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	q := o.queues[address]
-	if q == nil {
-		q = &originQueue{}
-		o.queues[address] = q
-	}
-	if len(q.waiting) >= maxUntoldOrigins {
-		o.host.Metrics.Scope.Counter("origins_dropped").Inc(1)
-		return
-	}
-	q.waiting = append(q.waiting, u)
-	if !q.sending {
-		q.sending = true
-		o.host.Spawn(func() { o.drain(address, q) })
-	}
-}
-
-// drain tells an entry all that waits for it. What it does not take goes to the next best entry.
-func (o *Origins) drain(address string, q *originQueue) {
-	for {
-		o.mu.Lock()
-		batch := q.waiting
-		q.waiting = nil
-		if len(batch) == 0 {
-			q.sending = false
-			delete(o.queues, address)
-			o.mu.Unlock()
-			return
-		}
-		o.mu.Unlock()
-		err := o.send(address, batch)
-		o.host.Metrics.Scope.Tagged(map[string]string{"ok": okLabel(err)}).Counter("origins_told").Inc(int64(len(batch)))
-		if err == nil {
-			continue
-		}
-		o.host.Log.Info("another entry has not taken where streams began", "address", address, "streams", len(batch), "error", err.Error())
-		for _, u := range batch {
-			if len(u.others) > 0 {
-				o.tell(u.others[0], untoldOrigin{origin: u.origin, others: u.others[1:]})
-			}
-		}
+// controlReplicas returns the addresses of control's replicas, in an order that differs between entries.
+func (o *Origins) controlReplicas() []string {
+	list := slices.Clone(o.host.Snapshot().Control)
+	if len(list) == 0 {
+		list = o.host.Control.Addresses()
 	}
-}
-
-func (o *Origins) send(address string, batch []untoldOrigin) error {
-	ctx, cancel := context.WithTimeout(o.host.TaskContext, originTimeout)
-	defer cancel()
-	req := &pb.RememberOriginsRequest{ClusterId: o.host.Settings.Cluster}
-	for _, u := range batch {
-		req.Origins = append(req.Origins, u.origin)
-	}
-	_, err := o.host.peers.clientFor(address).RememberOrigins(ctx, req)
-	return err
+	hash := func(address string) uint64 { return xxhash.Sum64String(o.host.Settings.Name + "\x00" + address) }
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(hash(a), hash(b)) })
+	return list
 }
 
 // Lookup is what a search for the origin of a stream found.
@@ -150,13 +98,12 @@
 	Holder string
 	// Asked is how many were asked, Answered how many of them have said whether they know it.
 	Asked, Answered int
+	// Complete is set if enough have answered to say that nobody knows it.
+	Complete bool
 	// Took is how long the search took.
 	Took time.Duration
 }
 
-// Complete reports whether all that may know the origin have answered.
-func (l *Lookup) Complete() bool { return l.Origin != nil || l.Answered == l.Asked }
-
 // Attr describes the search in a log line.
 func (l *Lookup) Attr() slog.Attr {
 	attrs := []any{
@@ -170,13 +117,23 @@
 	return slog.Group("origin", attrs...)
 }
 
-// Find searches for the place where a stream began.
+// add adds the answers of others that were asked after the first ones.
+func (l *Lookup) add(later *Lookup) {
+	l.Origin, l.Holder = later.Origin, later.Holder
+	l.Asked, l.Answered, l.Complete = l.Asked+later.Asked, l.Answered+later.Answered, l.Complete && later.Complete
+}
+
+// Find searches for the place where a stream began: at the entries, then at control's replicas, which
+// know it also if all entries have ended since.
 func (o *Origins) Find(ctx context.Context, k origin.Key) *Lookup {
 	start := clock.SinceBoot()
 	if own, known := o.store.Get(k, start); known {
 		return &Lookup{Origin: &own}
 	}
 	l := o.askEntries(ctx, k)
+	if l.Origin == nil {
+		l.add(o.askControl(ctx, k))
+	}
 	l.Took = clock.SinceBoot() - start
 	return l
 }
@@ -185,14 +142,36 @@
 func (o *Origins) askEntries(ctx context.Context, k origin.Key) *Lookup {
 	asked := o.host.Snapshot().OriginHolders(k.String(), o.host.Settings.Name, true)
 	asked = asked[:min(originsAsked, len(asked))]
+	l := o.askAll(ctx, asked, func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
+		return o.host.peers.clientFor(address).FindOrigin(ctx, q)
+	}, k)
+	l.Complete = l.Answered == l.Asked
+	return l
+}
+
+// askControl asks control's replicas. Without one of them the search is complete all the same: each
+// origin is told to two.
+func (o *Origins) askControl(ctx context.Context, k origin.Key) *Lookup {
+	l := o.askAll(ctx, o.controlReplicas(), func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
+		return o.controlClient(address).FindOrigin(ctx, q)
+	}, k)
+	l.Complete = l.Answered >= max(1, l.Asked-controlHolders+1)
+	return l
+}
+
+// findCall asks the process at an address for an origin.
+type findCall func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error)
+
+// askAll asks all addresses at once, until one knows the origin.
+func (o *Origins) askAll(ctx context.Context, addresses []string, find findCall, k origin.Key) *Lookup {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
-	answers := make(chan originAnswer, len(asked))
-	for _, address := range asked {
-		o.host.Spawn(func() { answers <- o.ask(ctx, address, k) })
+	answers := make(chan originAnswer, len(addresses))
+	for _, address := range addresses {
+		o.host.Spawn(func() { answers <- o.ask(ctx, address, find, k) })
 	}
-	l := &Lookup{Asked: len(asked)}
-	for range asked {
+	l := &Lookup{Asked: len(addresses)}
+	for range addresses {
 		a := <-answers
 		if a.answered {
 			l.Answered++
@@ -205,31 +184,33 @@
 	return l
 }
 
-// originAnswer is what an entry says of a stream: where it began, nothing, or no answer at all.
+// originAnswer is what a process says of a stream: where it began, nothing, or no answer at all.
 type originAnswer struct {
 	address  string
 	origin   *decision.Origin
 	answered bool
 }
 
-func (o *Origins) ask(ctx context.Context, address string, k origin.Key) originAnswer {
-	found, err := o.host.peers.clientFor(address).FindOrigin(ctx, &pb.FindOriginRequest{
+func (o *Origins) ask(ctx context.Context, address string, find findCall, k origin.Key) originAnswer {
+	found, err := find(ctx, address, &pb.FindOriginRequest{
 		ClusterId: o.host.Settings.Cluster, Member: k.Member, RequestId: k.RequestID,
 	})
 	answer := originAnswer{address: address, answered: true}
 	var twerr twirp.Error
 	switch {
 	case err == nil:
-		answer.origin = &decision.Origin{Pool: found.GetPool(), Version: found.GetSoftwareVersion(), Incarnation: found.GetIncarnation()}
-	case errors.As(err, &twerr) && twerr.Code() == twirp.NotFound:
+		from := origin.FromWire(found)
+		answer.origin = &from
+	case errors.As(err, &twerr) && (twerr.Code() == twirp.NotFound || twerr.Code() == twirp.BadRoute):
+		// A process of an earlier build, which has no such call, was told nothing.
 	case errors.Is(err, syscall.ECONNREFUSED):
 		// Its process has ended, and what it alone knew with it.
 	case errors.Is(ctx.Err(), context.Canceled):
-		// Another entry has answered.
+		// Another one has answered.
 		answer.answered = false
 	default:
 		answer.answered = false
-		o.host.Log.Info("another entry has not said where a stream began", "address", address, "request_id", k.RequestID, "error", err.Error())
+		o.host.Log.Info("it is not said where a stream began", "address", address, "request_id", k.RequestID, "error", err.Error())
 	}
 	return answer
 }
@@ -239,22 +220,20 @@
 	if req.GetClusterId() != b.host.Settings.Cluster {
 		return nil, twirp.InvalidArgument.Error("another cluster")
 	}
-	now := clock.SinceBoot()
-	for _, u := range req.GetOrigins() {
-		b.host.Origins.store.Put(origin.Key{Member: u.GetMember(), RequestID: u.GetRequestId()}, decision.Origin{
-			Pool: u.GetPool(), Version: u.GetSoftwareVersion(), Incarnation: u.GetIncarnation(),
-		}, now, time.Duration(u.GetKeepMs())*time.Millisecond)
+	b.host.Origins.store.Remember(req.GetOrigins(), clock.SinceBoot())
+	for _, told := range req.GetOrigins() {
+		if told.GetTellControl() {
+			b.host.Origins.tellControl(told)
+		}
 	}
 	return &pb.RememberOriginsResponse{}, nil
 }
 
 // FindOrigin returns where a stream began, as far as this entry knows.
 func (b *peerExchange) FindOrigin(_ context.Context, req *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
-	from, known := b.host.Origins.store.Get(origin.Key{Member: req.GetMember(), RequestID: req.GetRequestId()}, clock.SinceBoot())
-	if !known || req.GetClusterId() != b.host.Settings.Cluster {
+	found := b.host.Origins.store.Find(req, clock.SinceBoot())
+	if found == nil || req.GetClusterId() != b.host.Settings.Cluster {
 		return nil, twirp.NotFoundError("this entry does not know where the stream began")
 	}
-	return &pb.StreamOrigin{
-		Member: req.GetMember(), RequestId: req.GetRequestId(), Pool: from.Pool, SoftwareVersion: from.Version, Incarnation: from.Incarnation,
-	}, nil
+	return found, nil
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -34,6 +34,8 @@
 type entry struct {
 	origin  decision.Origin
 	expires time.Duration
+	// ambiguous is set if streams of the same key began at servers that don't fit together.
+	ambiguous bool
 }
 
 // NewStore returns an empty store.
@@ -52,7 +54,14 @@
 	if !known {
 		s.order = append(s.order, k)
 	}
-	s.byKey[k] = entry{origin: o, expires: max(old.expires, now+keep)}
+	s.byKey[k] = entry{
+		origin: o, expires: max(old.expires, now+keep), ambiguous: old.ambiguous || known && !fit(old.origin, o),
+	}
+}
+
+// fit reports whether the same servers may go on with what began at both origins.
+func fit(a, b decision.Origin) bool {
+	return a.Pool == b.Pool && a.Version == b.Version && (a.Version != "" || a.Incarnation == b.Incarnation)
 }
 
 // expire drops what has expired, and the oldest origins if there are too many. An origin that is
@@ -66,12 +75,13 @@
 	s.order = s.order[n:]
 }
 
-// Get returns the origin of a stream, if it is known.
+// Get returns the origin of a stream, if it is known. It is not if a caller has used the key for
+// several streams that began at servers which don't fit together.
 func (s *Store) Get(k Key, now time.Duration) (decision.Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, known := s.byKey[k]
-	if !known || e.expires <= now {
+	if !known || e.ambiguous || e.expires <= now {
 		return decision.Origin{}, false
 	}
 	return e.origin, true
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -44,3 +44,29 @@
 		t.Error("a later record has shortened the first one")
 	}
 }
+
+// Guards against a stream that goes on at another software version because its caller used a name for
+// several streams.
+func TestOriginOfANameUsedTwiceIsNotKnown(t *testing.T) {
+	first := decision.Origin{Pool: "lm", Version: "v1", Incarnation: "i-1"}
+	unnamed := decision.Origin{Pool: "lm", Incarnation: "i-1"}
+	for _, c := range []struct {
+		name          string
+		first, second decision.Origin
+		known         bool
+	}{
+		{"another server of the build", first, decision.Origin{Pool: "lm", Version: "v1", Incarnation: "i-2"}, true},
+		{"another build", first, decision.Origin{Pool: "lm", Version: "v2", Incarnation: "i-1"}, false},
+		{"another pool", first, decision.Origin{Pool: "other", Version: "v1", Incarnation: "i-1"}, false},
+		{"the same process of no named build", unnamed, unnamed, true},
+		{"another process of no named build", unnamed, decision.Origin{Pool: "lm", Incarnation: "i-2"}, false},
+	} {
+		s, k := NewStore(), Key{"", "r"}
+		s.Put(k, c.first, 0, time.Second)
+		s.Put(k, c.second, 0, time.Second)
+		s.Put(k, c.first, 0, time.Second)
+		if _, known := s.Get(k, 0); known != c.known {
+			t.Errorf("%s: known %v", c.name, known)
+		}
+	}
+}
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -47,7 +47,7 @@
 	switch {
 	case found.Origin != nil:
 		return found.Origin, found, nil
-	case found.Complete():
+	case found.Complete:
 		return nil, found, refuseUnknownOrigin()
 	default:
 		refusal := refuseUnknownOrigin()
@@ -80,12 +80,14 @@
 }
 
 // rememberOrigin lets callers take up this stream at any entry. It runs before the first event goes to
-// the caller.
+// the caller. A caller may name the request that began the stream, and the one that took it up.
 func (j *job) rememberOrigin() {
-	first := j.req.ID
+	keep := max(0, j.arrived.Work.FinishBy-clock.SinceBoot()) + originSlack
+	ids := []string{j.req.ID}
 	if j.req.resumes(j.route) {
-		first = j.req.Resumes
+		ids = append(ids, j.req.Resumes)
+	}
+	for _, id := range ids {
+		j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: id}, j.from, keep)
 	}
-	keep := max(0, j.arrived.Work.FinishBy-clock.SinceBoot()) + originSlack
-	j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: first}, j.from, keep)
 }
--- a/internal/rpc/pb/replica.twirp.go
+++ b/internal/rpc/pb/replica.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *replicaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *replicaServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "goldcrest.v1", "Replica")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1179 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xdb, 0x6e, 0xdb, 0x46,
 	0x13, 0x0e, 0x25, 0x46, 0x87, 0x91, 0xa2, 0xf0, 0xdf, 0x3f, 0x76, 0x69, 0xe5, 0xa4, 0xaa, 0x37,
--- a/internal/traffic/origin.go
+++ b/internal/traffic/origin.go
@@ -40,7 +40,7 @@
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeOriginUnknown, Outcome: outcome.Unknown,
 		Message: "no entry knows which software began this answer; send the request again",
 	}
-	if !found.Complete() {
+	if !found.Complete {
 		refusal.Message = "one that may know which software began this answer has not answered; resume it again"
 		refusal.RetryAfter = time.Second
 	}
