Tests of the way by which large fleets tell control where streams began

Cause: the repair of streams that are taken up after all entries have ended was shown only where each entry tells control itself.

--- a/internal/entry/addresses_test.go
+++ b/internal/entry/addresses_test.go
@@ -130,3 +130,18 @@
 		}
 	}
 }
+
+// Guards against hundreds of entries that each send control messages about where streams began.
+func TestOnlyAggregatorsTellControlInLargeFleets(t *testing.T) {
+	small := &Snapshot{Entries: []EntryWeight{{Name: "a"}, {Name: "b"}}}
+	large := &Snapshot{Entries: []EntryWeight{{Name: "a"}, {Name: "b", IsAggregator: true}, {Name: "c"}}}
+	for _, c := range []struct {
+		snapshot *Snapshot
+		self     string
+		tells    bool
+	}{{small, "a", true}, {large, "a", false}, {large, "b", true}, {large, "c", false}, {&Snapshot{}, "a", true}} {
+		if got := c.snapshot.TellsControl(c.self); got != c.tells {
+			t.Errorf("%s of %d entries tells control: %v", c.self, len(c.snapshot.Entries), got)
+		}
+	}
+}
