Notices of suspects to an entry go together

Cause: since each step in which a request is charged, judged or cleared sends a notice of its own to all aggregators, and each of these passes each on to its part of the entries, all at once: an entry held up to 2,564 files and 111 MB (153 and 24 before), and the end of each charged attempt waits for the answers. Change: one message at a time to one entry, at least 10 ms apart, with all notices that have come meanwhile, in order; the first one still leaves at once. Notices to one entry used to overtake each other, too. What the rule asks is unchanged: the answer comes only once the others know.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -133,7 +133,7 @@
 	case entry.ReportToPeers:
 		h.peers.sendAll(e)
 	case entry.NotifySuspects:
-		h.peers.notifySuspects(e)
+		h.peers.notices.notify(e)
 	case entry.RequestView:
 		h.Spawn(func() { h.peers.requestView(e) })
 	case entry.AnswerView:
--- a/internal/host/peer_reports.go
+++ b/internal/host/peer_reports.go
@@ -30,6 +30,7 @@
 	sumRequests    pendingRequests[pb.PeerSum]
 	permitRequests pendingRequests[pb.PermitAnswer]
 	viewRequests   pendingRequests[pb.WatchResponse]
+	notices        *noticeSender
 }
 
 // peerClient sends reports to one other entry, one at a time. A report is skipped while the
@@ -41,9 +42,11 @@
 }
 
 func newPeerExchange(h *Host) *peerExchange {
-	return &peerExchange{
+	b := &peerExchange{
 		host: h, http: h.Auth.Client(), clients: make(map[string]*peerClient),
 	}
+	b.notices = newNoticeSender(b)
+	return b
 }
 
 // clientFor returns a client for the entry at an address.
