--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -39,7 +39,9 @@
 
 // Client pools connections to backend servers. It is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
+	// DialContext opens connections. It may be replaced before the first call.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	dialer      net.Dialer
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
@@ -54,12 +56,14 @@
 
 // New returns a client without connections.
 func New() *Client {
-	return &Client{
+	c := &Client{
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		}},
 		hosts: make(map[string]*hostConns),
 	}
+	c.DialContext = c.dialer.DialContext
+	return c
 }
 
 // Call is one request, to be sent once.
@@ -120,7 +124,7 @@
 	if !c.reserve(call.Address, call.MaxConns) {
 		return nil, &DialError{Cause: fasthttp.ErrNoFreeConns}
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", call.Address)
+	nc, err := c.DialContext(ctx, "tcp", call.Address)
 	if err != nil {
 		c.release(call.Address)
 		return nil, &DialError{Cause: err}
