--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -24,9 +24,11 @@
 // noticeSender sends notices of suspects to other entries: to each entry one message at a time, with all
 // notices that have come meanwhile.
 type noticeSender struct {
-	// send sends one message; answered reports what became of each notice in it that has an id.
+	// send sends one message; answered reports what became of each notice in it that has an id; dropped
+	// counts those for which there was no room.
 	send     func(ctx context.Context, address string, notice *pb.SuspectNotice) error
 	answered func(entry.NoticeAnswered)
+	dropped  func()
 	spawn    func(func())
 	// stopped ends with the process.
 	stopped context.Context
@@ -55,9 +57,11 @@
 			s.queues[address] = q
 			s.spawn(func() { s.drain(address, q) })
 		}
-		if len(q.waiting) < maxWaitingNotices {
-			q.waiting = append(q.waiting, waitingNotice{id: e.ID, notice: e.Notice})
+		if len(q.waiting) >= maxWaitingNotices {
+			s.dropped()
+			continue
 		}
+		q.waiting = append(q.waiting, waitingNotice{id: e.ID, notice: e.Notice})
 	}
 }
 
@@ -109,6 +113,7 @@
 func newNoticeSender(b *peerExchange) *noticeSender {
 	return &noticeSender{
 		send: b.sendNotice, answered: func(a entry.NoticeAnswered) { b.host.Post(a) }, spawn: b.host.Spawn,
+		dropped: func() { b.host.Metrics.Scope.Counter("suspect_notices_dropped").Inc(1) },
 		stopped: b.host.TaskContext, queues: make(map[string]*noticeQueue),
 	}
 }
--- a/internal/host/origin_queue.go
+++ b/internal/host/origin_queue.go
@@ -90,7 +90,7 @@
 }
 
 func (o *Origins) passToOthers(to originHolder, batch []untoldOrigin, err error) {
-	o.host.Log.Info("it has not been taken where streams began", "address", to.address, "control", to.control,
+	o.host.Log.Info("origins of streams not stored", "address", to.address, "control", to.control,
 		"streams", len(batch), "error", err.Error())
 	for _, u := range batch {
 		if len(u.others) > 0 {
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -210,7 +210,7 @@
 		answer.answered = false
 	default:
 		answer.answered = false
-		o.host.Log.Info("it is not said where a stream began", "address", address, "request_id", k.RequestID, "error", err.Error())
+		o.host.Log.Info("origin of a stream not answered", "address", address, "request_id", k.RequestID, "error", err.Error())
 	}
 	return answer
 }
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -75,7 +75,7 @@
 func refuseUnknownOrigin() *outcome.Refusal {
 	return &outcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeOriginUnknown, Outcome: outcome.NotRun,
-		Message: "no entry knows where this stream began; begin anew",
+		Message: "it is not known where this stream began; begin anew",
 	}
 }
 
--- a/internal/traffic/origin.go
+++ b/internal/traffic/origin.go
@@ -38,7 +38,7 @@
 	}
 	refusal := &outcome.Refusal{
 		Status: http.StatusServiceUnavailable, Code: outcome.CodeOriginUnknown, Outcome: outcome.Unknown,
-		Message: "no entry knows which software began this answer; send the request again",
+		Message: "it is not known which software began this answer; send the request again",
 	}
 	if !found.Complete {
 		refusal.Message = "one that may know which software began this answer has not answered; resume it again"
