Control is told where a stream will begin before its first event leaves

Cause: an origin was told with the first event, at large fleets over two hops with pauses of 50 ms. All entries that end within that time take it along.

Change: control's replicas are told with the choice of the engine where a stream is expected to begin. Where it then begins at other software, the first event waits (250 ms at most) until the replicas have taken that; an expectation counts only if enough replicas have answered and none says otherwise; entries don't keep it. Servers that name no build are told as before, with the first event. Native and relayed requests alike.

--- a/internal/host/origin_queue.go
+++ b/internal/host/origin_queue.go
@@ -17,6 +17,9 @@
 	originTimeout = 500 * time.Millisecond
 	// maxUntoldOrigins bounds what waits for one process that is slow to answer.
 	maxUntoldOrigins = 1024
+	// replaceTimeout bounds how long a first event waits until control no longer expects its stream at other
+	// software.
+	replaceTimeout = 250 * time.Millisecond
 )
 
 // originHolder is a process that is told where streams began.
@@ -36,6 +39,8 @@
 type untoldOrigin struct {
 	origin *pb.StreamOrigin
 	others []string
+	// told, if set, is called once the process has taken it.
+	told func()
 }
 
 // tellControl tells two of control's replicas where a stream began.
@@ -47,6 +52,26 @@
 	}
 }
 
+// replaceAtControl tells all of control's replicas where a stream began that they expect at other software,
+// and waits until each has taken that.
+func (o *Origins) replaceAtControl(began *pb.StreamOrigin) {
+	replicas := o.controlReplicas()
+	taken := make(chan struct{}, len(replicas))
+	for _, address := range replicas {
+		o.tell(originHolder{address: address, control: true}, untoldOrigin{origin: began, told: func() { taken <- struct{}{} }})
+	}
+	timeout := time.After(replaceTimeout)
+	for n := range replicas {
+		select {
+		case <-taken:
+		case <-timeout:
+			o.host.Log.Info("expected origin of a stream not replaced at each replica", "request_id", began.GetRequestId(),
+				"version", began.GetSoftwareVersion(), "replicas", len(replicas), "replaced", n)
+			return
+		}
+	}
+}
+
 // tell passes an origin to a process, together with the others that come while a call is under way.
 func (o *Origins) tell(to originHolder, u untoldOrigin) {
 	o.mu.Lock()
@@ -82,6 +107,8 @@
 		o.mu.Unlock()
 		if err := o.send(to, batch); err != nil {
 			o.passToOthers(to, batch, err)
+		} else {
+			confirmTold(batch)
 		}
 		if to.control {
 			Sleep(o.host.TaskContext, controlOriginPause)
@@ -89,6 +116,14 @@
 	}
 }
 
+func confirmTold(batch []untoldOrigin) {
+	for _, u := range batch {
+		if u.told != nil {
+			u.told()
+		}
+	}
+}
+
 func (o *Origins) passToOthers(to originHolder, batch []untoldOrigin, err error) {
 	o.host.Log.Info("origins of streams not stored", "address", to.address, "control", to.control,
 		"streams", len(batch), "error", err.Error())
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -35,8 +35,11 @@
 // rendezvous hash of the stream's key, and by two of control's replicas, for the case that all entries
 // end.
 //
-// What is not found is not known: an old record must never stand in for a newer one, and there is
-// none, since an origin is told only once it is final, with the first event.
+// Entries are told with the first event, when an origin is final. Control is told earlier, with the choice of
+// the engine, as all entries may end right after the first event. Where another attempt then begins the stream at
+// other software, the first event waits until control knows.
+//
+// What is not found is not known: an old record must never stand in for a newer one.
 type Origins struct {
 	host  *Host
 	store *origin.Store
@@ -49,14 +52,38 @@
 	return &Origins{host: h, store: origin.NewStore(), queues: make(map[originHolder]*originQueue)}
 }
 
+// ExpectedOrigin is where control was told that a stream will begin.
+type ExpectedOrigin struct {
+	key  origin.Key
+	from decision.Origin
+}
+
+// Expect tells control where a stream is expected to begin, for as long as it may be resumed.
+func (o *Origins) Expect(k origin.Key, from decision.Origin, keep time.Duration) *ExpectedOrigin {
+	expected, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
+	expected.Expected = true
+	candidates := snap.OriginHolders(k.String(), o.host.Settings.Name, false)
+	if len(candidates) == 0 || snap.TellsControl(o.host.Settings.Name) {
+		o.tellControl(expected)
+		return &ExpectedOrigin{key: k, from: from}
+	}
+	expected.TellControl = true
+	o.tell(originHolder{address: candidates[0]}, untoldOrigin{origin: expected, others: everyNth(candidates[1:], 0, 1)})
+	return &ExpectedOrigin{key: k, from: from}
+}
+
 // Began records where a stream began, for as long as it may be resumed. It must be called before the
-// first event leaves this entry, and does not wait until the others know.
-func (o *Origins) Began(k origin.Key, from decision.Origin, keep time.Duration) {
+// first event leaves this entry, and does not wait until the others know, unless control expects the stream at
+// software that doesn't fit. expected is what control was told with Expect, nil for nothing.
+func (o *Origins) Began(k origin.Key, from decision.Origin, keep time.Duration, expected *ExpectedOrigin) {
+	if expected != nil && expected.key != k {
+		expected = nil
+	}
 	o.store.Put(k, from, clock.SinceBoot(), keep)
 	told, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
 	candidates := snap.OriginHolders(k.String(), o.host.Settings.Name, false)
 	holders := min(originHolders, len(candidates))
-	passOn := holders > 0 && !snap.TellsControl(o.host.Settings.Name)
+	passOn := expected == nil && holders > 0 && !snap.TellsControl(o.host.Settings.Name)
 	for n, address := range candidates[:holders] {
 		u := untoldOrigin{origin: told, others: everyNth(candidates[holders:], n, holders)}
 		if n == 0 && passOn {
@@ -65,7 +92,10 @@
 		}
 		o.tell(originHolder{address: address}, u)
 	}
-	if !passOn {
+	switch {
+	case expected != nil && !origin.Fit(expected.from, from):
+		o.replaceAtControl(told)
+	case expected == nil && !passOn:
 		o.tellControl(told)
 	}
 }
@@ -102,6 +132,23 @@
 	Complete bool
 	// Took is how long the search took.
 	Took time.Duration
+	// expected are the answers of those that know only where the stream was expected to begin.
+	expected []originAnswer
+}
+
+// takeExpected takes what was expected for the origin if all who expected something agree. Who has replaced it
+// would have said so, as enough have answered.
+func (l *Lookup) takeExpected() {
+	if l.Origin != nil || !l.Complete || len(l.expected) == 0 {
+		return
+	}
+	first := l.expected[0]
+	for _, other := range l.expected[1:] {
+		if !origin.Fit(*first.origin, *other.origin) {
+			return
+		}
+	}
+	l.Origin, l.Holder = first.origin, first.address
 }
 
 // Attr describes the search in a log line.
@@ -156,6 +203,7 @@
 		return o.controlClient(address).FindOrigin(ctx, q)
 	}, k)
 	l.Complete = l.Answered >= max(1, l.Asked-controlHolders+1)
+	l.takeExpected()
 	return l
 }
 
@@ -171,16 +219,21 @@
 		o.host.Spawn(func() { answers <- o.ask(ctx, address, find, k) })
 	}
 	l := &Lookup{Asked: len(addresses)}
+	var expected []originAnswer
 	for range addresses {
 		a := <-answers
 		if a.answered {
 			l.Answered++
 		}
-		if a.origin != nil {
+		switch {
+		case a.origin != nil && a.expected:
+			expected = append(expected, a)
+		case a.origin != nil:
 			l.Origin, l.Holder = a.origin, a.address
 			return l
 		}
 	}
+	l.expected = expected
 	return l
 }
 
@@ -189,6 +242,8 @@
 	address  string
 	origin   *decision.Origin
 	answered bool
+	// expected is set if the process knows only where the stream was expected to begin.
+	expected bool
 }
 
 func (o *Origins) ask(ctx context.Context, address string, find findCall, k origin.Key) originAnswer {
@@ -200,7 +255,7 @@
 	switch {
 	case err == nil:
 		from := origin.FromWire(found)
-		answer.origin = &from
+		answer.origin, answer.expected = &from, found.GetExpected()
 	case errors.As(err, &twerr) && (twerr.Code() == twirp.NotFound || twerr.Code() == twirp.BadRoute):
 		// A process of an earlier build, which has no such call, was told nothing.
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -220,8 +275,10 @@
 	if req.GetClusterId() != b.host.Settings.Cluster {
 		return nil, twirp.InvalidArgument.Error("another cluster")
 	}
-	b.host.Origins.store.Remember(req.GetOrigins(), clock.SinceBoot())
 	for _, told := range req.GetOrigins() {
+		if !told.GetExpected() {
+			b.host.Origins.store.Remember([]*pb.StreamOrigin{told}, clock.SinceBoot())
+		}
 		if told.GetTellControl() {
 			b.host.Origins.tellControl(told)
 		}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -34,7 +34,9 @@
 type entry struct {
 	origin  decision.Origin
 	expires time.Duration
-	// ambiguous is set if streams of the same key began at servers that don't fit together.
+	// expected is set until the stream is known to have begun.
+	expected bool
+	// ambiguous is set if streams of the same key began, or were expected, at servers that don't fit together.
 	ambiguous bool
 }
 
@@ -44,6 +46,15 @@
 // Put stores an origin until the time given as now plus keep. Times are since boot. Keys that are
 // too long are not stored: their streams can't be resumed.
 func (s *Store) Put(k Key, o decision.Origin, now, keep time.Duration) {
+	s.put(k, entry{origin: o, expires: now + keep}, now)
+}
+
+// Expect stores where a stream is expected to begin, like Put. Where the stream began in fact replaces it.
+func (s *Store) Expect(k Key, o decision.Origin, now, keep time.Duration) {
+	s.put(k, entry{origin: o, expires: now + keep, expected: true}, now)
+}
+
+func (s *Store) put(k Key, e entry, now time.Duration) {
 	if len(k.Member)+len(k.RequestID) > maxKeyBytes {
 		return
 	}
@@ -51,16 +62,20 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	old, known := s.byKey[k]
-	if !known {
+	switch {
+	case !known:
 		s.order = append(s.order, k)
+	case old.expected && !e.expected:
+	default:
+		e.ambiguous = old.ambiguous || !Fit(old.origin, e.origin)
+		e.expected = old.expected && e.expected
 	}
-	s.byKey[k] = entry{
-		origin: o, expires: max(old.expires, now+keep), ambiguous: old.ambiguous || known && !fit(old.origin, o),
-	}
+	e.expires = max(old.expires, e.expires)
+	s.byKey[k] = e
 }
 
-// fit reports whether the same servers may go on with what began at both origins.
-func fit(a, b decision.Origin) bool {
+// Fit reports whether the same servers may go on with what began at both origins.
+func Fit(a, b decision.Origin) bool {
 	return a.Pool == b.Pool && a.Version == b.Version && (a.Version != "" || a.Incarnation == b.Incarnation)
 }
 
@@ -78,11 +93,17 @@
 // Get returns the origin of a stream, if it is known. It is not if a caller has used the key for
 // several streams that began at servers which don't fit together.
 func (s *Store) Get(k Key, now time.Duration) (decision.Origin, bool) {
+	o, _, known := s.get(k, now)
+	return o, known
+}
+
+// get is Get, and reports whether the origin is only expected.
+func (s *Store) get(k Key, now time.Duration) (o decision.Origin, expected, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, known := s.byKey[k]
 	if !known || e.ambiguous || e.expires <= now {
-		return decision.Origin{}, false
+		return decision.Origin{}, false, false
 	}
-	return e.origin, true
+	return e.origin, e.expected, true
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -70,3 +70,40 @@
 		}
 	}
 }
+
+// Guards against an expected origin that stands in for the one where the stream began, or hides that a name
+// was used twice.
+func TestExpectedOriginGivesWayToTheRealOne(t *testing.T) {
+	v1 := decision.Origin{Pool: "lm", Version: "v1", Incarnation: "i-1"}
+	v2 := decision.Origin{Pool: "lm", Version: "v2", Incarnation: "i-2"}
+	type told struct {
+		origin   decision.Origin
+		expected bool
+	}
+	for _, c := range []struct {
+		name     string
+		told     []told
+		want     string
+		expected bool
+	}{
+		{"nothing else is told", []told{{v1, true}}, "v1", true},
+		{"it begins there", []told{{v1, true}, {v1, false}}, "v1", false},
+		{"it begins elsewhere", []told{{v1, true}, {v2, false}}, "v2", false},
+		{"it is told late", []told{{v2, false}, {v2, true}}, "v2", false},
+		{"it is told late and doesn't fit", []told{{v2, false}, {v1, true}}, "", false},
+		{"two are expected", []told{{v1, true}, {v2, true}}, "", false},
+		{"two are expected and one began", []told{{v1, true}, {v2, true}, {v2, false}}, "v2", false},
+	} {
+		s, k := NewStore(), Key{"", "r"}
+		for _, o := range c.told {
+			if o.expected {
+				s.Expect(k, o.origin, 0, time.Second)
+			} else {
+				s.Put(k, o.origin, 0, time.Second)
+			}
+		}
+		if got, expected, _ := s.get(k, 0); got.Version != c.want || expected != c.expected {
+			t.Errorf("%s: %q, expected %v", c.name, got.Version, expected)
+		}
+	}
+}
--- a/internal/origin/wire.go
+++ b/internal/origin/wire.go
@@ -23,16 +23,23 @@
 // Remember stores the origins of a message. now is the time since boot.
 func (s *Store) Remember(origins []*pb.StreamOrigin, now time.Duration) {
 	for _, o := range origins {
-		s.Put(Key{Member: o.GetMember(), RequestID: o.GetRequestId()}, FromWire(o), now, time.Duration(o.GetKeepMs())*time.Millisecond)
+		k, keep := Key{Member: o.GetMember(), RequestID: o.GetRequestId()}, time.Duration(o.GetKeepMs())*time.Millisecond
+		if o.GetExpected() {
+			s.Expect(k, FromWire(o), now, keep)
+			continue
+		}
+		s.Put(k, FromWire(o), now, keep)
 	}
 }
 
 // Find returns the origin that a message asks for, nil if it is not known. now is the time since boot.
 func (s *Store) Find(q *pb.FindOriginRequest, now time.Duration) *pb.StreamOrigin {
 	k := Key{Member: q.GetMember(), RequestID: q.GetRequestId()}
-	o, known := s.Get(k, now)
+	o, expected, known := s.get(k, now)
 	if !known {
 		return nil
 	}
-	return ToWire(k, o, 0)
+	found := ToWire(k, o, 0)
+	found.Expected = expected
+	return found
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -49,6 +49,8 @@
 	serverError *bufferedResponse
 	// from is the server of the last attempt that was answered, as the origin of a stream.
 	from decision.Origin
+	// expected is where control was told that the stream will begin, nil for nothing.
+	expected *host.ExpectedOrigin
 	// streamed is what the caller has received of a stream, nil before the first event.
 	streamed *streamProgress
 	// streamBegun is set with streamed; the timers of withDeadline read it.
@@ -279,6 +281,7 @@
 	ended := entry.AttemptEnded{RequestID: d.RequestID, Attempt: d.Attempt, Outcome: outcome.NotRun}
 	j.member, j.rank = d.Member, d.Rank
 	j.log.dispatched(d)
+	j.expectOrigin(d)
 	j.caller.dispatched = true
 	eventsBefore := j.eventCount()
 	cache, next, err := j.prefill(ctx, &d, &ended)
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -79,15 +79,27 @@
 	}
 }
 
+// expectOrigin tells control where the stream is expected to begin, once for a request: it must be known however
+// soon after its first event all entries end. A server that names no build is told with the first event.
+func (j *job) expectOrigin(d entry.Dispatch) {
+	if !j.route.Stream || j.arrived.Retry != entry.RetryResuming || j.expected != nil || j.streamed != nil || d.Version == "" {
+		return
+	}
+	j.expected = j.s.host.Origins.Expect(origin.Key{Member: d.Member, RequestID: j.req.ID},
+		decision.Origin{Pool: d.Pool, Version: d.Version, Incarnation: d.Incarnation}, j.keepOrigin())
+}
+
+// keepOrigin returns for how long the stream may be taken up.
+func (j *job) keepOrigin() time.Duration {
+	return max(0, j.arrived.Work.FinishBy-clock.SinceBoot()) + originSlack
+}
+
 // rememberOrigin lets callers take up this stream at any entry. It runs before the first event goes to
 // the caller. A caller may name the request that began the stream, and the one that took it up.
 func (j *job) rememberOrigin() {
-	keep := max(0, j.arrived.Work.FinishBy-clock.SinceBoot()) + originSlack
-	ids := []string{j.req.ID}
+	keep := j.keepOrigin()
+	j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: j.req.ID}, j.from, keep, j.expected)
 	if j.req.resumes(j.route) {
-		ids = append(ids, j.req.Resumes)
-	}
-	for _, id := range ids {
-		j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: id}, j.from, keep)
+		j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: j.req.Resumes}, j.from, keep, nil)
 	}
 }
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -11,6 +11,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -49,6 +50,8 @@
 	// knownPrefix is then the part that is known.
 	textIncomplete bool
 	knownPrefix    textPrefix
+	// expected is where control was told that the answer will begin, nil for nothing.
+	expected *host.ExpectedOrigin
 }
 
 // errCallerDisconnected ends a job whose caller no longer reads.
@@ -117,6 +120,7 @@
 	a := &modelAttempt{modelJob: j, dispatch: dispatch, startedAt: startedAt, startOffset: j.offset}
 	a.result = entry.AttemptEnded{RequestID: dispatch.RequestID, Attempt: dispatch.Attempt, Outcome: outcome.NotRun}
 	j.record.setDispatched(dispatch)
+	j.expectOrigin(dispatch)
 	j.server.peers.startReplication(j.record)
 	err := a.run(ctx)
 	a.result.Tokens = j.offset - a.startOffset
--- a/internal/traffic/origin.go
+++ b/internal/traffic/origin.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
+	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/origin"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -16,11 +17,25 @@
 	return origin.Key{Member: r.GetMember(), RequestID: r.GetWireId()}
 }
 
+func originOf(d entry.Dispatch) decision.Origin {
+	return decision.Origin{Pool: d.Pool, Version: d.Version, Incarnation: d.Incarnation}
+}
+
+// expectOrigin tells control where the answer is expected to begin, once for a request: it must be known however
+// soon after its first token all entries end. A server that names no build is told with the first token.
+func (j *modelJob) expectOrigin(d entry.Dispatch) {
+	if j.expected == nil && j.offset == 0 && d.Version != "" {
+		j.expected = j.server.host.Origins.Expect(originKey(j.record.pb), originOf(d), recordRetention)
+	}
+}
+
 // rememberOrigin lets the caller resume at any entry. It runs before the first token goes to the caller.
 func (a *modelAttempt) rememberOrigin() {
-	a.server.host.Origins.Began(originKey(a.record.pb), decision.Origin{
-		Pool: a.dispatch.Pool, Version: a.dispatch.Version, Incarnation: a.dispatch.Incarnation,
-	}, recordRetention)
+	expected := a.expected
+	if a.startOffset > 0 {
+		expected = nil
+	}
+	a.server.host.Origins.Began(originKey(a.record.pb), originOf(a.dispatch), recordRetention, expected)
 }
 
 // findOrigin binds a resumed answer to the server that began it. An answer without a known origin is
