One queue for what is told to other processes; expected origins are taken once enough replicas agree

Origins and notices of suspects each had a queue of their own: one message at a time to a process, with all that has come meanwhile. internal/host/outbox.go serves both; bounds and pauses as before.

A search that found only expected origins waited for a silent replica to the end of its 250 ms; now it ends once enough have answered (TestOriginsOutliveOneReplica failed so: 40 to 42 of 48 tries, the later streams' origins had expired by then).

Control is also asked where entries give no answer within 50 ms.

--- a/internal/host/notices.go
+++ b/internal/host/notices.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -21,25 +20,14 @@
 	maxWaitingNotices = 1024
 )
 
-// noticeSender sends notices of suspects to other entries: to each entry one message at a time, with all
-// notices that have come meanwhile.
+// noticeSender sends notices of suspects to other entries.
 type noticeSender struct {
-	// send sends one message; answered reports what became of each notice in it that has an id; dropped
-	// counts those for which there was no room.
+	// send sends one message; answered reports what became of each notice in it that has an id.
 	send     func(ctx context.Context, address string, notice *pb.SuspectNotice) error
 	answered func(entry.NoticeAnswered)
-	dropped  func()
-	spawn    func(func())
-	// stopped ends with the process.
-	stopped context.Context
-
-	mu     sync.Mutex
-	queues map[string]*noticeQueue
+	outbox   outbox[string, waitingNotice]
 }
 
-// noticeQueue holds the notices that wait for one entry while a message to it is under way.
-type noticeQueue struct{ waiting []waitingNotice }
-
 // waitingNotice is a notice with its id, 0 if nobody waits for its answer.
 type waitingNotice struct {
 	id     uint64
@@ -48,42 +36,13 @@
 
 // notify sends a notice to all of its addresses.
 func (s *noticeSender) notify(e entry.NotifySuspects) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, address := range e.Addresses {
-		q := s.queues[address]
-		if q == nil {
-			q = &noticeQueue{}
-			s.queues[address] = q
-			s.spawn(func() { s.drain(address, q) })
-		}
-		if len(q.waiting) >= maxWaitingNotices {
-			s.dropped()
-			continue
-		}
-		q.waiting = append(q.waiting, waitingNotice{id: e.ID, notice: e.Notice})
-	}
-}
-
-// drain sends an entry all that waits for it.
-func (s *noticeSender) drain(address string, q *noticeQueue) {
-	for {
-		s.mu.Lock()
-		batch := q.waiting
-		q.waiting = nil
-		if len(batch) == 0 {
-			delete(s.queues, address)
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		s.sendBatch(address, batch)
-		Sleep(s.stopped, noticePause)
+		s.outbox.add(address, waitingNotice{id: e.ID, notice: e.Notice})
 	}
 }
 
 func (s *noticeSender) sendBatch(address string, batch []waitingNotice) {
-	ctx, cancel := context.WithTimeout(s.stopped, entry.NoticeTimeout)
+	ctx, cancel := context.WithTimeout(s.outbox.stopped, entry.NoticeTimeout)
 	defer cancel()
 	err := s.send(ctx, address, joinNotices(batch))
 	timedOut := err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -110,12 +69,16 @@
 	return joined
 }
 
-func newNoticeSender(b *peerExchange) *noticeSender {
-	return &noticeSender{
-		send: b.sendNotice, answered: func(a entry.NoticeAnswered) { b.host.Post(a) }, spawn: b.host.Spawn,
-		dropped: func() { b.host.Metrics.Scope.Counter("suspect_notices_dropped").Inc(1) },
-		stopped: b.host.TaskContext, queues: make(map[string]*noticeQueue),
+func newNoticeSender(
+	stopped context.Context, spawn func(func()), send func(ctx context.Context, address string, notice *pb.SuspectNotice) error,
+	answered func(entry.NoticeAnswered), dropped func(),
+) *noticeSender {
+	s := &noticeSender{send: send, answered: answered}
+	s.outbox = outbox[string, waitingNotice]{
+		send: s.sendBatch, pause: func(string) time.Duration { return noticePause }, dropped: dropped, spawn: spawn,
+		stopped: stopped, capacity: maxWaitingNotices,
 	}
+	return s
 }
 
 func (b *peerExchange) sendNotice(ctx context.Context, address string, notice *pb.SuspectNotice) error {
--- a/internal/host/notices_test.go
+++ b/internal/host/notices_test.go
@@ -51,10 +51,7 @@
 	const notices = 500
 	calls := &noticeCalls{takes: 5 * time.Millisecond, answered: make(map[uint64]bool)}
 	var running sync.WaitGroup
-	s := &noticeSender{
-		send: calls.send, answered: calls.answer, spawn: func(f func()) { running.Go(f) }, stopped: t.Context(),
-		queues: make(map[string]*noticeQueue),
-	}
+	s := newNoticeSender(t.Context(), func(f func()) { running.Go(f) }, calls.send, calls.answer, func() { t.Error("a notice is dropped") })
 	var sent []string
 	for n := range notices {
 		sender := fmt.Sprintf("entry-%d", n)
--- a/internal/host/origin_queue.go
+++ b/internal/host/origin_queue.go
@@ -29,12 +29,6 @@
 	control bool
 }
 
-// originQueue holds what one process has still to be told, while a call to it is under way.
-type originQueue struct {
-	waiting []untoldOrigin
-	sending bool
-}
-
 // untoldOrigin is an origin with the addresses of those that may hold it instead, best first.
 type untoldOrigin struct {
 	origin *pb.StreamOrigin
@@ -73,47 +67,23 @@
 }
 
 // tell passes an origin to a process, together with the others that come while a call is under way.
-func (o *Origins) tell(to originHolder, u untoldOrigin) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	q := o.queues[to]
-	if q == nil {
-		q = &originQueue{}
-		o.queues[to] = q
-	}
-	if len(q.waiting) >= maxUntoldOrigins {
-		o.host.Metrics.Scope.Counter("origins_dropped").Inc(1)
+func (o *Origins) tell(to originHolder, u untoldOrigin) { o.outbox.add(to, u) }
+
+// sendBatch tells a process origins. What it does not take goes to the next best one.
+func (o *Origins) sendBatch(to originHolder, batch []untoldOrigin) {
+	if err := o.send(to, batch); err != nil {
+		o.passToOthers(to, batch, err)
 		return
 	}
-	q.waiting = append(q.waiting, u)
-	if !q.sending {
-		q.sending = true
-		o.host.Spawn(func() { o.drain(to, q) })
-	}
+	confirmTold(batch)
 }
 
-// drain tells a process all that waits for it. What it does not take goes to the next best one.
-func (o *Origins) drain(to originHolder, q *originQueue) {
-	for {
-		o.mu.Lock()
-		batch := q.waiting
-		q.waiting = nil
-		if len(batch) == 0 {
-			q.sending = false
-			delete(o.queues, to)
-			o.mu.Unlock()
-			return
-		}
-		o.mu.Unlock()
-		if err := o.send(to, batch); err != nil {
-			o.passToOthers(to, batch, err)
-		} else {
-			confirmTold(batch)
-		}
-		if to.control {
-			Sleep(o.host.TaskContext, controlOriginPause)
-		}
+// pause returns the time between two messages to a process.
+func (h originHolder) pause() time.Duration {
+	if h.control {
+		return controlOriginPause
 	}
+	return 0
 }
 
 func confirmTold(batch []untoldOrigin) {
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -6,7 +6,6 @@
 	"errors"
 	"log/slog"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
@@ -26,8 +25,11 @@
 	// originsAsked is how many entries are asked. It is more than are told: by the view of the entry
 	// that asks, others may have come before the holders.
 	originsAsked = 6
-	// originLookupTimeout bounds each half of the search for an origin: at entries, then at control.
+	// originLookupTimeout bounds each half of the search for an origin: at entries, and at control.
 	originLookupTimeout = 250 * time.Millisecond
+	// controlAskedAfter is how long entries have to answer before control is asked, too. Those that have ended with
+	// their machines give no answer at all.
+	controlAskedAfter = 50 * time.Millisecond
 )
 
 // Origins tells where streams began. An entry that ends takes its callers' streams with it, and they
@@ -43,13 +45,17 @@
 type Origins struct {
 	host  *Host
 	store *origin.Store
-
-	mu     sync.Mutex
-	queues map[originHolder]*originQueue
+	// outbox holds what other processes have still to be told.
+	outbox outbox[originHolder, untoldOrigin]
 }
 
 func newOrigins(h *Host) *Origins {
-	return &Origins{host: h, store: origin.NewStore(), queues: make(map[originHolder]*originQueue)}
+	o := &Origins{host: h, store: origin.NewStore()}
+	o.outbox = outbox[originHolder, untoldOrigin]{
+		send: o.sendBatch, pause: originHolder.pause, dropped: func() { h.Metrics.Scope.Counter("origins_dropped").Inc(1) },
+		spawn: h.Spawn, stopped: h.TaskContext, capacity: maxUntoldOrigins,
+	}
+	return o
 }
 
 // ExpectedOrigin is where control was told that a stream will begin.
@@ -136,19 +142,31 @@
 	expected []originAnswer
 }
 
-// takeExpected takes what was expected for the origin if all who expected something agree. Who has replaced it
-// would have said so, as enough have answered.
-func (l *Lookup) takeExpected() {
-	if l.Origin != nil || !l.Complete || len(l.expected) == 0 {
-		return
+// take takes an answer, and returns true once the origin is known. What was expected is taken for it if enough have
+// answered and nobody says otherwise: those who were told of another one would.
+func (l *Lookup) take(a originAnswer, enough int) bool {
+	if a.answered {
+		l.Answered++
+	}
+	l.Complete = l.Answered >= enough
+	switch {
+	case a.origin != nil && a.expected:
+		l.expected = append(l.expected, a)
+	case a.origin != nil:
+		l.Origin, l.Holder = a.origin, a.address
+		return true
+	}
+	if !l.Complete || len(l.expected) == 0 {
+		return false
 	}
 	first := l.expected[0]
 	for _, other := range l.expected[1:] {
 		if !origin.Fit(*first.origin, *other.origin) {
-			return
+			return false
 		}
 	}
 	l.Origin, l.Holder = first.origin, first.address
+	return true
 }
 
 // Attr describes the search in a log line.
@@ -164,22 +182,35 @@
 	return slog.Group("origin", attrs...)
 }
 
-// add adds the answers of others that were asked after the first ones.
-func (l *Lookup) add(later *Lookup) {
-	l.Origin, l.Holder = later.Origin, later.Holder
-	l.Asked, l.Answered, l.Complete = l.Asked+later.Asked, l.Answered+later.Answered, l.Complete && later.Complete
+// add adds the answers of others that were asked.
+func (l *Lookup) add(others *Lookup) {
+	l.Origin, l.Holder = others.Origin, others.Holder
+	l.Asked, l.Answered, l.Complete = l.Asked+others.Asked, l.Answered+others.Answered, l.Complete && others.Complete
 }
 
-// Find searches for the place where a stream began: at the entries, then at control's replicas, which
-// know it also if all entries have ended since.
+// Find searches for the place where a stream began: at the entries, and, unless these know it at once, at
+// control's replicas, which know it also if all entries have ended since.
 func (o *Origins) Find(ctx context.Context, k origin.Key) *Lookup {
 	start := clock.SinceBoot()
 	if own, known := o.store.Get(k, start); known {
 		return &Lookup{Origin: &own}
 	}
-	l := o.askEntries(ctx, k)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l, found, pending := &Lookup{Complete: true}, make(chan *Lookup, 2), 1
+	o.host.Spawn(func() { found <- o.askEntries(ctx, k) })
+	select {
+	case entries := <-found:
+		l.add(entries)
+		pending = 0
+	case <-time.After(controlAskedAfter):
+	}
 	if l.Origin == nil {
-		l.add(o.askControl(ctx, k))
+		o.host.Spawn(func() { found <- o.askControl(ctx, k) })
+		pending++
+	}
+	for ; pending > 0 && l.Origin == nil; pending-- {
+		l.add(<-found)
 	}
 	l.Took = clock.SinceBoot() - start
 	return l
@@ -189,51 +220,39 @@
 func (o *Origins) askEntries(ctx context.Context, k origin.Key) *Lookup {
 	asked := o.host.Snapshot().OriginHolders(k.String(), o.host.Settings.Name, true)
 	asked = asked[:min(originsAsked, len(asked))]
-	l := o.askAll(ctx, asked, func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
+	return o.askAll(ctx, asked, len(asked), func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
 		return o.host.peers.clientFor(address).FindOrigin(ctx, q)
 	}, k)
-	l.Complete = l.Answered == l.Asked
-	return l
 }
 
 // askControl asks control's replicas. Without one of them the search is complete all the same: each
 // origin is told to two.
 func (o *Origins) askControl(ctx context.Context, k origin.Key) *Lookup {
-	l := o.askAll(ctx, o.controlReplicas(), func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
+	replicas := o.controlReplicas()
+	enough := max(1, len(replicas)-controlHolders+1)
+	return o.askAll(ctx, replicas, enough, func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error) {
 		return o.controlClient(address).FindOrigin(ctx, q)
 	}, k)
-	l.Complete = l.Answered >= max(1, l.Asked-controlHolders+1)
-	l.takeExpected()
-	return l
 }
 
 // findCall asks the process at an address for an origin.
 type findCall func(ctx context.Context, address string, q *pb.FindOriginRequest) (*pb.StreamOrigin, error)
 
-// askAll asks all addresses at once, until one knows the origin.
-func (o *Origins) askAll(ctx context.Context, addresses []string, find findCall, k origin.Key) *Lookup {
+// askAll asks all addresses at once, until one knows the origin, or enough have answered and some of them know
+// where it was expected.
+func (o *Origins) askAll(ctx context.Context, addresses []string, enough int, find findCall, k origin.Key) *Lookup {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	answers := make(chan originAnswer, len(addresses))
 	for _, address := range addresses {
 		o.host.Spawn(func() { answers <- o.ask(ctx, address, find, k) })
 	}
-	l := &Lookup{Asked: len(addresses)}
-	var expected []originAnswer
+	l := &Lookup{Asked: len(addresses), Complete: enough == 0}
 	for range addresses {
-		a := <-answers
-		if a.answered {
-			l.Answered++
-		}
-		switch {
-		case a.origin != nil && a.expected:
-			expected = append(expected, a)
-		case a.origin != nil:
-			l.Origin, l.Holder = a.origin, a.address
+		if l.take(<-answers, enough) {
 			return l
 		}
 	}
-	l.expected = expected
 	return l
 }
 
--- a/internal/host/origins_test.go
+++ b/internal/host/origins_test.go
@@ -12,25 +12,28 @@
 	v1 := &decision.Origin{Pool: "lm", Version: "v1", Incarnation: "i-1"}
 	other := &decision.Origin{Pool: "lm", Version: "v1", Incarnation: "i-2"}
 	v2 := &decision.Origin{Pool: "lm", Version: "v2", Incarnation: "i-3"}
+	unknown := originAnswer{answered: true}
+	silent := originAnswer{}
+	expects := func(o *decision.Origin) originAnswer { return originAnswer{origin: o, answered: true, expected: true} }
+	began := func(o *decision.Origin) originAnswer { return originAnswer{origin: o, answered: true} }
 	for _, c := range []struct {
-		name     string
-		complete bool
-		expected []*decision.Origin
-		began    *decision.Origin
-		want     string
+		name    string
+		answers []originAnswer
+		want    string
 	}{
-		{"one knows", true, []*decision.Origin{v1}, nil, "v1"},
-		{"two agree", true, []*decision.Origin{v1, other}, nil, "v1"},
-		{"two disagree", true, []*decision.Origin{v1, v2}, nil, ""},
-		{"too few have answered", false, []*decision.Origin{v1}, nil, ""},
-		{"it began elsewhere", true, []*decision.Origin{v1}, v2, "v2"},
-		{"nobody knows", true, nil, nil, ""},
+		{"one knows", []originAnswer{unknown, expects(v1), unknown}, "v1"},
+		{"two agree, one is silent", []originAnswer{expects(v1), silent, expects(other)}, "v1"},
+		{"two disagree", []originAnswer{expects(v1), expects(v2), unknown}, ""},
+		{"too few have answered", []originAnswer{expects(v1), silent, silent}, ""},
+		{"it began elsewhere", []originAnswer{expects(v1), began(v2)}, "v2"},
+		{"nobody knows", []originAnswer{unknown, unknown, unknown}, ""},
 	} {
-		l := &Lookup{Complete: c.complete, Origin: c.began}
-		for _, o := range c.expected {
-			l.expected = append(l.expected, originAnswer{origin: o, answered: true, expected: true})
+		l := &Lookup{Asked: 3}
+		for _, a := range c.answers {
+			if l.take(a, 2) {
+				break
+			}
 		}
-		l.takeExpected()
 		got := ""
 		if l.Origin != nil {
 			got = l.Origin.Version
--- a/internal/host/peer_reports.go
+++ b/internal/host/peer_reports.go
@@ -45,7 +45,8 @@
 	b := &peerExchange{
 		host: h, http: h.Auth.Client(), clients: make(map[string]*peerClient),
 	}
-	b.notices = newNoticeSender(b)
+	b.notices = newNoticeSender(b.host.TaskContext, b.host.Spawn, b.sendNotice, func(a entry.NoticeAnswered) { b.host.Post(a) },
+		func() { b.host.Metrics.Scope.Counter("suspect_notices_dropped").Inc(1) })
 	return b
 }
 
