A crash counts half beside a part that is more likely its cause

Cause: from the fifth crash on each crash counts in full, also for a harmless part that came with several guilty ones; and for a request only the last of its crashes was in doubt if something else was on all of those servers, while its crashes are judged together, 0.6 s later.

Change: a crash counts half for a part if another part that ran in more such requests was on the server, and for a request with several crashes if a part of others with as many was. A guilty part or request is on all of its servers, so that it overtakes those beside it.

--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -109,7 +109,11 @@
 // Servers end, or are cut off, for reasons of their own, some of them one after the other. A harmless
 // request that happens to run on two of them must not be refused.
 func (t *suspectTable) mostScore(key quarantineKey, death string, now time.Duration) int {
+	beside := t.besideLikelierPart(key, death)
 	if t.byKey[key].counted() > maxDoubtfulCrashes {
+		if key.part && beside {
+			return doubtfulScore
+		}
 		return scorePerCrash
 	}
 	others := 0
@@ -119,7 +123,7 @@
 	switch {
 	case others > 1:
 		return veryDoubtfulScore
-	case others == 1 || t.alwaysBesideAnother(key, death):
+	case others == 1 || beside || t.alwaysBesideAnother(key, death):
 		return doubtfulScore
 	default:
 		return scorePerCrash
@@ -164,6 +168,25 @@
 	return false
 }
 
+// besideLikelierPart reports whether a part was on the server that is more likely the cause, since it ran in more
+// requests that ended servers. For a request with several crashes that is one of others' parts with as many: what
+// runs beside a guilty part is charged with its crashes, and may be resumed beside it again.
+func (t *suspectTable) besideLikelierPart(key quarantineKey, death string) bool {
+	least := t.byKey[key].counted() + 1
+	if !key.part && least > 2 {
+		least--
+	}
+	for otherKey, other := range t.byKey {
+		if !otherKey.part || otherKey == key || !key.part && other.ranIn(key.fingerprint) {
+			continue
+		}
+		if c, charged := other.deaths[death]; charged && !c.uncertain && !c.disproved && other.counted() >= least {
+			return true
+		}
+	}
+	return false
+}
+
 // lastCrash returns the last crash that the request is charged with.
 func (t *suspectTable) lastCrash(s *suspect) string {
 	last, at := "", time.Duration(-1)
