Streams are refused at once if their version is being replaced; control hears of the first event as well

Change: what all servers of its build are leaving for, while others of the pool stay, is refused at once (stream_origin_gone), also while it waits; where all leave, or none of another build stays, it waits as before. And control is told with the first event as well, as before expected origins.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -47,7 +47,7 @@
 // anyCandidate reports whether some server could run the request at once or after its cool-down.
 func (r *Reducer) anyCandidate(q *request) bool {
 	return slices.ContainsFunc(r.servers.sorted, func(s *server) bool {
-		if s.backpressure.Leaving || s.died || s.pb.Drained || s.pb.State == pb.ServerState_SERVER_STATE_GONE {
+		if !s.mayServe() {
 			return false
 		}
 		d := r.decisionServer(s, true)
@@ -55,6 +55,11 @@
 	})
 }
 
+// mayServe reports whether the server may take work, now or later.
+func (s *server) mayServe() bool {
+	return !s.backpressure.Leaving && !s.died && !s.pb.Drained && s.pb.State != pb.ServerState_SERVER_STATE_GONE
+}
+
 // canTake reports whether a request may go to the server, including by a permit that the request
 // holds. A nil request holds none.
 func (r *Reducer) canTake(q *request, s *server) bool {
--- a/internal/entry/origin.go
+++ b/internal/entry/origin.go
@@ -5,6 +5,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // origin describes the server as the place where an answer begins.
@@ -29,9 +30,24 @@
 	return q.work.Origin.Allows(&d)
 }
 
-// originGone reports whether no server is left that could go on with the request's answer.
+// originGone reports whether no server is left that could go on with the request's answer, or all that could are
+// leaving while others of their pool stay: those run another build, and no more of this one will come.
 func (r *Reducer) originGone(q *request) bool {
-	return q.work.Origin != nil && !r.anyCandidate(q)
+	if q.work.Origin == nil {
+		return false
+	}
+	fits, stays, othersStay := false, false, false
+	for _, s := range r.servers.sorted {
+		if !s.mayServe() {
+			continue
+		}
+		d, leaving := r.decisionServer(s, true), s.pb.State == pb.ServerState_SERVER_STATE_LEAVING
+		fit := d.Serves(&q.work)
+		fits = fits || fit
+		stays = stays || fit && !leaving
+		othersStay = othersStay || !fit && !leaving && s.origin().Pool == q.work.Origin.Pool
+	}
+	return !fits || !stays && othersStay
 }
 
 // refuseNoCandidate refuses a request that no server could run, or go on with.
--- a/internal/entry/origin_test.go
+++ b/internal/entry/origin_test.go
@@ -97,6 +97,36 @@
 	}
 }
 
+// Guards against streams that are held until their callers' time has passed while all engines of their version are
+// leaving after a release, and against ones that are refused while engines are only replaced.
+func TestStreamIsRefusedOnceItsVersionIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		leaving  []int
+		gone     bool
+	}{
+		{"all of its version are leaving, another one stays", []string{"v1", "v1", "v2"}, []int{0, 1}, true},
+		{"one of its version stays", []string{"v1", "v1", "v2"}, []int{0}, false},
+		{"all engines are leaving", []string{"v1", "v1"}, []int{0, 1}, false},
+		{"the other version is leaving as well", []string{"v1", "v2"}, []int{0, 1}, false},
+	} {
+		w := newDeadlineHarness(t)
+		servers := withVersions(c.versions...)
+		for _, n := range c.leaving {
+			servers[n].State = pb.ServerState_SERVER_STATE_LEAVING
+		}
+		w.view(servers...)
+		w.arriveWithDeadline("r1", func(a *RequestArrived) {
+			a.Work.Origin, a.Work.Resumed = &decision.Origin{Pool: testModel, Version: "v1"}, true
+		})
+		refusals := effectsOf[Refuse](w.effects)
+		if gone := len(refusals) == 1 && refusals[0].Refusal.Code == outcome.CodeOriginGone; gone != c.gone {
+			t.Errorf("%s: effects %v", c.name, w.effects)
+		}
+	}
+}
+
 // Guards against a KV cache that an engine of one software version hands to one of another.
 func TestPrefilledWorkIsDecodedAtItsVersion(t *testing.T) {
 	w := newDeadlineHarness(t)
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -89,7 +89,7 @@
 	told, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
 	candidates := snap.OriginHolders(k.String(), o.host.Settings.Name, false)
 	holders := min(originHolders, len(candidates))
-	passOn := expected == nil && holders > 0 && !snap.TellsControl(o.host.Settings.Name)
+	passOn := holders > 0 && !snap.TellsControl(o.host.Settings.Name)
 	for n, address := range candidates[:holders] {
 		u := untoldOrigin{origin: told, others: everyNth(candidates[holders:], n, holders)}
 		if n == 0 && passOn {
@@ -98,12 +98,12 @@
 		}
 		o.tell(originHolder{address: address}, u)
 	}
-	switch {
-	case expected != nil && !origin.Fit(expected.from, from):
-		o.replaceAtControl(told)
-	case expected == nil && !passOn:
+	if !passOn {
 		o.tellControl(told)
 	}
+	if expected != nil && !origin.Fit(expected.from, from) {
+		o.replaceAtControl(told)
+	}
 }
 
 // everyNth returns the elements at n, n+step, n+2*step and so on.
