Look no further for a stream's servers once one stays

originGone looked at all servers for each stream that waits, where the look before ended at the first one that fits; it ends there again. What it says is the same: TestStreamIsRefusedOnceItsVersionIsReplaced passes, its mutant fails.

--- a/internal/entry/origin.go
+++ b/internal/entry/origin.go
@@ -36,18 +36,22 @@
 	if q.work.Origin == nil {
 		return false
 	}
-	fits, stays, othersStay := false, false, false
+	fits, othersStay := false, false
 	for _, s := range r.servers.sorted {
 		if !s.mayServe() {
 			continue
 		}
 		d, leaving := r.decisionServer(s, true), s.pb.State == pb.ServerState_SERVER_STATE_LEAVING
-		fit := d.Serves(&q.work)
-		fits = fits || fit
-		stays = stays || fit && !leaving
-		othersStay = othersStay || !fit && !leaving && s.origin().Pool == q.work.Origin.Pool
+		switch {
+		case d.Serves(&q.work) && !leaving:
+			return false
+		case d.Serves(&q.work):
+			fits = true
+		case !leaving && s.origin().Pool == q.work.Origin.Pool:
+			othersStay = true
+		}
 	}
-	return !fits || !stays && othersStay
+	return !fits || othersStay
 }
 
 // refuseNoCandidate refuses a request that no server could run, or go on with.
