--- a/internal/control/runner/origins.go
+++ b/internal/control/runner/origins.go
@@ -11,8 +11,8 @@
 )
 
 // originHolder implements pb.Origins. It outlives all entries, which hold the same in their own memory
-// only, and needs neither a leader nor the log: an origin never changes, and one that is lost is
-// refused, not guessed.
+// only, and needs neither a leader nor the log: an origin never changes once its stream has begun, what was
+// expected before gives way to it, and one that is lost is refused, not guessed.
 type originHolder struct {
 	cluster string
 	store   *origin.Store
