--- a/review/harness/clients.go
+++ b/review/harness/clients.go
@@ -93,7 +93,7 @@
 		return 0, nil
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 4<<20))
 	if err != nil {
 		return 0, nil
 	}
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -233,6 +233,13 @@
 	}
 }
 
+// pid returns the process id.
+func (m *machine) pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cmd.Process.Pid
+}
+
 // alive reports whether the process runs.
 func (m *machine) alive() bool {
 	m.mu.Lock()
