Review case 3: a report of another writer takes a sound engine out of use

Cause: a liveness report with a service that no manifest names is confirmed and replaces the engine's record; its own reports, with lower sequences, are confirmed and dropped from then on.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,7 +12,8 @@
 
 // A case returns what broke the rule; nothing if it held.
 var cases = map[string]func(root, dir string, rec *record, trouble bool) []string{
-	"seed-lost": seedLost,
+	"other-writer": otherWriter,
+	"seed-lost":    seedLost,
 }
 
 func main() {
