Review: cases in the order of their gravity; case 2: a late report of a dead engine takes a live one out of use

Cause: where engines have no born, the id that arrives last is the current one, and the one before it is never accepted again. Before, two runs could not start for an address in use: the lock of a network was collected; fixed.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,6 +12,8 @@
 
 // A case returns what broke the rule; nothing if it held.
 var cases = map[string]func(root, dir string, rec *record, trouble bool) []string{
+	"deadly":       deadly,
+	"late-born":    lateBorn,
 	"other-writer": otherWriter,
 	"seed-lost":    seedLost,
 }
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -83,6 +83,8 @@
 var (
 	runningMu sync.Mutex
 	running   []*machine
+	// networks keeps the locks of networks from being collected, which would free them.
+	networks []net.Listener
 )
 
 // endAll kills every process that was started.
@@ -109,6 +111,7 @@
 	if s.lock == nil {
 		cantRun("no free loopback addresses")
 	}
+	networks = append(networks, s.lock)
 	var seeds []string
 	for n := 1; n <= min(3, control); n++ {
 		seeds = append(seeds, addr(s.ip(1, n), portControl))
