--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -235,23 +235,3 @@
 		<-exited
 	}
 }
-
-// pid returns the process id.
-func (m *machine) pid() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.cmd.Process.Pid
-}
-
-// alive reports whether the process runs.
-func (m *machine) alive() bool {
-	m.mu.Lock()
-	exited := m.exited
-	m.mu.Unlock()
-	select {
-	case <-exited:
-		return false
-	default:
-		return exited != nil
-	}
-}
