Engines that ignore fencing tokens are declared so on the platform

Cause: a platform may have engines that carry out every order (its settings field bounds.fencing-required is false then, as on one of the users' deployments), but manifests were translated as if all engines refused outdated tokens. So the wait that control has for such engines (a copy of an earlier leader's order, or one without an answer, may still arrive) never applied there: the next order went out at once, and a late copy could change back what it had ordered.

Open: the first resend of an unresolved order by a new leader still goes out at once.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -99,8 +99,9 @@
 	if s.RegistryAddress == "" {
 		return runner.Drivers{}
 	}
+	engines := platform.EngineSettings{Roles: s.Roles, IgnoreFencing: s.EnginesIgnoreFencing}
 	return runner.Drivers{
-		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, s.Roles, s.MaxRegistryConnections(), log)},
+		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, engines, s.MaxRegistryConnections(), log)},
 		Orders: platform.OrderProtocol{},
 		Duties: platform.DutyProtocol{},
 	}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -58,6 +58,10 @@
 	MaxFiles int `yaml:"max_files"`
 	// Roles configures role changes for documents received at RegistryAddress, which can't.
 	Roles declaration.Roles `yaml:"roles"`
+	// EnginesIgnoreFencing is set if the engines of documents received at RegistryAddress carry out orders
+	// with outdated fencing tokens; the next order then waits for OrderPause where an earlier one may
+	// still arrive. Default false.
+	EnginesIgnoreFencing bool `yaml:"engines_ignore_fencing"`
 	// InForceWithin is the time within which a confirmed declaration should be in force at all entries
 	// in touch. The leader warns when little of it was left. Default 0: not checked.
 	InForceWithin time.Duration `yaml:"in_force_within"`
