Soak: a process that ends by itself is told with its last log lines

ENDS named the process alone, and its log may hold later lives by the end of a run. The test bed keeps what the first run that ended by itself logged last, from its panic on if it had one; a start that fails on a taken address counts too, also when the process is started again.

--- a/internal/testbed/proc.go
+++ b/internal/testbed/proc.go
@@ -1,7 +1,9 @@
 package testbed
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -40,13 +42,18 @@
 }
 
 // ResidentKB returns the resident set size of a process in kB. Errors: Failed.
-func ResidentKB(pid int) (float64, error) {
+func ResidentKB(pid int) (float64, error) { return statusKB(pid, "VmRSS:") }
+
+// PeakKB returns the largest resident set size that a process has had, in kB. Errors: Failed.
+func PeakKB(pid int) (float64, error) { return statusKB(pid, "VmHWM:") }
+
+func statusKB(pid int, field string) (float64, error) {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
 	if err != nil {
 		return 0, Failed.Wrap(err, "memory")
 	}
 	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if value, ok := strings.CutPrefix(line, field); ok {
 			kb, err := strconv.Atoi(strings.Fields(value)[0])
 			if err != nil {
 				return 0, Failed.Wrap(err, "memory")
@@ -54,5 +61,21 @@
 			return float64(kb), nil
 		}
 	}
-	return 0, Failed.New("process %d has no VmRSS", pid)
+	return 0, Failed.New("process %d has no %s", pid, field)
+}
+
+// FolderBytes returns the size of all files in a folder whose process may be writing to it.
+func FolderBytes(dir string) int64 {
+	var size int64
+	// Files that are removed meanwhile no longer count.
+	_ = filepath.WalkDir(dir, func(_ string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return nil
+		}
+		if info, err := entry.Info(); err == nil {
+			size += info.Size()
+		}
+		return nil
+	})
+	return size
 }
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,8 +37,10 @@
 	// exitExpected is true once the test stops the current run or expects its
 	// exit.
 	exitExpected bool
-	// unexpectedExits counts runs that exited while exitExpected was false.
+	// unexpectedExits counts runs that exited while exitExpected was false; exitLines are the last
+	// lines of the log of the first of them.
 	unexpectedExits int
+	exitLines       string
 }
 
 // NewProcess returns a process that runs the binary at path with the given
@@ -70,7 +73,9 @@
 		_ = cmd.Wait()
 		p.mu.Lock()
 		if !p.exitExpected {
-			p.unexpectedExits++
+			if p.unexpectedExits++; p.unexpectedExits == 1 {
+				p.exitLines = lastLines(p.LogFile)
+			}
 		}
 		p.mu.Unlock()
 		close(exited)
@@ -156,6 +161,36 @@
 	return p.unexpectedExits
 }
 
+// ExitLines returns what the first run that exited unexpectedly logged last: from its panic on, if it
+// had one. Empty if there was no such run.
+func (p *Process) ExitLines() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exitLines
+}
+
+const (
+	// logTailBytes is how much of a log is searched for a panic, exitLinesBytes how much of it is kept.
+	logTailBytes   = 64 << 10
+	exitLinesBytes = 1000
+)
+
+// lastLines returns the end of a log, or its last panic.
+func lastLines(file string) string {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	tail := string(data[max(0, len(data)-logTailBytes):])
+	for _, mark := range []string{"\npanic: ", "\nfatal error: "} {
+		if i := strings.LastIndex("\n"+tail, mark); i >= 0 {
+			tail = tail[i:]
+			return tail[:min(len(tail), exitLinesBytes)]
+		}
+	}
+	return tail[max(0, len(tail)-exitLinesBytes):]
+}
+
 // WipeData empties the data directory of a stopped process.
 func (p *Process) WipeData() error {
 	if err := os.RemoveAll(p.DataDir); err != nil {
