--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -6,6 +6,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -93,13 +94,16 @@
 	h := &Host{Settings: set, Log: log, Auth: auth, Metrics: obs.NewMetrics("goldcrest_entry")}
 	auth.CountBytes(h.Metrics.Scope)
 	h.TaskContext, h.cancelTasks = context.WithCancel(context.Background())
-	if h.peerListener, err = auth.Listen(h.TaskContext, set.PeerAddress); err != nil {
+	if h.peerListener, err = auth.Listen(h.TaskContext, cmp.Or(set.ListenAddress, set.PeerAddress)); err != nil {
 		return nil, Failed.Wrap(err, "peer_address")
 	}
 	h.Identity = &pb.EntryIdentity{
 		Name: set.Name, Incarnation: uuid.NewString(), Region: set.Region, DataCentre: set.DataCentre,
 		CallerAddress: callerAddress, PeerAddress: h.peerListener.Addr().String(),
 	}
+	if set.ListenAddress != "" {
+		h.Identity.PeerAddress = set.PeerAddress
+	}
 	h.watchFailureLog = rate.Sometimes{First: watchFailureLogFirst, Interval: watchFailureLogInterval}
 	h.Control = NewControlClient(auth, set.Control)
 	h.decisionLog = newDecisionLog(h.Metrics.Scope)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -24,8 +24,11 @@
 	Credentials Credentials `yaml:"credentials"`
 	// Usage configures the accounting of members' requests.
 	Usage Usage `yaml:"usage"`
-	// PeerAddress is the listen address for other entries and for metrics.
+	// PeerAddress is the address for other entries and for metrics.
 	PeerAddress string `yaml:"peer_address"`
+	// ListenAddress is the address to listen on, host:port, if other entries reach it at PeerAddress
+	// through address translation or a forwarder. Default: PeerAddress.
+	ListenAddress string `yaml:"listen_address"`
 	// MaxBodyBytes is the size limit of a request body; a larger one gets status 413.
 	// Default 4194304.
 	MaxBodyBytes int `yaml:"max_body_bytes"`
@@ -129,6 +132,9 @@
 		checkAddress(file, "relay.ready_address", s.Relay.ReadyAddress)
 	}
 	checkAddress(file, "peer_address", s.PeerAddress)
+	if s.ListenAddress != "" {
+		checkAddress(file, "listen_address", s.ListenAddress)
+	}
 	s.Engines.check(file)
 	if s.RetryLimit.Ratio < 0 || s.RetryLimit.Constant < 0 || s.RetryLimit.Window < 0 ||
 		s.RetryLimit.Entries < 0 {
--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -46,6 +46,8 @@
 	mode   Mode
 	// lostBytes is true once bytes have been discarded.
 	lostBytes bool
+	// cut is set while the forwarder's cut applies in place of mode.
+	cut bool
 }
 
 // Forwarder forwards TCP connections to one target.
@@ -57,6 +59,9 @@
 	listener  net.Listener
 	mode      Mode
 	connPairs map[*connPair]bool
+	// clientPorts returns the local ports of the client that is cut off in cutMode; nil for none.
+	clientPorts func() map[int]bool
+	cutMode     Mode
 }
 
 // Listen starts a forwarder at address (host:port, port 0 for any free port).
@@ -105,7 +110,25 @@
 	f.mode = m
 	for pair := range f.connPairs {
 		pair.mode = m
-		if m.Refuse || pair.lostBytes && !m.blackholes() {
+		if m := f.modeOf(pair); m.Refuse || pair.lostBytes && !m.blackholes() {
+			pair.close()
+		}
+	}
+}
+
+// Cut selects the mode of one client's connections, open and new ones. clientPorts returns the local ports of
+// that client's connections; nil ends the cut.
+func (f *Forwarder) Cut(clientPorts func() map[int]bool, m Mode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clientPorts, f.cutMode = clientPorts, m
+	var ports map[int]bool
+	if clientPorts != nil {
+		ports = clientPorts()
+	}
+	for pair := range f.connPairs {
+		pair.cut = ports[pair.clientPort()]
+		if pair.lostBytes && !f.modeOf(pair).blackholes() || f.modeOf(pair).Refuse {
 			pair.close()
 		}
 	}
@@ -140,6 +163,7 @@
 // Close stops the forwarder and closes its connections.
 func (f *Forwarder) Close() {
 	f.StopListening()
+	f.Cut(nil, Mode{})
 	f.SetMode(Mode{Refuse: true})
 	f.wg.Wait()
 }
@@ -180,8 +204,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pair.mode = f.mode
+	pair.cut = f.clientPorts != nil && f.clientPorts()[pair.clientPort()]
 	f.connPairs[pair] = true
-	return !f.mode.Refuse
+	return !f.modeOf(pair).Refuse
 }
 
 func (f *Forwarder) remove(pair *connPair) {
@@ -197,6 +222,14 @@
 	if pair == nil {
 		return f.mode
 	}
+	return f.modeOf(pair)
+}
+
+// modeOf returns the mode of a connection; the caller holds the lock.
+func (f *Forwarder) modeOf(pair *connPair) Mode {
+	if pair.cut {
+		return f.cutMode
+	}
 	return pair.mode
 }
 
@@ -243,6 +276,14 @@
 // blackholePollInterval is how often waitWhileBlackholed checks the mode.
 const blackholePollInterval = 20 * time.Millisecond
 
+// clientPort returns the client's port, 0 if it has none.
+func (pair *connPair) clientPort() int {
+	if a, ok := pair.client.RemoteAddr().(*net.TCPAddr); ok {
+		return a.Port
+	}
+	return 0
+}
+
 func (pair *connPair) close() {
 	_ = pair.client.Close()
 	_ = pair.server.Close()
--- a/internal/standin/forwarder/forwarder_test.go
+++ b/internal/standin/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,3 +78,63 @@
 		t.Fatal("a refusing forwarder forwards bytes")
 	}
 }
+
+// Guards against a cut that concerns other clients too, leaves out new connections, or doesn't end.
+func TestCutConcernsOneClient(t *testing.T) {
+	f, err := Listen("127.0.0.1:0", echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", f.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	port := func(conn net.Conn) int { return conn.LocalAddr().(*net.TCPAddr).Port }
+	cut, other := dial(), dial()
+	if !roundTrip(t, cut, 5*time.Second) || !roundTrip(t, other, 5*time.Second) {
+		t.Fatal("the forwarder does not forward")
+	}
+	var newer sync.Map
+	f.Cut(func() map[int]bool {
+		ports := map[int]bool{port(cut): true}
+		newer.Range(func(p, _ any) bool { ports[p.(int)] = true; return true })
+		return ports
+	}, Mode{BlackholeToClient: true})
+	if roundTrip(t, cut, 100*time.Millisecond) {
+		t.Error("the client that is cut off gets bytes")
+	}
+	if !roundTrip(t, other, 5*time.Second) {
+		t.Error("another client is cut off too")
+	}
+	for n := range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		from := l.Addr().(*net.TCPAddr)
+		_ = l.Close()
+		if n == 0 {
+			newer.Store(from.Port, true)
+		}
+		conn, err := (&net.Dialer{LocalAddr: from}).Dial("tcp", f.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if got := roundTrip(t, conn, 300*time.Millisecond); got != (n == 1) {
+			t.Errorf("new connection %d: forwarded %v", n, got)
+		}
+	}
+	f.Cut(nil, Mode{})
+	if !roundTrip(t, dial(), 5*time.Second) {
+		t.Error("the cut doesn't end")
+	}
+	if roundTrip(t, cut, 100*time.Millisecond) {
+		t.Error("a connection that has lost bytes goes on")
+	}
+}
--- a/internal/testbed/proc.go
+++ b/internal/testbed/proc.go
@@ -79,3 +79,38 @@
 	})
 	return size
 }
+
+// LocalPorts returns the local TCP ports of the connections that a process has open.
+func LocalPorts(pid int) map[int]bool {
+	inodes := make(map[string]bool)
+	fds := "/proc/" + strconv.Itoa(pid) + "/fd"
+	// A process that has ended, and a descriptor that is closed meanwhile, have no port.
+	entries, _ := os.ReadDir(fds)
+	for _, fd := range entries {
+		target, _ := os.Readlink(filepath.Join(fds, fd.Name()))
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	ports := make(map[int]bool)
+	for _, table := range []string{"/net/tcp", "/net/tcp6"} {
+		data, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + table)
+		for line := range strings.Lines(string(data)) {
+			fields := strings.Fields(line)
+			if len(fields) <= inodeField || !inodes[fields[inodeField]] {
+				continue
+			}
+			_, port, _ := strings.Cut(fields[localAddressField], ":")
+			if n, err := strconv.ParseInt(port, 16, 32); err == nil {
+				ports[int(n)] = true
+			}
+		}
+	}
+	return ports
+}
+
+// Fields of a line of /proc/PID/net/tcp.
+const (
+	localAddressField = 1
+	inodeField        = 9
+)
