An answer without a body isn't read for a trailer

Callers of HEAD, and of answers 204 and 304, got nothing until their time had passed where the server's head said that the body comes in chunks: the client waited for a trailer, which such an answer doesn't have. It showed while looking for cut heads that pass for whole answers.

--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -23,6 +23,8 @@
 	stopCtxWatch func() bool
 	body         io.Reader
 	length       int
+	// chunked is set if the body is sent in chunks, which an answer without a body isn't, whatever its head says.
+	chunked bool
 	// complete is set once the body has been read to its end.
 	complete bool
 }
@@ -73,6 +75,7 @@
 	if skipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		resp.length = 0
 	}
+	resp.chunked = resp.length == lengthChunked
 	switch resp.length {
 	case lengthChunked:
 		resp.body = httputil.NewChunkedReader(resp.conn.r)
@@ -114,7 +117,7 @@
 
 // readTrailer reads what follows the last chunk of a body.
 func (resp *Response) readTrailer() error {
-	if resp.Header.ContentLength() == lengthChunked {
+	if resp.chunked {
 		for {
 			line, err := resp.conn.r.ReadSlice('\n')
 			if err != nil {
