A stream doesn't begin where control, which can't be told, expects it elsewhere

Callers who took a stream up got the rest from an engine of another version: control is told where a stream is expected to begin, the engine there failed before the first event, another of another version began the stream, and the entry was cut off from control and the other entries by then. Its first event left after 250 ms although no replica had taken the change. Whoever took the stream up elsewhere found the entries silent and control's replicas agreed on where it was expected.

Cause: the wait for control had a limit, and the first event left at the limit, whatever had been taken. The class: a guard that gives way when its other side is silent, which is when it is needed.

Change: two replicas must have taken it (of one, that one): nobody believes what is expected without the answers of all but one, so that one of the two is among them. Up to 250 ms all are awaited as before, up to 1 s these two. Without them the attempt fails, and the caller hears of a failure in place of a stream that may be joined. The same in the native protocol.

--- a/internal/host/origin_queue.go
+++ b/internal/host/origin_queue.go
@@ -17,9 +17,10 @@
 	originTimeout = 500 * time.Millisecond
 	// maxUntoldOrigins bounds what waits for one process that is slow to answer.
 	maxUntoldOrigins = 1024
-	// replaceTimeout bounds how long a first event waits until control no longer expects its stream at other
-	// software.
+	// replaceTimeout bounds how long a first event waits until none of control's replicas expects its stream at other
+	// software, settleTimeout how long it waits for as many as are needed. What is not settled by then ends the attempt.
 	replaceTimeout = 250 * time.Millisecond
+	settleTimeout  = time.Second
 )
 
 // originHolder is a process that is told where streams began.
@@ -46,24 +47,37 @@
 	}
 }
 
-// replaceAtControl tells all of control's replicas where a stream began that they expect at other software,
-// and waits until each has taken that.
-func (o *Origins) replaceAtControl(began *pb.StreamOrigin) {
+// replaceAtControl tells all of control's replicas where a stream began that they expect at other software, waits until
+// they have taken that, and reports whether enough have: nobody believes what is expected without the answers of all but one.
+func (o *Origins) replaceAtControl(began *pb.StreamOrigin) bool {
 	replicas := o.controlReplicas()
 	taken := make(chan struct{}, len(replicas))
 	for _, address := range replicas {
 		o.tell(originHolder{address: address, control: true}, untoldOrigin{origin: began, told: func() { taken <- struct{}{} }})
 	}
-	timeout := time.After(replaceTimeout)
-	for n := range replicas {
+	enough := min(controlHolders, len(replicas))
+	n := countUntil(taken, 0, len(replicas), replaceTimeout)
+	if n == len(replicas) {
+		return true
+	}
+	n = countUntil(taken, n, enough, settleTimeout-replaceTimeout)
+	o.host.Log.Info("expected origin of a stream not replaced at each replica", "request_id", began.GetRequestId(),
+		"version", began.GetSoftwareVersion(), "replicas", len(replicas), "replaced", n, "enough", n >= enough)
+	return n >= enough
+}
+
+// countUntil counts what arrives on top of n until there are enough, or time is up.
+func countUntil(arrivals <-chan struct{}, n, enough int, limit time.Duration) int {
+	timeout := time.After(limit)
+	for n < enough {
 		select {
-		case <-taken:
+		case <-arrivals:
+			n++
 		case <-timeout:
-			o.host.Log.Info("expected origin of a stream not replaced at each replica", "request_id", began.GetRequestId(),
-				"version", began.GetSoftwareVersion(), "replicas", len(replicas), "replaced", n)
-			return
+			return n
 		}
 	}
+	return n
 }
 
 // tell passes an origin to a process, together with the others that come while a call is under way.
--- a/internal/host/origins.go
+++ b/internal/host/origins.go
@@ -81,12 +81,16 @@
 // Began records where a stream began, for as long as it may be resumed. It must be called before the
 // first event leaves this entry, and does not wait until the others know, unless control expects the stream at
 // software that doesn't fit. expected is what control was told with Expect, nil for nothing.
-func (o *Origins) Began(k origin.Key, from decision.Origin, keep time.Duration, expected *ExpectedOrigin) {
-	if expected != nil && expected.key != k {
-		expected = nil
+//
+// It returns false if control may still say that the stream began where it was expected. The first event must not leave then:
+// whoever takes the stream up while this entry is cut off would be led astray.
+func (o *Origins) Began(k origin.Key, from decision.Origin, keep time.Duration, expected *ExpectedOrigin) bool {
+	told, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
+	misled := expected != nil && expected.key == k && !origin.Fit(expected.from, from)
+	if misled && !o.replaceAtControl(told) {
+		return false
 	}
 	o.store.Put(k, from, clock.SinceBoot(), keep)
-	told, snap := origin.ToWire(k, from, keep), o.host.Snapshot()
 	candidates := snap.OriginHolders(k.String(), o.host.Settings.Name, false)
 	holders := min(originHolders, len(candidates))
 	passOn := holders > 0 && !snap.TellsControl(o.host.Settings.Name)
@@ -101,9 +105,7 @@
 	if !passOn {
 		o.tellControl(told)
 	}
-	if expected != nil && !origin.Fit(expected.from, from) {
-		o.replaceAtControl(told)
-	}
+	return true
 }
 
 // everyNth returns the elements at n, n+step, n+2*step and so on.
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -94,12 +95,19 @@
 	return max(0, j.arrived.Work.FinishBy-clock.SinceBoot()) + originSlack
 }
 
+// errOriginUnsettled ends an attempt whose stream control may still expect at other software.
+var errOriginUnsettled = errors.New("control expects the stream at other software and can't be told otherwise")
+
 // rememberOrigin lets callers take up this stream at any entry. It runs before the first event goes to
-// the caller. A caller may name the request that began the stream, and the one that took it up.
-func (j *job) rememberOrigin() {
+// the caller, which must not get it if rememberOrigin fails. A caller may name the request that began the stream,
+// and the one that took it up. Errors: errOriginUnsettled.
+func (j *job) rememberOrigin() error {
 	keep := j.keepOrigin()
-	j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: j.req.ID}, j.from, keep, j.expected)
+	if !j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: j.req.ID}, j.from, keep, j.expected) {
+		return errOriginUnsettled
+	}
 	if j.req.resumes(j.route) {
 		j.s.host.Origins.Began(origin.Key{Member: j.member, RequestID: j.req.Resumes}, j.from, keep, nil)
 	}
+	return nil
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,11 +63,13 @@
 // sendEvent sends one event to the caller, and the head before the first one.
 func (j *job) sendEvent(resp *Response, event []byte) error {
 	if j.streamed == nil {
-		j.streamed = &streamProgress{}
-		j.streamBegun.Store(true)
 		if j.arrived.Retry == entry.RetryResuming {
-			j.rememberOrigin()
+			if err := j.rememberOrigin(); err != nil {
+				return err
+			}
 		}
+		j.streamed = &streamProgress{}
+		j.streamBegun.Store(true)
 		if err := j.caller.BeginStream(&resp.Head); err != nil {
 			return err
 		}
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -280,8 +280,11 @@
 
 func (a *modelAttempt) forward(ctx context.Context, chunk engineapi.Chunk) error {
 	if a.timeToFirstToken == 0 {
-		a.timeToFirstToken = time.Since(a.startedAt)
-		a.rememberOrigin()
+		took := time.Since(a.startedAt)
+		if err := a.rememberOrigin(); err != nil {
+			return err
+		}
+		a.timeToFirstToken = took
 	}
 	a.offset += chunk.Tokens
 	a.text = append(a.text, chunk.Text...)
--- a/internal/traffic/origin.go
+++ b/internal/traffic/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -29,13 +30,20 @@
 	}
 }
 
-// rememberOrigin lets the caller resume at any entry. It runs before the first token goes to the caller.
-func (a *modelAttempt) rememberOrigin() {
+// errOriginUnsettled ends an attempt whose answer control may still expect at other software.
+var errOriginUnsettled = errors.New("control expects the answer at other software and can't be told otherwise")
+
+// rememberOrigin lets the caller resume at any entry. It runs before the first token goes to the caller, which must
+// not get it if rememberOrigin fails. Errors: errOriginUnsettled.
+func (a *modelAttempt) rememberOrigin() error {
 	expected := a.expected
 	if a.startOffset > 0 {
 		expected = nil
 	}
-	a.server.host.Origins.Began(originKey(a.record.pb), originOf(a.dispatch), recordRetention, expected)
+	if !a.server.host.Origins.Began(originKey(a.record.pb), originOf(a.dispatch), recordRetention, expected) {
+		return errOriginUnsettled
+	}
+	return nil
 }
 
 // findOrigin binds a resumed answer to the server that began it. An answer without a known origin is
