A stream that a late entry can't take up is passed on to one that may

Callers were told "no backend server runs the software any more that began this answer; begin anew", for good, by an entry that was cut off from control and had not heard of the new version yet; or "ask another", once its lease was over and the new engines had not confirmed themselves to it. Engines of that version served, and the other entries knew them.

Cause: the entry took its own view for the state of the world when it refused. Where its view lacks the build it can't tell "gone" from "new". The class: a final refusal drawn from what is missing in a late view; routes and credentials had been guarded against it (unlessViewOutdated), origins of streams not.

Change: such a request goes to another entry first, as those do for which an entry has no link to servers: once, only if no server has received it, and an entry that is late too refuses it as before.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -193,7 +194,22 @@
 	if e.Refusal.Outcome != outcome.NotRun || j.delivered {
 		return false
 	}
-	return j.unreached || e.ServersSilent && e.Refusal.Code == outcome.CodeNoServer || j.cutOff()
+	return j.unreached || e.ServersSilent && e.Refusal.Code == outcome.CodeNoServer || j.cutOff() || j.originUnseen(e)
+}
+
+// originUnseen reports whether a stream can't be taken up here since this entry's view is late: it has no server of the
+// build that began the stream, or none that has confirmed itself. Another entry may have one.
+func (j *job) originUnseen(e *entry.Refuse) bool {
+	from := j.arrived.Work.Origin
+	switch {
+	case from == nil:
+		return false
+	case e.Refusal.Code == outcome.CodeStaleView:
+		return true
+	case e.Refusal.Code == outcome.CodeOriginGone:
+		return !slices.ContainsFunc(j.s.host.Snapshot().Builds, func(b entry.Build) bool { return b.Pool == from.Pool && b.Version == from.Version })
+	}
+	return false
 }
 
 // refreshPeers asks the other entries for their load at the engines before one is chosen and,
