--- a/internal/testbed/proc.go
+++ b/internal/testbed/proc.go
@@ -80,7 +80,7 @@
 	return size
 }
 
-// LocalPorts returns the local TCP ports of the connections that a process has open.
+// LocalPorts returns the local ports of the IPv4 connections that a process has open.
 func LocalPorts(pid int) map[int]bool {
 	inodes := make(map[string]bool)
 	fds := "/proc/" + strconv.Itoa(pid) + "/fd"
@@ -93,24 +93,27 @@
 		}
 	}
 	ports := make(map[int]bool)
-	for _, table := range []string{"/net/tcp", "/net/tcp6"} {
-		data, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + table)
-		for line := range strings.Lines(string(data)) {
-			fields := strings.Fields(line)
-			if len(fields) <= inodeField || !inodes[fields[inodeField]] {
-				continue
-			}
-			_, port, _ := strings.Cut(fields[localAddressField], ":")
-			if n, err := strconv.ParseInt(port, 16, 32); err == nil {
-				ports[int(n)] = true
-			}
+	data, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/net/tcp")
+	for line := range strings.Lines(string(data)) {
+		// Most lines are of connections that wait for their end, and belong to no process.
+		if !strings.Contains(line, stateEstablished) {
+			continue
+		}
+		fields := strings.Fields(line)
+		if len(fields) <= inodeField || !inodes[fields[inodeField]] {
+			continue
+		}
+		_, port, _ := strings.Cut(fields[localAddressField], ":")
+		if n, err := strconv.ParseInt(port, 16, 32); err == nil {
+			ports[int(n)] = true
 		}
 	}
 	return ports
 }
 
-// Fields of a line of /proc/PID/net/tcp.
+// Fields of a line of /proc/PID/net/tcp, and the one of its state with the spaces around it.
 const (
+	stateEstablished  = " 01 "
 	localAddressField = 1
 	inodeField        = 9
 )
