Logs name the replicas that an unformed one waits for, and why

A replica of a new group said only how many others it waits for. Nobody could tell a peer that is down from one that answers to an earlier boot, or one that does not expect this replica as a voter. The standing's line now lists each awaited replica with its address and the reason, at each change and each 5 s without a leader; a call to a replica that fails has a line too, of the rate that refusals have (10, then one each 5 s).

--- a/internal/consensus/handshake.go
+++ b/internal/consensus/handshake.go
@@ -30,6 +30,8 @@
 	formed bool
 	// answered lists the peers that have answered in this boot.
 	answered map[uint64]bool
+	// unconfirmed holds why the latest answer of a peer does not count, until one does.
+	unconfirmed map[uint64]AwaitReason
 	// nextHelloAt is when HELLO is sent again; helloBackoff is the interval
 	// after that.
 	nextHelloAt  time.Duration
@@ -43,8 +45,8 @@
 	joining := len(init.Membership.GetMembers()) == 0
 	return handshake{
 		formed:   init.HardState.GetFormed() || joining,
-		answered: map[uint64]bool{},
-		token:    init.Identity.GetBootNonce(),
+		answered: map[uint64]bool{}, unconfirmed: map[uint64]AwaitReason{},
+		token: init.Identity.GetBootNonce(),
 	}
 }
 
@@ -125,13 +127,15 @@
 
 func (n *Node) onHelloResponse(m *pb.Message) {
 	if m.Context != n.handshake.token {
-		// The answer belongs to an earlier boot.
+		n.handshake.unconfirmed[m.From] = AwaitEarlierBoot
 		return
 	}
 	if m.Reject && !n.handshake.formed {
+		n.handshake.unconfirmed[m.From] = AwaitNotExpected
 		return
 	}
 	n.handshake.answered[m.From] = true
+	delete(n.handshake.unconfirmed, m.From)
 	if len(n.unansweredPeers()) == 0 {
 		n.markFormed()
 	}
@@ -155,7 +159,9 @@
 // restartHandshake sends HELLO to every peer for a new boot.
 func (n *Node) restartHandshake() {
 	h := &n.handshake
-	*h = handshake{formed: h.formed, answered: map[uint64]bool{}, token: h.token + 1}
+	*h = handshake{
+		formed: h.formed, answered: map[uint64]bool{}, unconfirmed: map[uint64]AwaitReason{}, token: h.token + 1,
+	}
 	n.continueHandshake()
 }
 
--- a/internal/consensus/handshake_test.go
+++ b/internal/consensus/handshake_test.go
@@ -1,8 +1,11 @@
 package consensus
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 // Guards against two leaders in one term of a new group. Two replicas elect a
@@ -31,3 +34,25 @@
 		}
 	}
 }
+
+// Guards against a replica that can't form a group, of which nobody can tell whom it waits for, or
+// why an answer does not count.
+func TestStatusNamesTheReplicasThatAreAwaited(t *testing.T) {
+	c := newCluster(1, 3)
+	c.crash(c.hosts[3])
+	c.run(time.Second)
+	first := c.hosts[1].node
+	if awaited := first.Status().AwaitedPeers; !slices.Equal(awaited, []AwaitedPeer{{3, AwaitAnswer}}) {
+		t.Errorf("with replica 3 down: %v", awaited)
+	}
+	answer := &pb.Message{Kind: pb.MessageKind_MESSAGE_KIND_HELLO_RESPONSE, From: 3, To: 1, Context: first.handshake.token, Reject: true}
+	first.Step(first.now, Receive{Message: answer})
+	if awaited := first.Status().AwaitedPeers; !slices.Equal(awaited, []AwaitedPeer{{3, AwaitNotExpected}}) {
+		t.Errorf("refused by replica 3: %v", awaited)
+	}
+	answer.Context--
+	first.Step(first.now, Receive{Message: answer})
+	if awaited := first.Status().AwaitedPeers; !slices.Equal(awaited, []AwaitedPeer{{3, AwaitEarlierBoot}}) {
+		t.Errorf("answered to an earlier boot: %v", awaited)
+	}
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -14,8 +15,8 @@
 	// Standing is the replica's part in elections, Election its progress in one.
 	Standing Standing
 	Election ElectionStatus
-	// AwaitedPeers is the number of replicas that have not answered this boot's HELLO.
-	AwaitedPeers int
+	// AwaitedPeers are the replicas that have not confirmed this boot's HELLO.
+	AwaitedPeers []AwaitedPeer
 	// Ready is true for a leader that has committed an entry of its term.
 	Ready     bool
 	Commit    uint64
@@ -30,6 +31,32 @@
 	Replicas []ReplicaStatus
 }
 
+// AwaitReason is why a replica still waits for another one's answer to its HELLO.
+type AwaitReason string
+
+const (
+	// AwaitAnswer: no answer has arrived; the peer's own line tells if it refuses this replica.
+	AwaitAnswer AwaitReason = "no answer"
+	// AwaitNotExpected: the peer's committed list has no such voter under this incarnation.
+	AwaitNotExpected AwaitReason = "the peer does not expect this replica as a voter"
+	// AwaitEarlierBoot: the latest answer belongs to an earlier boot.
+	AwaitEarlierBoot AwaitReason = "the answer belongs to an earlier boot"
+)
+
+// AwaitedPeer is a replica that has not confirmed this boot's HELLO.
+type AwaitedPeer struct {
+	ID     uint64
+	Reason AwaitReason
+}
+
+func (n *Node) awaitedPeers() []AwaitedPeer {
+	var awaited []AwaitedPeer
+	for _, id := range n.unansweredPeers() {
+		awaited = append(awaited, AwaitedPeer{ID: id, Reason: cmp.Or(n.handshake.unconfirmed[id], AwaitAnswer)})
+	}
+	return awaited
+}
+
 // ReplicaStatus is a leader's view of one member.
 type ReplicaStatus struct {
 	ID    uint64
@@ -53,7 +80,7 @@
 func (n *Node) Status() Status {
 	s := Status{
 		Term: n.term, Leader: n.leader, Role: n.role, Ready: n.ready(),
-		Standing: n.standing(), Election: n.electionStatus(), AwaitedPeers: len(n.unansweredPeers()),
+		Standing: n.standing(), Election: n.electionStatus(), AwaitedPeers: n.awaitedPeers(),
 		Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), FirstIndex: n.log.baseIndex + 1,
 		SnapshotIndex: n.snapshot.GetIndex(),
--- a/internal/control/runner/transport.go
+++ b/internal/control/runner/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
@@ -39,8 +40,10 @@
 	// and has no member list yet.
 	learnedAddresses map[uint64]string
 	queues           map[queueKey]*sendQueue
-	closed           bool
-	wg               conc.WaitGroup
+	// failureLog limits the lines about calls that failed: a replica that is down fails many a second.
+	failureLog rate.Sometimes
+	closed     bool
+	wg         conc.WaitGroup
 }
 
 // queueKey identifies a send queue. Heartbeats and votes have their own queue, so that a
@@ -59,6 +62,7 @@
 	return &transport{
 		cfg: cfg, auth: auth, store: st, loop: l,
 		members: &pb.Membership{}, learnedAddresses: make(map[uint64]string), queues: make(map[queueKey]*sendQueue),
+		failureLog: rate.Sometimes{First: refusalLogBurst, Interval: refusalLogInterval},
 	}
 }
 
@@ -113,11 +117,18 @@
 		batch := takeBatch(first, q.messages)
 		if err := t.step(client, q.key, batch); err != nil {
 			t.loop.scope.Counter("replica_send_failed").Inc(1)
+			t.failureLog.Do(func() { t.logFailure(q.key.peer, err) })
 			client = t.auth.Client()
 		}
 	}
 }
 
+// logFailure tells a peer that is down from one that refuses this replica.
+func (t *transport) logFailure(peer uint64, err error) {
+	_, address := t.target(peer)
+	t.loop.log.Info("messages to a replica failed", "replica", peer, "address", address, "error", err.Error())
+}
+
 // takeBatch takes the waiting messages along with the first one.
 func takeBatch(first *pb.Message, queue <-chan *pb.Message) []*pb.Message {
 	batch := []*pb.Message{first}
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -48,5 +48,14 @@
 		Field{"leader", now.leader}, Field{"term", st.Term}, Field{"since_ms", (r.now - now.since).Milliseconds()},
 		Field{"before", string(last.part)}, Field{"before_role", last.role.String()}, Field{"before_ms", (r.now - last.since).Milliseconds()},
 		Field{"votes", st.Election.VotesGranted}, Field{"votes_needed", st.Election.VotesNeeded},
-		Field{"awaited_replicas", st.AwaitedPeers}, Field{"members", len(r.members.GetMembers())}, Field{"last_index", st.LastIndex})
+		Field{"awaited_replicas", r.describeAwaited(st.AwaitedPeers)}, Field{"members", len(r.members.GetMembers())}, Field{"last_index", st.LastIndex})
+}
+
+// describeAwaited names the replicas that have not confirmed this one, with the reason.
+func (r *Reducer) describeAwaited(peers []consensus.AwaitedPeer) []string {
+	described := make([]string, 0, len(peers))
+	for _, p := range peers {
+		described = append(described, fmt.Sprintf("%d at %s: %s", p.ID, r.addressOf(p.ID), p.Reason))
+	}
+	return described
 }
