A new group forms once a majority of its first replicas has met

A replica voted only once every first replica had answered its HELLO, and a successor can be added only by a leader.

That rule is there for a replica that votes, loses its disk and starts with its first settings. No rule on messages can stop it and bear a loss as well (docs/design/consensus.md, "The first start"). But where the group's first members are its seeds (group_from_control), one that has lost its folder is never started as a first replica again: it comes back under a random id, to be added. Config.BootstrapOnce says so; then a majority that has met is enough, and while a replica has not met one it says HELLO each 0.4 s at the latest (1.6 s before). A list of bootstrap replicas keeps the old rule.

Nothing in the data folder changes its format.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -48,6 +48,10 @@
 	// MaxVoters is how many voters the group has at most: a learner that has caught up is
 	// promoted only while there are fewer. Default 0, no limit.
 	MaxVoters int
+	// BootstrapOnce promises that no replica starts from an empty folder under an id of the bootstrap
+	// list a second time: one that has lost its disk waits to be added under a new id. A majority
+	// of the bootstrap replicas then forms the group. Without it, all must have met. Default false.
+	BootstrapOnce bool
 	// Seed seeds the random part of election timeouts.
 	Seed uint64
 }
--- a/internal/consensus/handshake.go
+++ b/internal/consensus/handshake.go
@@ -8,8 +8,12 @@
 
 // maxHelloBackoff is the longest interval between HELLOs, in ElectionTimeouts. The
 // interval doubles from one HeartbeatInterval, since a peer that does not answer
-// may be down for long.
-const maxHelloBackoff = 4
+// may be down for long. While a replica that needs a majority has not met one, it is
+// maxFormingBackoff: the group waits for the answer.
+const (
+	maxHelloBackoff   = 4
+	maxFormingBackoff = 1
+)
 
 // handshake is how replicas learn each other's incarnation and boot.
 //
@@ -22,6 +26,12 @@
 // a peer that refuses it, and never gets all answers. The cost: a new group can
 // elect a leader only once all its replicas have been in contact.
 //
+// With Config.BootstrapOnce no second incarnation ever speaks under a bootstrap id.
+// A replica that has lost its votes is then the same as one that is down for good,
+// which Raft bears, and the answers of a majority suffice. The handshake stays
+// against a broken promise: an emptied replica that is started with its first
+// settings can't vote where a majority remembers it.
+//
 // A formed replica also sends HELLO, at each start, after each snapshot and to each
 // new member, but waits for no answer. Thus peers that receive nothing else from it
 // learn its boot, and detect a folder that was restored from an older copy.
@@ -76,15 +86,12 @@
 
 func (n *Node) continueHandshake() {
 	h := &n.handshake
+	n.markFormedIfMet()
 	unanswered := n.unansweredPeers()
-	if len(unanswered) == 0 {
-		n.markFormed()
-		return
-	}
-	if n.now < h.nextHelloAt {
+	if len(unanswered) == 0 || n.now < h.nextHelloAt {
 		return
 	}
-	h.helloBackoff = max(n.cfg.HeartbeatInterval, min(2*h.helloBackoff, maxHelloBackoff*n.cfg.ElectionTimeout))
+	h.helloBackoff = max(n.cfg.HeartbeatInterval, min(2*h.helloBackoff, n.longestHelloBackoff()))
 	h.nextHelloAt = n.now + h.helloBackoff
 	for _, id := range unanswered {
 		m := n.message(pb.MessageKind_MESSAGE_KIND_HELLO, id)
@@ -93,6 +100,33 @@
 	}
 }
 
+func (n *Node) longestHelloBackoff() time.Duration {
+	if n.cfg.BootstrapOnce && !n.handshake.formed {
+		return maxFormingBackoff * n.cfg.ElectionTimeout
+	}
+	return maxHelloBackoff * n.cfg.ElectionTimeout
+}
+
+// markFormedIfMet completes the handshake once enough replicas have answered.
+func (n *Node) markFormedIfMet() {
+	if len(n.unansweredPeers()) == 0 || n.cfg.BootstrapOnce && n.hasMetQuorum() {
+		n.markFormed()
+	}
+}
+
+// hasMetQuorum reports whether this replica and the voters that have answered are a quorum of the
+// committed list.
+func (n *Node) hasMetQuorum() bool {
+	voters := voterIDs(n.CommittedMembership())
+	met := 0
+	for _, id := range voters {
+		if id == n.cfg.ID || n.handshake.answered[id] {
+			met++
+		}
+	}
+	return met >= quorumSize(len(voters))
+}
+
 // onHello handles HELLO and HELLO_RESPONSE, and returns true if m is one of them.
 // Their terms are ignored.
 func (n *Node) onHello(m *pb.Message, incarnation string) bool {
@@ -136,9 +170,7 @@
 	}
 	n.handshake.answered[m.From] = true
 	delete(n.handshake.unconfirmed, m.From)
-	if len(n.unansweredPeers()) == 0 {
-		n.markFormed()
-	}
+	n.markFormedIfMet()
 }
 
 // restrictToMembers forgets the answers of replicas that are not members, so that
--- a/internal/consensus/handshake_test.go
+++ b/internal/consensus/handshake_test.go
@@ -56,3 +56,52 @@
 		t.Errorf("answered to an earlier boot: %v", awaited)
 	}
 }
+
+// Guards against two leaders in one term where the promise of Config.BootstrapOnce is broken. Three of
+// five elect a leader and commit; a fourth has met them, and is cut off before. Then one of the three loses
+// its disk and starts with its first settings, the other two are down, and the fifth starts, which has
+// met nobody: the emptied replica, the fourth and the fifth must not elect a leader.
+func TestEmptiedReplicaDoesNotVoteWithItsFirstSettings(t *testing.T) {
+	const cutOff, late = 4, 5
+	for seed := uint64(1); seed <= 10; seed++ {
+		c := newFirstStart(seed, 5, 0, loss{late, beforeItsStart, returnsNever, 0}).c
+		c.operator = func() {}
+		for !haveMet(c, 1, 2, 3, cutOff) {
+			c.run(simStep)
+		}
+		c.setIsolated(cutOff, true)
+		c.run(3 * time.Second)
+		l := c.leader()
+		if l == nil || c.hosts[cutOff].node.log.lastIndex() > 0 {
+			t.Fatalf("seed %d: leader %v; the replica that is cut off holds entries", seed, l)
+		}
+		emptied := c.hosts[1+l.id%3]
+		for id := uint64(1); id <= 3; id++ {
+			c.crash(c.hosts[id])
+		}
+		c.wipe(emptied, emptied.disk.bootstrap)
+		c.setIsolated(cutOff, false)
+		c.start(emptied)
+		c.start(c.hosts[late])
+		c.run(5 * time.Second)
+		if len(c.violations) > 0 || c.leader() != nil {
+			t.Errorf("seed %d: leader %v, violations %v", seed, c.leader(), c.violations)
+		}
+	}
+}
+
+// haveMet reports whether each of the replicas has heard from all others of them.
+func haveMet(c *cluster, ids ...uint64) bool {
+	for _, id := range ids {
+		n := c.hosts[id].node
+		if n == nil {
+			return false
+		}
+		for _, other := range ids {
+			if other != id && !n.handshake.answered[other] {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -48,6 +48,9 @@
 	end func()
 }
 
+// voteOf is the one vote that a replica id has in a term.
+type voteOf struct{ voter, term uint64 }
+
 type entryPosition struct{ index, term uint64 }
 
 // cluster simulates a group and its network, and checks invariants.
@@ -78,6 +81,12 @@
 	// lostDisks lists replicas whose disk was emptied or restored from an old
 	// copy; the simulated operator replaces them.
 	lostDisks map[uint64]bool
+	// votesCast holds whom a replica id has voted for in a term, under any incarnation.
+	votesCast map[voteOf]uint64
+	// beforeStep is called before each step of a replica, operator in place of runOperator; nil for
+	// none.
+	beforeStep func()
+	operator   func()
 	// targetVoters is the number of voters that the simulated operator
 	// maintains.
 	targetVoters int
@@ -102,6 +111,7 @@
 		leaderOfTerm: map[uint64]uint64{},
 		seenEntries:  map[entryPosition]string{},
 		lostDisks:    map[uint64]bool{},
+		votesCast:    map[voteOf]uint64{},
 		targetVoters: size,
 	}
 	bootstrap := &pb.Membership{}
@@ -172,6 +182,9 @@
 }
 
 func (c *cluster) step(h *host, ev Event) {
+	if c.beforeStep != nil {
+		c.beforeStep()
+	}
 	if h.node == nil {
 		return
 	}
@@ -235,6 +248,7 @@
 }
 
 func (c *cluster) transmit(h *host, m *pb.Message) {
+	c.checkVote(m)
 	copies := 1
 	if c.random.Float64() < c.lossRate {
 		copies = c.random.IntN(2) * 2
@@ -320,7 +334,7 @@
 		c.runTimers()
 		c.deliverDue()
 		if c.random.IntN(50) == 0 {
-			c.runOperator()
+			c.actAsOperator()
 		}
 		if c.random.Float64() < c.faultRate {
 			c.injectRandomFault()
@@ -332,6 +346,14 @@
 	}
 }
 
+func (c *cluster) actAsOperator() {
+	if c.operator != nil {
+		c.operator()
+		return
+	}
+	c.runOperator()
+}
+
 func (c *cluster) runHost(h *host) {
 	if h.node == nil || h.paused {
 		return
--- a/internal/consensus/simcheck_test.go
+++ b/internal/consensus/simcheck_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 func (c *cluster) checkState(h *host) {
@@ -30,6 +32,23 @@
 	}
 }
 
+// checkVote checks that a replica id votes once a term, also under another incarnation. A request for
+// votes is a vote for its sender.
+func (c *cluster) checkVote(m *pb.Message) {
+	candidate := m.From
+	switch {
+	case m.Kind == pb.MessageKind_MESSAGE_KIND_VOTE_RESPONSE && !m.Reject:
+		candidate = m.To
+	case m.Kind != pb.MessageKind_MESSAGE_KIND_VOTE:
+		return
+	}
+	vote := voteOf{m.From, m.Term}
+	if earlier, voted := c.votesCast[vote]; voted && earlier != candidate {
+		c.violation("replica %d votes for %d and %d in term %d", m.From, earlier, candidate, m.Term)
+	}
+	c.votesCast[vote] = candidate
+}
+
 // checkLeader checks election safety and, for the first leader of a new highest
 // term, that its log contains every entry applied anywhere.
 func (c *cluster) checkLeader(h *host) {
--- a/internal/consensus/standing.go
+++ b/internal/consensus/standing.go
@@ -12,8 +12,8 @@
 	StandingLearner Standing = "learner"
 	// StandingSpare: no member list that the replica holds names it; it waits to be added.
 	StandingSpare Standing = "spare"
-	// StandingForming: the replica belongs to a new group and has not met all its replicas.
-	StandingForming Standing = "voter that has not met all first replicas"
+	// StandingForming: the replica belongs to a new group and has not met enough of its replicas.
+	StandingForming Standing = "voter that has not met enough first replicas"
 	// StandingReplaced: the member list names another incarnation under the replica's id.
 	StandingReplaced Standing = "listed under another incarnation"
 	// StandingRestoring: the replica is installing a snapshot.
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -129,6 +129,7 @@
 	return consensus.Config{
 		ID: id, ElectionTimeout: cfg.ElectionTimeout,
 		SnapshotEntries: uint64(cfg.SnapshotEntries), MaxVoters: cfg.TargetVoters(),
+		BootstrapOnce: cfg.BootstrapFromControl,
 		// The seed is taken from the clock so that replicas draw different election
 		// timeouts.
 		Seed: uint64(time.Now().UnixNano()),
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -42,13 +42,15 @@
 	// BootstrapFromControl replaces ReplicaID and Bootstrap. With FirstStart, a replica whose
 	// Address is in Common.Control is an initial member, with an id derived from that address. Any
 	// other replica, and one whose data directory is lost, generates a random id and waits to be
-	// added. Default false.
+	// added. A majority of the initial members then starts the group; with Bootstrap all must have
+	// met. Default false.
 	BootstrapFromControl bool `yaml:"group_from_control"`
 	// ToleratedReplicaLosses is how many replicas may be lost at once. If it is set, the group
 	// repairs itself: it keeps twice as many voters plus one, and replaces lost replicas by ones
 	// that wait to be added. Default 0: operators change the group.
 	ToleratedReplicaLosses int `yaml:"bear_losses"`
-	// FirstStart is true only during the first start of the whole deployment.
+	// FirstStart is true only during the first start of the whole deployment, never for a replica
+	// that has lost its data directory.
 	FirstStart bool `yaml:"first_start"`
 	// RegistryAddress is the listen address, host:port, for announcements of backend servers and
 	// for calls of the operators of a deployment with host routes; empty for none.
