A damaged folder of a first replica is replaced under a new id

A first replica whose folder is damaged while its settings still say that this is the first start came back under the id of the first list with a new incarnation, as a replica that waits to be added. The list names that id without an incarnation until its holder has answered a leader, so the second one would have counted, and voted, as the first. One that ended between moving the damaged folder and creating the next would even have started as a first replica again.

The promise of Config.BootstrapOnce now holds there: a group whose first members are its seeds gives a random id.

--- /dev/null
+++ b/internal/control/runner/firststart_test.go
@@ -0,0 +1,70 @@
+package runner
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"goldcrestseam.dev/goldcrestseam/internal/settings"
+)
+
+// Guards against a whole system that never starts since one of its seeds was lost at the first start: it
+// stays down, comes back with an empty disk, or with its own while others took its place.
+func TestGroupFormsWithoutASeed(t *testing.T) {
+	const lost = 1
+	none := func(*replicaGroup) {}
+	for name, back := range map[string]struct{ before, after func(*replicaGroup) }{
+		"stays down":              {none, none},
+		"comes back empty":        {func(g *replicaGroup) { g.start(lost, false) }, none},
+		"starts after the others": {none, func(g *replicaGroup) { g.start(lost, true) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newReplicaGroup(t, 7)
+			t.Cleanup(g.stopAll)
+			for n := range g.addresses {
+				g.stops[n] = func() {}
+				if n != lost {
+					g.start(n, true)
+				}
+			}
+			back.before(g)
+			g.awaitVoters(nobody)
+			back.after(g)
+			g.awaitVoters(nobody)
+		})
+	}
+}
+
+// Guards against a second incarnation under the id of a first replica: its folder was damaged while
+// the settings still said that this is the first start.
+func TestDamagedFolderOfAFirstReplicaGetsANewID(t *testing.T) {
+	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
+	cfg.Cluster = "test"
+	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
+	openFolder := func() (id uint64, waits bool) {
+		st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer st.Close()
+		return st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
+	}
+	if id, waits := openFolder(); id != 7 || waits {
+		t.Fatalf("the first start: id %d, waits to be added %v", id, waits)
+	}
+	database := filepath.Join(cfg.DataDir, "control.db")
+	if err := os.WriteFile(database, []byte("damaged"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if id, waits := openFolder(); id == 7 || !waits {
+		t.Errorf("after the damage: id %d, waits to be added %v", id, waits)
+	}
+	if err := os.Remove(database); err != nil {
+		t.Fatal(err)
+	}
+	if id, waits := openFolder(); id == 7 || !waits {
+		t.Errorf("after an end between moving the damaged folder and creating the next: id %d, waits to be added %v", id, waits)
+	}
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -144,6 +144,10 @@
 		Dir: cfg.DataDir, Cluster: cfg.Cluster, ReplicaID: cfg.ReplicaID,
 		Bootstrap: bootstrap(cfg), Join: cfg.Join,
 	}
+	if cfg.BootstrapFromControl && store.HasArchive(cfg.DataDir) {
+		// The process may have ended between archiving the folder and creating the next one.
+		waitForNewID(&o)
+	}
 	st, recovered, err := store.Open(o)
 	if !errorx.IsOfType(err, store.Corrupt) {
 		return st, recovered, err
@@ -155,9 +159,16 @@
 	log.Error("data folder is damaged: moved aside, replica waits to be added again",
 		"cause", err.Error(), "aside", movedTo)
 	o.Join = true
+	if cfg.BootstrapFromControl {
+		waitForNewID(&o)
+	}
 	return store.Open(o)
 }
 
+// waitForNewID makes a new folder that of a replica that waits to be added under a random id. Another
+// incarnation under the id of a first replica would count as that one (consensus.Config.BootstrapOnce).
+func waitForNewID(o *store.Options) { o.Join, o.ReplicaID = true, 0 }
+
 func bootstrap(cfg *settings.Control) *pb.Membership {
 	m := &pb.Membership{}
 	for _, b := range cfg.Bootstrap {
--- a/internal/store/archive.go
+++ b/internal/store/archive.go
@@ -6,6 +6,9 @@
 	"path/filepath"
 )
 
+// archiveName is the name of the nth subfolder with damaged files.
+const archiveName = "damaged-%d"
+
 // ArchiveDamaged moves a Corrupt folder's files into a new subfolder, where an
 // operator may inspect them, and returns its path. The next Open must set Join: the
 // replica starts with a new incarnation, which peers refuse until the operator has
@@ -32,7 +35,7 @@
 
 func createArchiveFolder(dir string) (string, error) {
 	for n := 1; ; n++ {
-		archive := filepath.Join(dir, fmt.Sprintf("damaged-%d", n))
+		archive := filepath.Join(dir, fmt.Sprintf(archiveName, n))
 		err := os.Mkdir(archive, folderMode)
 		if err == nil {
 			return archive, nil
@@ -43,6 +46,12 @@
 	}
 }
 
+// HasArchive reports whether the folder holds files of an earlier, damaged one.
+func HasArchive(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, fmt.Sprintf(archiveName, 1)))
+	return err == nil
+}
+
 // Discard deletes the folder's content after the group has removed the replica, so
 // that it can join again as a new one. Errors: Failed.
 func Discard(dir string) error {
