--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -182,7 +182,7 @@
 
 // Run serves until ctx ends, then transfers leadership and stops. Errors: Failed, Removed.
 func (r *Runner) Run(ctx context.Context) error {
-	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address))
+	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address), r.log)
 	if err != nil {
 		return Failed.Wrap(err, "listen")
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -93,7 +93,7 @@
 	h := &Host{Settings: set, Log: log, Auth: auth, Metrics: obs.NewMetrics("goldcrest_entry")}
 	auth.CountBytes(h.Metrics.Scope)
 	h.TaskContext, h.cancelTasks = context.WithCancel(context.Background())
-	if h.peerListener, err = auth.Listen(h.TaskContext, set.PeerAddress); err != nil {
+	if h.peerListener, err = auth.Listen(h.TaskContext, set.PeerAddress, log); err != nil {
 		return nil, Failed.Wrap(err, "peer_address")
 	}
 	h.Identity = &pb.EntryIdentity{
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,4 +1,4 @@
-// Package listen limits the number of open connections of a listener, and keeps the listener
+// Package listen opens listeners, limits the number of their open connections, and keeps them
 // accepting when file descriptors run out.
 package listen
 
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
 
@@ -62,9 +63,13 @@
 func (m *Metrics) Serve(ctx context.Context, address string, log *slog.Logger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler)
-	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	ln, err := listen.Open(ctx, address, log)
+	if err == nil {
+		err = server.Serve(ln)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		log.Error("metrics server failed", "address", address, "error", err.Error())
 	}
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/hex"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
 
@@ -105,10 +107,10 @@
 	return &http.Client{Transport: &keyTransport{next: transport, keyHash: a.keyHash}}
 }
 
-// Listen opens the listener for the process's handlers, with TLS if there is a certificate.
-func (a *Auth) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var lc net.ListenConfig
-	tcp, err := lc.Listen(ctx, "tcp", address)
+// Listen opens the listener for the process's handlers, with TLS if there is a certificate. Errors:
+// those of listen.Open.
+func (a *Auth) Listen(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
+	tcp, err := listen.Open(ctx, address, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -16,6 +16,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
@@ -48,7 +49,7 @@
 // New returns an entry that listens but does not serve yet. Errors: Failed and
 // the errors of package host.
 func New(set *settings.Entry, log *slog.Logger) (*Server, error) {
-	listener, err := net.Listen("tcp", set.CallerAddress)
+	listener, err := listen.Open(context.Background(), set.CallerAddress, log)
 	if err != nil {
 		return nil, Failed.Wrap(err, "caller_address")
 	}
