--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -129,6 +129,7 @@
 	return consensus.Config{
 		ID: id, ElectionTimeout: cfg.ElectionTimeout,
 		SnapshotEntries: uint64(cfg.SnapshotEntries), MaxVoters: cfg.TargetVoters(),
+		BootstrapOnce: cfg.BootstrapFromControl,
 		// The seed is taken from the clock so that replicas draw different election
 		// timeouts.
 		Seed: uint64(time.Now().UnixNano()),
@@ -143,6 +144,10 @@
 		Dir: cfg.DataDir, Cluster: cfg.Cluster, ReplicaID: cfg.ReplicaID,
 		Bootstrap: bootstrap(cfg), Join: cfg.Join,
 	}
+	if cfg.BootstrapFromControl && store.HasArchive(cfg.DataDir) {
+		// The process may have ended between archiving the folder and creating the next one.
+		waitForNewID(&o)
+	}
 	st, recovered, err := store.Open(o)
 	if !errorx.IsOfType(err, store.Corrupt) {
 		return st, recovered, err
@@ -154,9 +159,16 @@
 	log.Error("data folder is damaged: moved aside, replica waits to be added again",
 		"cause", err.Error(), "aside", movedTo)
 	o.Join = true
+	if cfg.BootstrapFromControl {
+		waitForNewID(&o)
+	}
 	return store.Open(o)
 }
 
+// waitForNewID makes a new folder that of a replica that waits to be added under a random id. Another
+// incarnation under the id of a first replica would count as that one (consensus.Config.BootstrapOnce).
+func waitForNewID(o *store.Options) { o.Join, o.ReplicaID = true, 0 }
+
 func bootstrap(cfg *settings.Control) *pb.Membership {
 	m := &pb.Membership{}
 	for _, b := range cfg.Bootstrap {
@@ -170,7 +182,7 @@
 
 // Run serves until ctx ends, then transfers leadership and stops. Errors: Failed, Removed.
 func (r *Runner) Run(ctx context.Context) error {
-	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address))
+	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address), r.log)
 	if err != nil {
 		return Failed.Wrap(err, "listen")
 	}
