--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -62,6 +62,7 @@
 	for {
 		r, err := runner.New(s, log, drivers(s, log))
 		if err != nil {
+			log.Error("does not start", "cause", err.Error())
 			return err
 		}
 		current.Store(r)
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -15,6 +15,8 @@
 	baseIndex uint64
 	baseTerm  uint64
 	entries   []*pb.LogEntry
+	// bytes is the encoded size of entries.
+	bytes int
 	// stable is the last index known to be synced.
 	stable  uint64
 	commit  uint64
@@ -34,6 +36,7 @@
 			l.entries = l.entries[1:]
 		}
 	}
+	l.bytes = sizeOf(l.entries)
 	l.stable = l.lastIndex()
 	if init.HardState != nil {
 		l.commit = max(l.commit, min(init.HardState.Commit, l.lastIndex()))
@@ -103,11 +106,15 @@
 		panic("consensus: a committed entry would be overwritten")
 	}
 	kept := from - l.baseIndex - 1
+	l.bytes -= sizeOf(l.entries[kept:])
 	l.entries = l.entries[:kept:kept]
 	l.stable = min(l.stable, from-1)
 }
 
-func (l *entryLog) append(entries ...*pb.LogEntry) { l.entries = append(l.entries, entries...) }
+func (l *entryLog) append(entries ...*pb.LogEntry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
+}
 
 // compact makes index the base. The entry at index must be applied.
 func (l *entryLog) compact(index uint64) {
@@ -115,8 +122,10 @@
 		return
 	}
 	term, _ := l.term(index)
+	dropped := index - l.baseIndex
+	l.bytes -= sizeOf(l.entries[:dropped])
 	kept := make([]*pb.LogEntry, 0, l.lastIndex()-index)
-	l.entries = append(kept, l.entries[index-l.baseIndex:]...)
+	l.entries = append(kept, l.entries[dropped:]...)
 	l.baseIndex, l.baseTerm = index, term
 }
 
@@ -139,3 +148,12 @@
 
 // entryBytes is an entry's encoded size.
 func entryBytes(e *pb.LogEntry) int { return proto.Size(e) }
+
+// sizeOf is the encoded size of entries together.
+func sizeOf(entries []*pb.LogEntry) int {
+	total := 0
+	for _, e := range entries {
+		total += entryBytes(e)
+	}
+	return total
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -24,6 +24,11 @@
 	// FirstIndex is the index of the first entry kept in memory.
 	FirstIndex    uint64
 	SnapshotIndex uint64
+	// LogEntries and LogBytes are the entries kept in memory, SnapshotBytes is the size of the
+	// latest snapshot.
+	LogEntries    int
+	LogBytes      int
+	SnapshotBytes int
 	Membership    *pb.Membership
 	// Replicas lists the members. Only a leader fills in the state of other
 	// members.
@@ -57,7 +62,8 @@
 		Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), FirstIndex: n.log.baseIndex + 1,
 		SnapshotIndex: n.snapshot.GetIndex(),
-		Membership:    n.members.current(),
+		LogEntries:    len(n.log.entries), LogBytes: n.log.bytes, SnapshotBytes: len(n.snapshotData),
+		Membership: n.members.current(),
 	}
 	for _, m := range s.Membership.Members {
 		s.Replicas = append(s.Replicas, n.replicaStatus(m))
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// Consensus returns the state of the consensus node; the caller must not change it.
+func (r *Reducer) Consensus() consensus.Status { return r.node.Status() }
+
 // State returns the replicated state; the caller must not keep it across a Step.
 func (r *Reducer) State() *State { return r.state }
 
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -53,6 +53,7 @@
 	engines *engineSender
 	duties  *dutyCaller
 	intro   *introducer
+	usage   *usageReporter
 
 	// callCounters counts the calls of other processes.
 	callCounters *rpc.CallCounters
@@ -109,6 +110,7 @@
 		case <-gauges.C:
 			l.updateGauges()
 			l.logCallCounts()
+			l.usage.report("storage", l.reducer.Consensus())
 		}
 	}
 }
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -83,6 +83,8 @@
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(startedAt).Milliseconds())
 	id := st.Identity().GetId()
 	node := consensus.NewNode(nodeConfig(id, cfg), recovered.Initial)
+	usage := newUsageReporter(cfg, st, log)
+	usage.report("storage at start", node.Status())
 	r := &Runner{
 		cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st, drivers: drivers,
 	}
@@ -101,7 +103,7 @@
 	r.engines = newEngineSender(r.loop, drivers.Orders)
 	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
-	r.loop.intro = newIntroducer(auth, log)
+	r.loop.intro, r.loop.usage = newIntroducer(auth, log), usage
 	return r, nil
 }
 
@@ -207,12 +209,27 @@
 	r.log.Info("serving", "address", r.cfg.Address, "control", r.cfg.Control, "replica", r.store.Identity().GetId(),
 		"incarnation", r.store.Identity().GetIncarnation())
 	err = r.wait(ctx)
+	r.logEnd(err)
 	r.stop()
 	endServing()
 	wg.Wait()
 	return err
 }
 
+// logEnd logs why the process ends.
+func (r *Runner) logEnd(err error) {
+	if err == nil {
+		r.log.Info("ends as planned")
+		return
+	}
+	onDisk, usageErr := r.store.Usage()
+	if usageErr != nil {
+		r.log.Warn("size of the data folder is unknown", "error", usageErr.Error())
+	}
+	r.log.Error("ends", "cause", err.Error(), "data_folder_bytes", onDisk.Folder, "disk_mb", r.cfg.DiskMB,
+		"memory_total_bytes", readMetric(metricTotal), "memory_mb", r.cfg.MemoryMB)
+}
+
 // wait returns when the process must end: on a failure, or once a planned stop has
 // transferred leadership.
 func (r *Runner) wait(ctx context.Context) error {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -33,6 +33,8 @@
 	ListenAddress string `yaml:"listen_address"`
 	// DataDir is the data directory on the VM's disk.
 	DataDir string `yaml:"data_dir"`
+	// DiskMB is how much of the VM's disk the data directory may use. Default 0: unknown.
+	DiskMB int `yaml:"disk_mb"`
 	// Bootstrap lists the replicas of a new group. It is used only if the data directory is empty
 	// and Join is false.
 	Bootstrap []ControlReplica `yaml:"bootstrap"`
@@ -131,6 +133,9 @@
 	if s.ToleratedReplicaLosses < 0 {
 		file.Add("bear_losses", "is less than 0")
 	}
+	if s.DiskMB < 0 {
+		file.Add("disk_mb", "is less than 0")
+	}
 	if s.MaxFiles < 0 {
 		file.Add("max_files", "is less than 0")
 	}
