--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -33,6 +33,9 @@
 	// 8: with MaxAppendBytes it limits what is in flight to a slow replica to
 	// 2 MiB, and further proposals are batched into the next append.
 	MaxInflight int
+	// MaxInflightBytes bounds the entries of these messages; one message is always sent.
+	// Default MaxInflight times MaxAppendBytes.
+	MaxInflightBytes int
 	// MaxUncommittedBytes bounds the entries that are appended but not
 	// committed; further proposals are refused as Overloaded. Default 16 MiB.
 	MaxUncommittedBytes int
@@ -41,10 +44,15 @@
 	// SnapshotEntries is the number of entries applied between snapshots.
 	// Default 2000.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of entries applied between snapshots: a snapshot is taken as
+	// soon as SnapshotEntries or SnapshotBytes is reached. Default 8 MiB.
+	SnapshotBytes int
 	// TrailingEntries is the number of entries before a snapshot that stay in
 	// the log, so that a replica that is slightly behind needs no snapshot.
 	// Default 500.
 	TrailingEntries uint64
+	// TrailingBytes bounds the size of these entries. Default half of SnapshotBytes.
+	TrailingBytes int
 	// MaxVoters is how many voters the group has at most: a learner that has caught up is
 	// promoted only while there are fewer. Default 0, no limit.
 	MaxVoters int
@@ -59,6 +67,7 @@
 	defaultMaxUncommittedBytes = 16 << 20
 	defaultSnapshotChunkBytes  = 256 << 10
 	defaultSnapshotEntries     = 2000
+	defaultSnapshotBytes       = 8 << 20
 	defaultTrailingEntries     = 500
 )
 
@@ -68,10 +77,13 @@
 	setDefault(&c.LeaseDuration, c.ElectionTimeout*3/4)
 	setDefault(&c.MaxAppendBytes, defaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, defaultMaxInflight)
+	setDefault(&c.MaxInflightBytes, c.MaxInflight*c.MaxAppendBytes)
 	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
 	setDefault(&c.SnapshotChunkBytes, defaultSnapshotChunkBytes)
 	setDefault(&c.SnapshotEntries, defaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, defaultSnapshotBytes)
 	setDefault(&c.TrailingEntries, defaultTrailingEntries)
+	setDefault(&c.TrailingBytes, c.SnapshotBytes/2)
 	return c
 }
 
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -129,6 +129,20 @@
 	l.baseIndex, l.baseTerm = index, term
 }
 
+// trailingBase returns the lowest base that keeps at most that many entries, and bytes of them, up
+// to index.
+func (l *entryLog) trailingBase(index, maxEntries uint64, maxBytes int) uint64 {
+	base, bytes := index, 0
+	for base > l.baseIndex && index-base < maxEntries {
+		bytes += entryBytes(l.entry(base))
+		if bytes > maxBytes {
+			break
+		}
+		base--
+	}
+	return base
+}
+
 // restore replaces the whole log by a snapshot.
 func (l *entryLog) restore(index, term uint64) {
 	*l = entryLog{baseIndex: index, baseTerm: term, stable: index, commit: index, applied: index}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -81,6 +81,10 @@
 	snapshot             *pb.SnapshotMeta
 	snapshotData         []byte
 	snapshotRequestIndex uint64
+	// takingSnapshot is true from TakeSnapshot to SnapshotTaken.
+	takingSnapshot bool
+	// appliedBytes is the size of the entries applied since the last snapshot was requested.
+	appliedBytes int
 
 	removed       bool
 	emittedLeader LeaderChanged
@@ -240,6 +244,7 @@
 	}
 	entries := n.log.slice(n.log.applied+1, last, maxInt)
 	n.log.applied = last
+	n.appliedBytes += sizeOf(entries)
 	n.emit(Apply{Entries: entries})
 	n.onAppliedMembership(entries)
 	n.maybeRequestSnapshot()
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -21,8 +21,8 @@
 	state progressState
 	match uint64
 	next  uint64
-	// inflight holds the last index of each unanswered append, in order.
-	inflight []uint64
+	// inflight holds the unanswered appends, in order.
+	inflight []inflightAppend
 	// lastActivityAt is when an append or chunk was last sent or answered. A
 	// replica that is behind and inactive for too long is probed again, since
 	// the message or its response may be lost.
@@ -46,6 +46,13 @@
 	snapshotTransfer *snapshotTransfer
 }
 
+// inflightAppend is an append that was sent and not answered.
+type inflightAppend struct {
+	// last is the index of its last entry.
+	last  uint64
+	bytes int
+}
+
 func (p *progress) probe() {
 	p.state, p.next, p.probeSent = probing, p.match+1, false
 	p.inflight, p.snapshotTransfer = nil, nil
@@ -54,7 +61,7 @@
 // onAcknowledged records that the replica has synced everything up to index, and
 // returns true if match has advanced.
 func (p *progress) onAcknowledged(index uint64, now time.Duration) bool {
-	for len(p.inflight) > 0 && p.inflight[0] <= index {
+	for len(p.inflight) > 0 && p.inflight[0].last <= index {
 		p.inflight = p.inflight[1:]
 	}
 	advanced := index > p.match
@@ -68,26 +75,34 @@
 }
 
 // paused reports whether no append may be sent.
-func (p *progress) paused(maxInflight int) bool {
+func (p *progress) paused(maxInflight, maxBytes int) bool {
 	switch p.state {
 	case probing:
 		return p.probeSent
 	case replicating:
-		return len(p.inflight) >= maxInflight
+		return len(p.inflight) >= maxInflight || p.inflightBytes() >= maxBytes
 	default:
 		return true
 	}
 }
 
-// onAppendSent records an append of entries up to last.
-func (p *progress) onAppendSent(last uint64, now time.Duration) {
+func (p *progress) inflightBytes() int {
+	total := 0
+	for _, a := range p.inflight {
+		total += a.bytes
+	}
+	return total
+}
+
+// onAppendSent records an append.
+func (p *progress) onAppendSent(a inflightAppend, now time.Duration) {
 	p.lastActivityAt = now
 	if p.state == probing {
 		p.probeSent = true
 		return
 	}
-	p.next = last + 1
-	p.inflight = append(p.inflight, last)
+	p.next = a.last + 1
+	p.inflight = append(p.inflight, a)
 }
 
 // active reports whether the replica has answered in this term and within the
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -52,7 +52,7 @@
 // may follow.
 func (n *Node) sendAppend(id uint64, pr *progress) bool {
 	last := n.log.lastIndex()
-	if pr.paused(n.cfg.MaxInflight) || pr.match == last || pr.state == replicating && pr.next > last {
+	if pr.paused(n.cfg.MaxInflight, n.cfg.MaxInflightBytes) || pr.match == last || pr.state == replicating && pr.next > last {
 		return false
 	}
 	prevTerm, ok := n.log.term(pr.next - 1)
@@ -65,7 +65,7 @@
 	m.Index, m.LogTerm = pr.next-1, prevTerm
 	m.Entries, m.Commit = entries, n.log.commit
 	n.send(m)
-	pr.onAppendSent(m.Index+uint64(len(entries)), n.now)
+	pr.onAppendSent(inflightAppend{last: m.Index + uint64(len(entries)), bytes: sizeOf(entries)}, n.now)
 	return true
 }
 
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -232,7 +232,9 @@
 	rapid.Check(t, runSchedule)
 }
 
-func runSchedule(t *rapid.T) {
+func runSchedule(t *rapid.T) { runScheduleOn(t, newCluster) }
+
+func runScheduleOn(t *rapid.T, newCluster func(seed uint64, size int) *cluster) {
 	seed := rapid.Uint64().Draw(t, "seed")
 	s := &schedule{c: newCluster(seed, rapid.IntRange(3, 5).Draw(t, "replicas")), oldFolders: map[uint64]*disk{}}
 	if rapid.IntRange(0, 9).Draw(t, "unformed") > 0 {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -82,18 +82,26 @@
 	// maintains.
 	targetVoters int
 	nextID       uint64
-	reads        int
-	refusals     int
-	readsDone    int
-	violations   []string
+	// proposalSizes are the sizes of proposals in bytes, in turn; nil: 8 bytes each.
+	proposalSizes []int
+	reads         int
+	refusals      int
+	readsDone     int
+	violations    []string
 }
 
 // simStep is the step of the simulated time.
 const simStep = 2 * time.Millisecond
 
 func newCluster(seed uint64, size int) *cluster {
+	return newClusterWith(Config{SnapshotEntries: 12, TrailingEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed}, size)
+}
+
+// newClusterWith returns a cluster whose nodes have that configuration, but for their ids.
+func newClusterWith(cfg Config, size int) *cluster {
+	seed := cfg.Seed
 	c := &cluster{
-		cfg:          Config{SnapshotEntries: 12, TrailingEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed},
+		cfg:          cfg,
 		random:       rand.New(rand.NewPCG(seed, 1)),
 		now:          time.Second,
 		hosts:        map[uint64]*host{},
@@ -401,7 +409,11 @@
 
 func (c *cluster) propose(h *host) {
 	c.nextID++
-	c.step(h, Propose{ID: c.nextID, Data: binary.BigEndian.AppendUint64(nil, c.nextID)})
+	data := binary.BigEndian.AppendUint64(nil, c.nextID)
+	if n := uint64(len(c.proposalSizes)); n > 0 {
+		data = append(data, make([]byte, c.proposalSizes[c.nextID%n])...)
+	}
+	c.step(h, Propose{ID: c.nextID, Data: data})
 }
 
 func (c *cluster) read(h *host) {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -24,6 +24,15 @@
 	return meta.GetSize() == uint64(len(data)) && meta.GetChecksum() == xxhash.Sum64(data)
 }
 
+// EntryMembership returns the member list that an entry puts into force; nil for other entries.
+func EntryMembership(e *pb.LogEntry) *pb.Membership {
+	m, err := decodeMembership(e)
+	if err != nil {
+		return nil
+	}
+	return m
+}
+
 // snapshotTransfer is a leader's transfer of one snapshot to one replica, a chunk
 // at a time. The receiver's response contains the next offset it needs, so a
 // restart of either side, or a lost message, only causes some chunks to be sent again.
@@ -37,12 +46,15 @@
 // restored.
 func (t *snapshotTransfer) isCoveredBy(index uint64) bool { return t != nil && index >= t.meta.Index }
 
-// maybeRequestSnapshot requests a snapshot once enough entries were applied.
+// maybeRequestSnapshot requests a snapshot once enough was applied since the last one, in entries or
+// in bytes. While one is under way no other is requested: each holds a copy of the state.
 func (n *Node) maybeRequestSnapshot() {
 	last := max(n.snapshot.GetIndex(), n.snapshotRequestIndex)
-	if n.log.applied < last+n.cfg.SnapshotEntries {
+	due := n.log.applied >= last+n.cfg.SnapshotEntries || n.appliedBytes >= n.cfg.SnapshotBytes
+	if !due || n.takingSnapshot {
 		return
 	}
+	n.takingSnapshot, n.appliedBytes = true, 0
 	n.snapshotRequestIndex = n.log.applied
 	term, _ := n.log.term(n.log.applied)
 	n.emit(TakeSnapshot{Meta: &pb.SnapshotMeta{
@@ -51,22 +63,22 @@
 	}})
 }
 
-// onSnapshotTaken compacts the log except for TrailingEntries. A snapshot that is
+// onSnapshotTaken compacts the log except for TrailingEntries and TrailingBytes. A snapshot that is
 // older than a restored one is ignored.
 //
 // The store advances the boot with each snapshot, so the handshake is restarted to
 // inform peers.
 func (n *Node) onSnapshotTaken(e SnapshotTaken) {
+	n.takingSnapshot = false
 	n.restartHandshake()
 	index := e.Meta.GetIndex()
 	if index <= n.snapshot.GetIndex() || index > n.log.applied {
 		return
 	}
+	previous := n.snapshot
 	n.snapshot, n.snapshotData = e.Meta, e.Data
-	if index <= n.cfg.TrailingEntries {
-		return
-	}
-	first := index - n.cfg.TrailingEntries
+	n.endOldTransfers(previous)
+	first := n.log.trailingBase(index, n.cfg.TrailingEntries, n.cfg.TrailingBytes)
 	if first <= n.log.baseIndex {
 		return
 	}
@@ -75,6 +87,20 @@
 	n.persist.compactTo = first
 }
 
+// endOldTransfers starts transfers of snapshots older than the previous one again with the latest, so
+// that replicas that don't answer keep no further copies of the state in memory.
+func (n *Node) endOldTransfers(previous *pb.SnapshotMeta) {
+	if n.role != leader {
+		return
+	}
+	for _, id := range n.peers() {
+		pr := n.leaderState.progress[id]
+		if t := pr.snapshotTransfer; t != nil && t.meta.Index < previous.GetIndex() {
+			n.startSnapshotTransfer(id, pr)
+		}
+	}
+}
+
 // startSnapshotTransfer starts a transfer to a replica whose next entry is
 // compacted. A snapshot exists, since the log is compacted only after one.
 func (n *Node) startSnapshotTransfer(id uint64, pr *progress) {
@@ -130,6 +156,10 @@
 	if r.meta == nil || !proto.Equal(r.meta, m.Snapshot) {
 		*r = snapshotReceiver{meta: m.Snapshot}
 	}
+	if r.data == nil {
+		// Growing step by step would hold the data twice.
+		r.data = make([]byte, 0, r.meta.Size)
+	}
 	if m.ChunkOffset != uint64(len(r.data)) || m.ChunkOffset+uint64(len(m.Chunk)) > r.meta.Size {
 		return false
 	}
@@ -204,7 +234,7 @@
 		return
 	}
 	n.incomingSnapshot = snapshotReceiver{}
-	n.snapshot, n.snapshotData = r.meta, r.data
+	n.snapshot, n.snapshotData, n.appliedBytes = r.meta, r.data, 0
 	n.log.restore(r.meta.Index, r.meta.Term)
 	n.persist.truncateFrom, n.persist.compactTo = 0, 0
 	n.members = memberHistory{lists: []memberList{{
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -128,7 +128,9 @@
 }
 
 func nodeConfig(id uint64, cfg *settings.Control) consensus.Config {
+	limits := cfg.LogLimits()
 	return consensus.Config{
+		SnapshotBytes: limits.Snapshot, TrailingBytes: limits.Trailing, MaxUncommittedBytes: limits.Uncommitted,
 		ID: id, ElectionTimeout: cfg.ElectionTimeout,
 		SnapshotEntries: uint64(cfg.SnapshotEntries), MaxVoters: cfg.TargetVoters(),
 		// The seed is taken from the clock so that replicas draw different election
