A log that is too large is cut before it is read, and its file shrinks

What callers saw: once control's log had outgrown the machine, no new build could help. The log is read whole at a start, in memory several times over, and is cut only by a process that lives; and the database never gives pages back.

A database file that is large and mostly free is replaced by a copy, whose name is synced before it is used. Without room for a copy the file stays, with a line. Another replica's folder is not touched. The file grows by 1 MiB at a time (16 MiB before).

Tests: store's TestLogThatIsTooLargeIsCutBeforeItIsRead and five more on what must stay: entries that are not committed, the member list, the hard state, foreign folders, full disks.

--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -79,6 +79,9 @@
 			return nil, err
 		}
 	}
+	if recovered.CopyError != nil {
+		log.Warn("database file stays larger than its content", "cause", recovered.CopyError.Error())
+	}
 	log.Info("recovered", "snapshot_index", recovered.Initial.Snapshot.GetIndex(),
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(startedAt).Milliseconds())
 	id := st.Identity().GetId()
@@ -146,6 +149,7 @@
 	o := store.Options{
 		Dir: cfg.DataDir, Cluster: cfg.Cluster, ReplicaID: cfg.ReplicaID,
 		Bootstrap: bootstrap(cfg), Join: cfg.Join,
+		MaxLogBytes: oversizedLogFactor * cfg.LogLimits().Snapshot, Replay: replayFrom,
 	}
 	st, recovered, err := store.Open(o)
 	if !errorx.IsOfType(err, store.Corrupt) {
@@ -161,6 +165,23 @@
 	return store.Open(o)
 }
 
+// oversizedLogFactor is how many times larger than the entries between two snapshots a log is that is cut
+// before it is read: more than a slow disk and slow replicas let it become.
+const oversizedLogFactor = 4
+
+// replayedState applies entries at the opening of the data folder.
+type replayedState struct{ *control.State }
+
+func (s replayedState) Apply(e *pb.LogEntry) { s.State.Apply(e) }
+
+func replayFrom(snapshot []byte) (store.Replayer, error) {
+	if snapshot == nil {
+		return replayedState{control.NewState()}, nil
+	}
+	state, err := control.RestoreState(snapshot)
+	return replayedState{state}, err
+}
+
 func bootstrap(cfg *settings.Control) *pb.Membership {
 	m := &pb.Membership{}
 	for _, b := range cfg.Bootstrap {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"encoding/binary"
-
 	bolt "go.etcd.io/bbolt"
 	"google.golang.org/protobuf/proto"
 
@@ -18,24 +16,34 @@
 	// Joined is true if the folder was created with Options.Join: the replica
 	// waits to be added to a group, or was added.
 	Joined bool
+	// CopyError is why a database file that is mostly free was not replaced by a smaller copy;
+	// nil if it was, or had not to be.
+	CopyError error
 }
 
-// readFolder reads the whole folder. Errors: Corrupt, Failed.
-func (s *Store) readFolder() (*Recovered, error) {
+// readHead reads the folder but for the log and the snapshot's data. Errors: Corrupt, Failed.
+func (s *Store) readHead() (*Recovered, error) {
 	r := &Recovered{}
 	s.folder, s.bounds = &pb.FolderIdentity{}, &pb.LogBounds{}
 	err := s.db.View(func(tx *bolt.Tx) error {
 		if err := s.readMeta(tx, r); err != nil {
 			return err
 		}
-		if err := s.readPeers(tx); err != nil {
-			return err
-		}
-		return s.readLog(tx, r)
+		return s.readPeers(tx)
 	})
+	r.Joined = s.folder.Joined
+	return r, err
+}
+
+// readFolder reads the whole folder. Errors: Corrupt, Failed.
+func (s *Store) readFolder() (*Recovered, error) {
+	r, err := s.readHead()
 	if err != nil {
 		return nil, err
 	}
+	if err := s.db.View(func(tx *bolt.Tx) error { return s.readLog(tx, r) }); err != nil {
+		return nil, err
+	}
 	if s.snapshot != nil {
 		data, err := readSnapshot(s.dir, s.snapshot)
 		if err != nil {
@@ -44,7 +52,6 @@
 		r.Initial.Snapshot, r.Initial.SnapshotData = s.snapshot, data
 	}
 	r.Initial.Membership = s.folder.Bootstrap
-	r.Joined = s.folder.Joined
 	return r, checkLog(s.bounds, r.Initial)
 }
 
@@ -84,13 +91,10 @@
 
 func (s *Store) readLog(tx *bolt.Tx, r *Recovered) error {
 	return tx.Bucket(bucketLog).ForEach(func(k, v []byte) error {
-		e := &pb.LogEntry{}
-		if err := decodeRecord(bucketLog, k, v, e); err != nil {
+		e, err := decodeEntry(k, v)
+		if err != nil {
 			return err
 		}
-		if len(k) != 8 || binary.BigEndian.Uint64(k) != e.Index {
-			return Corrupt.New("log entry %d is stored under the wrong key", e.Index)
-		}
 		r.Initial.Entries = append(r.Initial.Entries, e)
 		return nil
 	})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,8 @@
 	newDatabaseName = "control.db.new"
 	fileMode        = 0o600
 	folderMode      = 0o700
+	// allocBytes is by how much the database file grows at a time.
+	allocBytes = 1 << 20
 	// lockTimeout is how long Open waits for a process that is about to exit.
 	lockTimeout = 2 * time.Second
 )
@@ -54,6 +56,11 @@
 	// Join creates an empty folder for a replica that waits to be added as a
 	// learner.
 	Join bool
+	// MaxLogBytes is the size of the log above which Open replaces its committed entries by a
+	// snapshot before it reads the rest. It needs Replay, which returns the host's state as of a
+	// snapshot, nil for none. 0: never.
+	MaxLogBytes int
+	Replay      func(snapshot []byte) (Replayer, error)
 }
 
 // Store is an open data folder. Its methods may be called from any goroutine.
@@ -76,7 +83,7 @@
 	if err := prepareFolder(o); err != nil {
 		return nil, nil, err
 	}
-	s, err := openFile(o.Dir)
+	s, copyErr, err := openShortened(o)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -85,9 +92,33 @@
 		_ = s.db.Close()
 		return nil, nil, err
 	}
+	r.CopyError = copyErr
 	return s, r, nil
 }
 
+// openShortened opens the file. Before that it cuts a log that is too large, and replaces a file that
+// is mostly free by a copy; copyErr is why there was none.
+func openShortened(o Options) (s *Store, copyErr, err error) {
+	if s, err = openFile(o.Dir); err != nil {
+		return nil, nil, err
+	}
+	err = s.shortenLog(o)
+	if err == nil && !s.isOversized(o.MaxLogBytes) {
+		return s, nil, nil
+	}
+	if closeErr := s.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	if copyErr, err = shrinkFile(o.Dir); err != nil {
+		return nil, nil, err
+	}
+	s, err = openFile(o.Dir)
+	return s, copyErr, err
+}
+
 // Close releases the folder.
 func (s *Store) Close() error {
 	if err := s.db.Close(); err != nil {
@@ -120,6 +151,9 @@
 	if err := os.MkdirAll(o.Dir, folderMode); err != nil {
 		return Failed.Wrap(err, "create data folder")
 	}
+	if err := os.RemoveAll(filepath.Join(o.Dir, copiedDatabaseName)); err != nil {
+		return Failed.Wrap(err, "remove leftover copy")
+	}
 	_, err := os.Stat(filepath.Join(o.Dir, databaseName))
 	if err == nil {
 		return nil
@@ -197,6 +231,7 @@
 	case err != nil:
 		return nil, Corrupt.Wrap(err, "open")
 	}
+	db.AllocSize = allocBytes
 	return db, nil
 }
 
@@ -257,9 +292,8 @@
 		return nil, err
 	}
 	s.adoptConfiguredID(o, r)
-	id := s.folder.Identity
-	if s.folder.ClusterId != o.Cluster || o.ReplicaID != 0 && id.GetId() != o.ReplicaID {
-		return nil, WrongOwner.New("the folder belongs to replica %d of cluster %q", id.GetId(), s.folder.ClusterId)
+	if err := s.checkOwner(o); err != nil {
+		return nil, err
 	}
 	if err := s.removeStaleSnapshots(); err != nil {
 		return nil, err
@@ -272,6 +306,15 @@
 	return r, err
 }
 
+// checkOwner returns an error if the folder is another replica's. Errors: WrongOwner.
+func (s *Store) checkOwner(o Options) error {
+	id := s.folder.Identity
+	if s.folder.ClusterId != o.Cluster || o.ReplicaID != 0 && id.GetId() != o.ReplicaID {
+		return WrongOwner.New("the folder belongs to replica %d of cluster %q", id.GetId(), s.folder.ClusterId)
+	}
+	return nil
+}
+
 // adoptConfiguredID lets an operator change the id of a replica that waits to be
 // added, since it has never acknowledged anything.
 func (s *Store) adoptConfiguredID(o Options, r *Recovered) {
