A document too large for control's machines is refused

What callers saw: a manifest of any size up to 16 MiB was confirmed, and control ended under it, at each start again.

--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -99,3 +99,22 @@
 	d.Digest = declaration.Digest(d.Objects)
 	return d
 }
+
+// Guards against a declaration that is accepted and takes more memory or disk than control's machines
+// have, at each start again.
+func TestDeclarationTooLargeForTheMachineIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	h.cfg.MaxDeclarationBytes = 10 << 10
+	for _, newestWins := range []bool{false, true} {
+		large := withProfiles(2, 1, 10)
+		large.Document = make([]byte, h.cfg.MaxDeclarationBytes)
+		r := h.replies[h.send(&pb.ApplyRequest{ClusterId: cluster, Declaration: large, NewestWins: newestWins})]
+		if r.Err == nil || !strings.Contains(r.Err.Error(), "too large") || h.State().Revision() != 1 {
+			t.Errorf("answered %v, %v; revision %d is in force", r.Response, r.Err, h.State().Revision())
+		}
+	}
+	if r := h.apply(withProfiles(2, 1, 10)); !r.GetAccepted() {
+		t.Errorf("a declaration within the limit: %v", r)
+	}
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"log/slog"
 
 	"google.golang.org/protobuf/proto"
@@ -14,6 +15,13 @@
 // proposed. Conflicts between operators are decided when the command is applied.
 func (r *Reducer) onApplyDeclaration(id uint64, req *pb.ApplyRequest) {
 	d := req.GetDeclaration()
+	if size := proto.Size(d); r.cfg.MaxDeclarationBytes > 0 && size > r.cfg.MaxDeclarationBytes {
+		r.log(slog.LevelWarn, "declaration too large", Field{"revision", d.GetRevision()}, Field{"bytes", size},
+			Field{"limit_bytes", r.cfg.MaxDeclarationBytes}, Field{"document_bytes", len(d.GetDocument())})
+		r.reply(id, nil, invalid(fmt.Sprintf("the declaration is too large: it takes %d bytes in control's log, of %d that its memory and disk allow",
+			size, r.cfg.MaxDeclarationBytes)))
+		return
+	}
 	declaration.SortObjects(d.GetObjects())
 	switch {
 	case d.GetRevision() == 0:
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -40,6 +40,9 @@
 	// OrderPause is the longest pause of a control process that must be tolerated for
 	// engines that ignore fencing tokens.
 	OrderPause time.Duration
+	// MaxDeclarationBytes is the size of a declaration above which it is refused, together with the
+	// document that it was read from; 0: no limit.
+	MaxDeclarationBytes int
 	// InForceWithin is the time within which a declaration should be in force at all entries in touch; 0: not checked.
 	InForceWithin time.Duration
 	// Duties configures the leader's calls to external services.
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -39,6 +39,8 @@
 	loop    *loop
 	// relay forwards servers' announcements at a replica that does not lead.
 	relay *announcementRelay
+	// documents is the memory for documents of operators.
+	documents *documentMemory
 }
 
 // Announce passes on an announcement that a backend server sent itself; see
@@ -65,6 +67,13 @@
 	return err
 }
 
+// AdmitDocument reserves memory for a document of that many bytes until release is called. Errors: the
+// document is larger than the machine bears (invalid argument), or others take the memory now (resource
+// exhausted).
+func (p *Port) AdmitDocument(bytes int) (release func(), err error) {
+	return p.documents.reserve(bytes)
+}
+
 // ApplyNewest puts a declaration into force unless a newer one is in force.
 func (p *Port) ApplyNewest(ctx context.Context, d *pb.Declaration) (*pb.ApplyResponse, error) {
 	req := &pb.ApplyRequest{ClusterId: p.cluster, Declaration: proto.CloneOf(d), NewestWins: true}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -95,9 +95,10 @@
 	auth.CountBytes(r.metrics.Scope)
 	reducer := control.NewReducer(control.Config{
 		Cluster: cfg.Cluster, ID: id, Address: cfg.Address, Seeds: cfg.Control,
-		Sender:       cfg.Name + "/" + uuid.NewString(),
-		OrderPause:   cfg.OrderPause,
-		TargetVoters: cfg.TargetVoters(), InForceWithin: cfg.InForceWithin,
+		Sender:              cfg.Name + "/" + uuid.NewString(),
+		OrderPause:          cfg.OrderPause,
+		MaxDeclarationBytes: cfg.LogLimits().Declaration,
+		TargetVoters:        cfg.TargetVoters(), InForceWithin: cfg.InForceWithin,
 		Duties: dutiesConfig(cfg),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
@@ -217,7 +218,7 @@
 	if r.cfg.MetricsAddress != "" {
 		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
 	}
-	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, relay: r.relay}
+	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, relay: r.relay, documents: &documentMemory{limit: r.cfg.LogLimits().Declaration}}
 	if len(r.drivers.Calls) > 0 {
 		wg.Go(func() { r.relay.runReports(serving, port.Leader) })
 		wg.Go(func() { r.relay.sendAnnouncements(serving) })
