Messages that wait for a replica are bounded by their bytes

Up to 256 messages waited for one replica and up to 64 went into one call, whatever their size: they hold entries of a log that was cut long ago, and a call of more than 16 MiB is refused for good. Now 8 MiB wait at most, but for one message, and a call takes no further message from 4 MiB on.

--- a/internal/control/runner/transport.go
+++ b/internal/control/runner/transport.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
@@ -20,8 +22,12 @@
 	// sendQueueLength is how many messages may wait for one peer. Further messages are
 	// dropped, as a network may do; consensus sends them again.
 	sendQueueLength = 256
-	// maxBatchMessages bounds the messages of one Step call.
+	// maxQueuedBytes bounds the size of these messages, but for one.
+	maxQueuedBytes = 8 << 20
+	// maxBatchMessages and maxBatchBytes bound the messages of one Step call: no message is added once
+	// they have that size together.
 	maxBatchMessages = 64
+	maxBatchBytes    = 4 << 20
 	// bulkTimeout bounds a call that carries log entries or snapshot chunks.
 	bulkTimeout = time.Second
 )
@@ -53,6 +59,22 @@
 type sendQueue struct {
 	key      queueKey
 	messages chan *pb.Message
+	// bytes is the size of the messages that wait.
+	bytes atomic.Int64
+}
+
+// put adds a message unless the queue is full.
+func (q *sendQueue) put(m *pb.Message) {
+	size := int64(proto.Size(m))
+	if waiting := q.bytes.Load(); waiting > 0 && waiting+size > maxQueuedBytes {
+		return
+	}
+	q.bytes.Add(size)
+	select {
+	case q.messages <- m:
+	default:
+		q.bytes.Add(-size)
+	}
 }
 
 func newTransport(cfg *settings.Control, auth *rpc.Auth, st *store.Store, l *loop) *transport {
@@ -82,10 +104,7 @@
 		t.queues[key] = q
 		t.wg.Go(func() { t.sendLoop(q) })
 	}
-	select {
-	case q.messages <- m:
-	default:
-	}
+	q.put(m)
 }
 
 func isBulk(kind pb.MessageKind) bool {
@@ -110,7 +129,7 @@
 func (t *transport) sendLoop(q *sendQueue) {
 	client := t.auth.Client()
 	for first := range q.messages {
-		batch := takeBatch(first, q.messages)
+		batch := q.takeBatch(first)
 		if err := t.step(client, q.key, batch); err != nil {
 			t.loop.scope.Counter("replica_send_failed").Inc(1)
 			client = t.auth.Client()
@@ -119,15 +138,17 @@
 }
 
 // takeBatch takes the waiting messages along with the first one.
-func takeBatch(first *pb.Message, queue <-chan *pb.Message) []*pb.Message {
-	batch := []*pb.Message{first}
-	for len(batch) < maxBatchMessages {
+func (q *sendQueue) takeBatch(first *pb.Message) []*pb.Message {
+	batch, size := []*pb.Message{first}, proto.Size(first)
+	defer func() { q.bytes.Add(int64(-size)) }()
+	for len(batch) < maxBatchMessages && size < maxBatchBytes {
 		select {
-		case m, ok := <-queue:
+		case m, ok := <-q.messages:
 			if !ok {
 				return batch
 			}
 			batch = append(batch, m)
+			size += proto.Size(m)
 		default:
 			return batch
 		}
