A change that the log has no room for is told so

The leader answered it as if it did not lead, and the operator asked the other replicas for one that does. TestDeclarationBesideAFullLogIsToldSo fails before.

--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -118,3 +118,18 @@
 		t.Errorf("a declaration within the limit: %v", r)
 	}
 }
+
+// Guards against an operator who is told that a replica does not lead, and asks others, when it is the
+// leader and has too much waiting.
+func TestDeclarationBesideAFullLogIsToldSo(t *testing.T) {
+	h := newHarness(t)
+	h.node.overloaded = true
+	r := h.replies[h.send(&pb.ApplyRequest{ClusterId: cluster, Declaration: testDeclaration(1, 0, "ann", "a")})]
+	if r.Err == nil || !strings.Contains(r.Err.Error(), "log does not take") {
+		t.Errorf("answered %v, %v", r.Response, r.Err)
+	}
+	h.node.overloaded = false
+	if r := h.apply(testDeclaration(1, 0, "ann", "a")); !r.GetAccepted() {
+		t.Errorf("later: %v", r)
+	}
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -47,6 +47,8 @@
 	// commitsBlocked keeps proposals from committing; they wait in blocked.
 	commitsBlocked bool
 	blocked        []*pb.LogEntry
+	// overloaded refuses proposals, as too much waits to be committed.
+	overloaded bool
 }
 
 func (n *fakeNode) LeaseUntil() time.Duration { return n.leaseUntil }
@@ -61,6 +63,9 @@
 		if !n.isLeader {
 			return []consensus.Effect{consensus.ProposalRefused{ID: e.ID, Reason: consensus.NotLeader}}
 		}
+		if n.overloaded {
+			return []consensus.Effect{consensus.ProposalRefused{ID: e.ID, Reason: consensus.Overloaded}}
+		}
 		n.index++
 		entry := &pb.LogEntry{Term: n.term, Index: n.index, Data: e.Data}
 		if n.commitsBlocked {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -35,14 +35,25 @@
 		return
 	}
 	cmd := &pb.Command{Op: &pb.Command_Apply{Apply: req}}
-	r.propose(cmd, func(answer proto.Message, ok bool) {
+	refused := func(reason consensus.RefusalReason) { r.onApplyRefused(id, d, reason) }
+	r.start(cmd, &proposal{refused: refused, done: func(answer proto.Message, ok bool) {
 		r.replyApplied(id, answer, ok)
 		if resp, is := answer.(*pb.ApplyResponse); is && ok {
 			r.log(slog.LevelInfo, "declaration", Field{"revision", d.GetRevision()}, Field{"base", d.GetBase()},
 				Field{"author", d.GetAuthor()}, Field{"accepted", resp.GetAccepted()},
 				Field{"repeated", resp.GetRepeated()}, Field{"refusal", resp.GetRefusal()})
 		}
-	})
+	}})
+}
+
+// onApplyRefused answers a declaration that the log did not take.
+func (r *Reducer) onApplyRefused(id uint64, d *pb.Declaration, reason consensus.RefusalReason) {
+	if reason != consensus.Overloaded {
+		r.reply(id, nil, r.notLeader())
+		return
+	}
+	r.log(slog.LevelWarn, "declaration refused: too much waits to be committed", Field{"revision", d.GetRevision()}, Field{"bytes", proto.Size(d)})
+	r.reply(id, nil, errLogBusy)
 }
 
 func (r *Reducer) onDrain(id uint64, req *pb.DrainRequest) {
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -13,16 +13,21 @@
 
 // propose appends a command to the log; done receives the answer.
 func (r *Reducer) propose(cmd *pb.Command, done func(proto.Message, bool)) {
+	r.start(cmd, &proposal{done: done})
+}
+
+// start appends a command to the log for a new proposal.
+func (r *Reducer) start(cmd *pb.Command, p *proposal) {
 	r.nextID++
 	cmd.Proposer, cmd.Sequence = r.cfg.ID, r.nextID
 	cmd.NowUnixMs = r.wall()
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		// The command holds a string that is not UTF-8, which can't arrive through an RPC.
-		done(nil, false)
+		p.done(nil, false)
 		return
 	}
-	r.proposals[r.nextID] = &proposal{done: done}
+	r.proposals[r.nextID] = p
 	r.stepNode(consensus.Propose{ID: r.nextID, Data: data})
 }
 
@@ -138,7 +143,10 @@
 	case consensus.InvalidChange:
 		return invalid("the change names an unknown, present or removed replica")
 	}
-	return twirp.NewError(twirp.ResourceExhausted, "the log does not take the change now; try again")
+	return errLogBusy
 }
 
+// errLogBusy answers a change that the log has no room for.
+var errLogBusy = twirp.NewError(twirp.ResourceExhausted, "the log does not take the change now; try again")
+
 func invalid(message string) error { return twirp.NewError(twirp.InvalidArgument, message) }
