--- a/internal/control/declared_test.go
+++ b/internal/control/declared_test.go
@@ -99,3 +99,37 @@
 	d.Digest = declaration.Digest(d.Objects)
 	return d
 }
+
+// Guards against a declaration that is accepted and takes more memory or disk than control's machines
+// have, at each start again.
+func TestDeclarationTooLargeForTheMachineIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.apply(testDeclaration(1, 0, "ann", "a"))
+	h.cfg.MaxDeclarationBytes = 10 << 10
+	for _, newestWins := range []bool{false, true} {
+		large := withProfiles(2, 1, 10)
+		large.Document = make([]byte, h.cfg.MaxDeclarationBytes)
+		r := h.replies[h.send(&pb.ApplyRequest{ClusterId: cluster, Declaration: large, NewestWins: newestWins})]
+		if r.Err == nil || !strings.Contains(r.Err.Error(), "too large") || h.State().Revision() != 1 {
+			t.Errorf("answered %v, %v; revision %d is in force", r.Response, r.Err, h.State().Revision())
+		}
+	}
+	if r := h.apply(withProfiles(2, 1, 10)); !r.GetAccepted() {
+		t.Errorf("a declaration within the limit: %v", r)
+	}
+}
+
+// Guards against an operator who is told that a replica does not lead, and asks others, when it is the
+// leader and has too much waiting.
+func TestDeclarationBesideAFullLogIsToldSo(t *testing.T) {
+	h := newHarness(t)
+	h.node.overloaded = true
+	r := h.replies[h.send(&pb.ApplyRequest{ClusterId: cluster, Declaration: testDeclaration(1, 0, "ann", "a")})]
+	if r.Err == nil || !strings.Contains(r.Err.Error(), "log does not take") {
+		t.Errorf("answered %v, %v", r.Response, r.Err)
+	}
+	h.node.overloaded = false
+	if r := h.apply(testDeclaration(1, 0, "ann", "a")); !r.GetAccepted() {
+		t.Errorf("later: %v", r)
+	}
+}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -79,10 +79,15 @@
 			return nil, err
 		}
 	}
+	if recovered.CopyError != nil {
+		log.Warn("database file stays larger than its content", "cause", recovered.CopyError.Error())
+	}
 	log.Info("recovered", "snapshot_index", recovered.Initial.Snapshot.GetIndex(),
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(startedAt).Milliseconds())
 	id := st.Identity().GetId()
 	node := consensus.NewNode(nodeConfig(id, cfg), recovered.Initial)
+	usage := newUsageReporter(cfg, st, log)
+	usage.report("storage at start", node.Status())
 	r := &Runner{
 		cfg: cfg, log: log, auth: auth, metrics: obs.NewMetrics(metricsPrefix), store: st, drivers: drivers,
 	}
@@ -90,9 +95,10 @@
 	auth.CountBytes(r.metrics.Scope)
 	reducer := control.NewReducer(control.Config{
 		Cluster: cfg.Cluster, ID: id, Address: cfg.Address, Seeds: cfg.Control,
-		Sender:       cfg.Name + "/" + uuid.NewString(),
-		OrderPause:   cfg.OrderPause,
-		TargetVoters: cfg.TargetVoters(), InForceWithin: cfg.InForceWithin,
+		Sender:              cfg.Name + "/" + uuid.NewString(),
+		OrderPause:          cfg.OrderPause,
+		MaxDeclarationBytes: cfg.LogLimits().Declaration,
+		TargetVoters:        cfg.TargetVoters(), InForceWithin: cfg.InForceWithin,
 		Duties: dutiesConfig(cfg),
 	}, node, state)
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
@@ -101,7 +107,7 @@
 	r.engines = newEngineSender(r.loop, drivers.Orders)
 	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
-	r.loop.intro = newIntroducer(auth, log)
+	r.loop.intro, r.loop.usage = newIntroducer(auth, log), usage
 	return r, nil
 }
 
@@ -126,7 +132,9 @@
 }
 
 func nodeConfig(id uint64, cfg *settings.Control) consensus.Config {
+	limits := cfg.LogLimits()
 	return consensus.Config{
+		SnapshotBytes: limits.Snapshot, TrailingBytes: limits.Trailing, MaxUncommittedBytes: limits.Uncommitted,
 		ID: id, ElectionTimeout: cfg.ElectionTimeout,
 		SnapshotEntries: uint64(cfg.SnapshotEntries), MaxVoters: cfg.TargetVoters(),
 		BootstrapOnce: cfg.BootstrapFromControl,
@@ -143,6 +151,7 @@
 	o := store.Options{
 		Dir: cfg.DataDir, Cluster: cfg.Cluster, ReplicaID: cfg.ReplicaID,
 		Bootstrap: bootstrap(cfg), Join: cfg.Join,
+		MaxLogBytes: oversizedLogFactor * cfg.LogLimits().Snapshot, Replay: replayFrom,
 	}
 	if cfg.BootstrapFromControl && store.HasArchive(cfg.DataDir) {
 		// The process may have ended between archiving the folder and creating the next one.
@@ -169,6 +178,23 @@
 // incarnation under the id of a first replica would count as that one (consensus.Config.BootstrapOnce).
 func waitForNewID(o *store.Options) { o.Join, o.ReplicaID = true, 0 }
 
+// oversizedLogFactor is how many times larger than the entries between two snapshots a log is that is cut
+// before it is read: more than a slow disk and slow replicas let it become.
+const oversizedLogFactor = 4
+
+// replayedState applies entries at the opening of the data folder.
+type replayedState struct{ *control.State }
+
+func (s replayedState) Apply(e *pb.LogEntry) { s.State.Apply(e) }
+
+func replayFrom(snapshot []byte) (store.Replayer, error) {
+	if snapshot == nil {
+		return replayedState{control.NewState()}, nil
+	}
+	state, err := control.RestoreState(snapshot)
+	return replayedState{state}, err
+}
+
 func bootstrap(cfg *settings.Control) *pb.Membership {
 	m := &pb.Membership{}
 	for _, b := range cfg.Bootstrap {
@@ -204,7 +230,7 @@
 	if r.cfg.MetricsAddress != "" {
 		wg.Go(func() { r.metrics.Serve(serving, r.cfg.MetricsAddress, r.log) })
 	}
-	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, relay: r.relay}
+	port := &Port{cluster: r.cfg.Cluster, loop: r.loop, relay: r.relay, documents: &documentMemory{limit: r.cfg.LogLimits().Declaration}}
 	if len(r.drivers.Calls) > 0 {
 		wg.Go(func() { r.relay.runReports(serving, port.Leader) })
 		wg.Go(func() { r.relay.sendAnnouncements(serving) })
@@ -219,12 +245,27 @@
 	r.log.Info("serving", "address", r.cfg.Address, "control", r.cfg.Control, "replica", r.store.Identity().GetId(),
 		"incarnation", r.store.Identity().GetIncarnation())
 	err = r.wait(ctx)
+	r.logEnd(err)
 	r.stop()
 	endServing()
 	wg.Wait()
 	return err
 }
 
+// logEnd logs why the process ends.
+func (r *Runner) logEnd(err error) {
+	if err == nil {
+		r.log.Info("ends as planned")
+		return
+	}
+	onDisk, usageErr := r.store.Usage()
+	if usageErr != nil {
+		r.log.Warn("size of the data folder is unknown", "error", usageErr.Error())
+	}
+	r.log.Error("ends", "cause", err.Error(), "data_folder_bytes", onDisk.Folder, "disk_mb", r.cfg.DiskMB,
+		"memory_total_bytes", readMetric(metricTotal), "memory_mb", r.cfg.MemoryMB)
+}
+
 // wait returns when the process must end: on a failure, or once a planned stop has
 // transferred leadership.
 func (r *Runner) wait(ctx context.Context) error {
