Drawn schedules for groups that form with a majority

TestSchedules empties replicas under their ids, which the promise of Config.BootstrapOnce excludes. The schedules that TestSchedules draws are unchanged.

--- a/internal/consensus/firststart_test.go
+++ b/internal/consensus/firststart_test.go
@@ -54,10 +54,10 @@
 
 func newFirstStart(seed uint64, size, spares int, losses ...loss) *firstStart {
 	s := &firstStart{
-		c: newCluster(seed, size), losses: losses, address: map[uint64]string{}, replaced: map[uint64]bool{},
+		c: newClusterOf(seed, size, true), losses: losses, address: map[uint64]string{}, replaced: map[uint64]bool{},
 	}
 	c := s.c
-	c.cfg.BootstrapOnce, c.cfg.MaxVoters = true, size
+	c.cfg.MaxVoters = size
 	c.operator = s.maintain
 	c.packets = nil
 	for _, id := range c.ids {
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -101,8 +101,9 @@
 	s.c.loseDisk(h)
 }
 
-// canLoseDisk reports whether the group can do without one more replica. A new
-// group whose replicas have not all completed the handshake can't.
+// canLoseDisk reports whether the group can do without one more replica. Without
+// BootstrapOnce, a new group whose replicas have not all completed the handshake
+// can't.
 func (s *schedule) canLoseDisk(h *host) bool {
 	l := s.c.leader()
 	if l == nil || l == h || l.node.membershipChangeRefusal() != 0 || s.c.lostDisks[h.id] || h.removed {
@@ -112,7 +113,7 @@
 	remaining := 0
 	for _, id := range voters {
 		o := s.c.hosts[id]
-		if o.disk.bootstrap != nil && !o.disk.hardState.GetFormed() {
+		if o.disk.bootstrap != nil && !o.disk.hardState.GetFormed() && !s.c.cfg.BootstrapOnce {
 			return false
 		}
 		if id != h.id && !s.c.lostDisks[id] && !o.removed {
@@ -216,6 +217,11 @@
 // change and snapshots are taken.
 func TestSchedules(t *testing.T) { rapid.Check(t, runSchedule) }
 
+// Guards against the same in groups that form without some of their first replicas.
+func TestSchedulesOfGroupsThatBootstrapOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runScheduleOf(t, true) })
+}
+
 // Guards against a learner that is never promoted after a repair. Its disk was lost
 // and its removal appended, but the leader failed before the removal was committed.
 // Since an earlier incarnation of its id had been removed, the simulated operator
@@ -232,9 +238,12 @@
 	rapid.Check(t, runSchedule)
 }
 
-func runSchedule(t *rapid.T) {
+func runSchedule(t *rapid.T) { runScheduleOf(t, false) }
+
+func runScheduleOf(t *rapid.T, bootstrapOnce bool) {
 	seed := rapid.Uint64().Draw(t, "seed")
-	s := &schedule{c: newCluster(seed, rapid.IntRange(3, 5).Draw(t, "replicas")), oldFolders: map[uint64]*disk{}}
+	size := rapid.IntRange(3, 5).Draw(t, "replicas")
+	s := &schedule{c: newClusterOf(seed, size, bootstrapOnce), oldFolders: map[uint64]*disk{}}
 	if rapid.IntRange(0, 9).Draw(t, "unformed") > 0 {
 		s.c.run(1500 * time.Millisecond)
 	}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -27,8 +27,10 @@
 	stateHash     uint64
 	// leaseUntil is the latest end of a lease that the node returned, in global
 	// time.
-	leaseUntil         time.Duration
-	removed            bool
+	leaseUntil time.Duration
+	removed    bool
+	// gone: its disk is lost, and what runs in its place has a new id.
+	gone               bool
 	readFloors         map[uint64]uint64
 	leaderIncarnations map[uint64]string
 }
@@ -100,7 +102,10 @@
 // simStep is the step of the simulated time.
 const simStep = 2 * time.Millisecond
 
-func newCluster(seed uint64, size int) *cluster {
+func newCluster(seed uint64, size int) *cluster { return newClusterOf(seed, size, false) }
+
+// newClusterOf also sets Config.BootstrapOnce.
+func newClusterOf(seed uint64, size int, bootstrapOnce bool) *cluster {
 	c := &cluster{
 		cfg:          Config{SnapshotEntries: 12, TrailingEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed},
 		random:       rand.New(rand.NewPCG(seed, 1)),
@@ -114,6 +119,7 @@
 		votesCast:    map[voteOf]uint64{},
 		targetVoters: size,
 	}
+	c.cfg.BootstrapOnce = bootstrapOnce
 	bootstrap := &pb.Membership{}
 	for id := uint64(1); id <= uint64(size); id++ {
 		bootstrap.Members = append(bootstrap.Members, &pb.ReplicaMember{
@@ -145,9 +151,16 @@
 	}
 }
 
-// loseDisk empties a replica's disk; the replica restarts with its settings.
+// loseDisk empties a replica's disk; the replica restarts with its settings, or waits to be added under
+// a new id.
 func (c *cluster) loseDisk(h *host) {
 	c.lostDisks[h.id] = true
+	if c.cfg.BootstrapOnce {
+		c.crash(h)
+		h.gone = true
+		c.addHost(uint64(len(c.ids)+1), nil)
+		return
+	}
 	c.wipe(h, h.disk.bootstrap)
 	c.start(h)
 }
@@ -157,7 +170,7 @@
 }
 
 func (c *cluster) start(h *host) {
-	if h.node != nil || h.removed {
+	if h.node != nil || h.removed || h.gone {
 		return
 	}
 	d := h.disk
--- a/internal/consensus/simfault_test.go
+++ b/internal/consensus/simfault_test.go
@@ -113,8 +113,12 @@
 // wipeRemovedReplica sometimes empties the disk of a removed replica, so that it
 // may join again under its id. That is impossible if its incarnation was unknown
 // when it was removed. An uncommitted removal may still be undone: taking it as
-// completed would forget that the listed incarnation's disk is lost.
+// completed would forget that the listed incarnation's disk is lost. With BootstrapOnce, replicas
+// join under new ids only.
 func (c *cluster) wipeRemovedReplica(l *host) {
+	if c.cfg.BootstrapOnce {
+		return
+	}
 	for _, removed := range l.node.CommittedMembership().Removed {
 		h := c.hosts[removed.Id]
 		listed := findMember(l.node.members.current(), removed.Id) != nil || findMember(l.node.CommittedMembership(), removed.Id) != nil
