--- a/internal/consensus/firststart_test.go
+++ b/internal/consensus/firststart_test.go
@@ -58,6 +58,7 @@
 	}
 	c := s.c
 	c.cfg.MaxVoters = size
+	c.lossRate = []float64{0.05, 0, 0.02}[seed%3]
 	c.operator = s.maintain
 	c.packets = nil
 	for _, id := range c.ids {
