--- a/internal/consensus/firststart_test.go
+++ b/internal/consensus/firststart_test.go
@@ -54,10 +54,11 @@
 
 func newFirstStart(seed uint64, size, spares int, losses ...loss) *firstStart {
 	s := &firstStart{
-		c: newCluster(seed, size), losses: losses, address: map[uint64]string{}, replaced: map[uint64]bool{},
+		c: newClusterBootstrappedOnce(seed, size), losses: losses, address: map[uint64]string{}, replaced: map[uint64]bool{},
 	}
 	c := s.c
-	c.cfg.BootstrapOnce, c.cfg.MaxVoters = true, size
+	c.cfg.MaxVoters = size
+	c.lossRate = []float64{0.05, 0, 0.02}[seed%3]
 	c.operator = s.maintain
 	c.packets = nil
 	for _, id := range c.ids {
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -27,8 +27,10 @@
 	stateHash     uint64
 	// leaseUntil is the latest end of a lease that the node returned, in global
 	// time.
-	leaseUntil         time.Duration
-	removed            bool
+	leaseUntil time.Duration
+	removed    bool
+	// gone: its disk is lost, and what runs in its place has a new id.
+	gone               bool
 	readFloors         map[uint64]uint64
 	leaderIncarnations map[uint64]string
 }
@@ -106,6 +108,13 @@
 	return newClusterWith(Config{SnapshotEntries: 12, TrailingEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed}, size)
 }
 
+// newClusterBootstrappedOnce returns a cluster of replicas with Config.BootstrapOnce.
+func newClusterBootstrappedOnce(seed uint64, size int) *cluster {
+	return newClusterWith(Config{
+		SnapshotEntries: 12, TrailingEntries: 4, SnapshotChunkBytes: 7, MaxAppendBytes: 60, MaxInflight: 3, Seed: seed, BootstrapOnce: true,
+	}, size)
+}
+
 // newClusterWith returns a cluster whose nodes have that configuration, but for their ids.
 func newClusterWith(cfg Config, size int) *cluster {
 	seed := cfg.Seed
@@ -153,9 +162,16 @@
 	}
 }
 
-// loseDisk empties a replica's disk; the replica restarts with its settings.
+// loseDisk empties a replica's disk; the replica restarts with its settings, or waits to be added under
+// a new id.
 func (c *cluster) loseDisk(h *host) {
 	c.lostDisks[h.id] = true
+	if c.cfg.BootstrapOnce {
+		c.crash(h)
+		h.gone = true
+		c.addHost(uint64(len(c.ids)+1), nil)
+		return
+	}
 	c.wipe(h, h.disk.bootstrap)
 	c.start(h)
 }
@@ -165,7 +181,7 @@
 }
 
 func (c *cluster) start(h *host) {
-	if h.node != nil || h.removed {
+	if h.node != nil || h.removed || h.gone {
 		return
 	}
 	d := h.disk
