The unused end of a database file is given back before the log is cut

Earlier builds grew the file by 16 MiB at a time. TestUnusedEndOfTheDatabaseIsGivenBack; not tried on a real disk that is full.

--- a/internal/store/large_log_test.go
+++ b/internal/store/large_log_test.go
@@ -217,3 +217,37 @@
 		t.Errorf("the database has %d bytes, of which %d are free, for %d bytes of entries at most", u.Database, u.Free, live)
 	}
 }
+
+// Guards against a disk that is full, for good, since the database file holds room that it never used and
+// the snapshot that would empty it finds none.
+func TestUnusedEndOfTheDatabaseIsGivenBack(t *testing.T) {
+	o := largeFolder(t, 0)
+	path := filepath.Join(o.Dir, databaseName)
+	before := databaseBytes(t, o.Dir)
+	if err := os.Truncate(path, before+16<<20); err != nil {
+		t.Fatal(err)
+	}
+	s, err := openFile(o.Dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.readHead(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.trimFile(); err != nil {
+		t.Fatal(err)
+	}
+	if after := databaseBytes(t, o.Dir); after > before {
+		t.Errorf("%d bytes, %d before", after, before)
+	}
+	for _, e := range makeEntries(largeLogEntries+1, largeLogEntries+20, 2) {
+		e.Data = make([]byte, largeEntryBytes)
+		mustSave(t, s, consensus.Persist{Entries: []*pb.LogEntry{e}})
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if r := reopen(t, o); r.Snapshot.GetIndex() != committedEntries || r.Entries[len(r.Entries)-1].Index != largeLogEntries+20 {
+		t.Errorf("snapshot at %d, %d entries", r.Snapshot.GetIndex(), len(r.Entries))
+	}
+}
--- a/internal/store/replay.go
+++ b/internal/store/replay.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.trimFile(); err != nil {
+		return err
+	}
 	if meta != nil {
 		if err := s.saveSnapshot(meta, data, false); err != nil {
 			return err
--- a/internal/store/shrink.go
+++ b/internal/store/shrink.go
@@ -29,6 +29,30 @@
 	return info.Size() > max(minShrunkBytes, maxFileShare*int64(maxLogBytes)) && free > info.Size()/2
 }
 
+// trimFile gives the end of the database file that was never used back to the disk. An earlier build grew
+// the file by 16 MiB at a time; on a disk that is full the snapshot needs that room. Errors: Failed.
+func (s *Store) trimFile() error {
+	used := int64(0)
+	err := s.db.View(func(tx *bolt.Tx) error {
+		used = tx.Size()
+		return nil
+	})
+	if err != nil {
+		return Failed.Wrap(err, "size of database")
+	}
+	info, err := os.Stat(s.db.Path())
+	if err != nil {
+		return Failed.Wrap(err, "stat database")
+	}
+	if info.Size() <= used {
+		return nil
+	}
+	if err := os.Truncate(s.db.Path(), used); err != nil {
+		return Failed.Wrap(err, "trim database")
+	}
+	return nil
+}
+
 // shrinkFile replaces the database file by a copy without free pages: bbolt itself never returns pages
 // to the disk. If it can't be copied, as on a full disk, the file stays as it is. Errors: Failed.
 //
