The runtime's memory leaves room for the mapped database file

At 7,500 routes, just below the limit on documents, a replica took 270 MB of 280 (60 changes), of which the database file's pages are some 50 MB; the Go runtime's soft limit did not know of them.

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -52,7 +52,7 @@
 	if len(findings) > 0 {
 		return cli.Invalid(findings)
 	}
-	cli.LimitMemory(s.MemoryMB)
+	cli.LimitMemory(s.RuntimeMB())
 	out := obs.NewNonBlockingWriter(os.Stdout)
 	defer out.Close()
 	log := obs.NewLogger(out, s.Name, s.Log)
--- a/internal/settings/log_limits.go
+++ b/internal/settings/log_limits.go
@@ -10,6 +10,9 @@
 	// more makes a start slow.
 	minLogBytes = 1 << 20
 	maxLogBytes = 16 << 20
+	// databaseFactor is how many times larger than the entries between two snapshots the database file
+	// becomes. Its pages are mapped and count as the process's memory.
+	databaseFactor = 6
 	// defaultLogBytes is for a VM whose memory and disk are unknown.
 	defaultLogBytes = 8 << 20
 )
@@ -41,3 +44,12 @@
 	bytes = max(bytes, minLogBytes)
 	return LogLimits{Snapshot: bytes, Trailing: bytes / 2, Uncommitted: bytes, Declaration: bytes / 2}
 }
+
+// RuntimeMB is MemoryMB without the pages of the database file, which the Go runtime does not see; 0 if
+// MemoryMB is unknown.
+func (s *Control) RuntimeMB() int {
+	if s.MemoryMB == 0 {
+		return 0
+	}
+	return max(1, s.MemoryMB-databaseFactor*s.LogLimits().Snapshot>>20)
+}
