--- a/internal/consensus/firststart_test.go
+++ b/internal/consensus/firststart_test.go
@@ -290,6 +290,7 @@
 // first start, and against votes cast twice and entries lost by one that comes back: at every step,
 // each replica. Each seed takes another way to come back for a step; six seeds take all.
 func TestFirstStartBearsTheLossOfAnyReplicaAtAnyStep(t *testing.T) {
+	t.Parallel()
 	played, wrong := 0, 0
 	for seed := uint64(1); seed <= firstStartSeeds(t, 1); seed++ {
 		spares := int(seed % 2)
@@ -320,6 +321,7 @@
 
 // Guards against the same where two of five are lost, one after the other, at steps that the seed draws.
 func TestFirstStartBearsTwoLossesOfFive(t *testing.T) {
+	t.Parallel()
 	wrong := 0
 	for seed := uint64(1); seed <= firstStartSeeds(t, 200); seed++ {
 		losses, spares := drawTwoLosses(seed)
--- a/internal/consensus/large_entries_test.go
+++ b/internal/consensus/large_entries_test.go
@@ -25,6 +25,7 @@
 // Guards against the same failures as TestSchedules while snapshots and the log's end are decided by
 // bytes, and single entries are larger than all bounds.
 func TestSchedulesOfLargeEntries(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runScheduleOn(t, newClusterOfLargeEntries) })
 }
 
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -215,10 +215,14 @@
 // reordered; links are cut both ways and one way; replicas are killed before a
 // sync, paused, emptied, restored from older copies and replaced, while leaders
 // change and snapshots are taken.
-func TestSchedules(t *testing.T) { rapid.Check(t, runSchedule) }
+func TestSchedules(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, runSchedule)
+}
 
 // Guards against the same in groups that form without some of their first replicas.
 func TestSchedulesOfGroupsThatBootstrapOnce(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runScheduleOn(t, newClusterBootstrappedOnce) })
 }
 
