The first message of a boot introduces it to the peer

Seen on real processes: 11 lines of refusals at the leader (the first ten, then one each 5 s are written) within 394 changes of 1,050 routes.

A request now carries the history of boots until the peer has accepted one in this boot, as a HELLO does; messages with entries need none. TestFirstMessageOfABootIntroducesIt.

--- a/internal/control/runner/transport.go
+++ b/internal/control/runner/transport.go
@@ -61,6 +61,9 @@
 	messages chan *pb.Message
 	// bytes is the size of the messages that wait.
 	bytes atomic.Int64
+	// introducedBoot is the boot of this replica that the peer has accepted with its history. Only
+	// the queue's goroutine uses it.
+	introducedBoot uint64
 }
 
 // put adds a message unless the queue is full.
@@ -130,7 +133,7 @@
 	client := t.auth.Client()
 	for first := range q.messages {
 		batch := q.takeBatch(first)
-		if err := t.step(client, q.key, batch); err != nil {
+		if err := t.step(client, q, batch); err != nil {
 			t.loop.scope.Counter("replica_send_failed").Inc(1)
 			client = t.auth.Client()
 		}
@@ -156,40 +159,49 @@
 	return batch
 }
 
-func (t *transport) step(client *http.Client, key queueKey, batch []*pb.Message) error {
-	members, address := t.target(key.peer)
+func (t *transport) step(client *http.Client, q *sendQueue, batch []*pb.Message) error {
+	members, address := t.target(q.key.peer)
 	if address == "" {
 		return nil
 	}
 	timeout := t.cfg.ElectionTimeout / 2
-	if key.bulk {
+	if q.key.bulk {
 		timeout = max(timeout, bulkTimeout)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	from := q.senderIdentity(t.store, batch)
 	resp, err := pb.NewReplicaProtobufClient(t.auth.URL(address), client).Step(ctx, &pb.StepRequest{
-		ClusterId: t.cfg.Cluster, From: t.senderIdentity(batch),
-		To: t.store.TargetIdentity(key.peer, members), Messages: batch, FromAddress: t.cfg.Address,
+		ClusterId: t.cfg.Cluster, From: from,
+		To: t.store.TargetIdentity(q.key.peer, members), Messages: batch, FromAddress: t.cfg.Address,
 	})
 	if err != nil {
 		return err
 	}
+	q.introducedBoot = from.GetBoot()
 	if resp.GetRemoved() {
 		t.loop.post(control.Consensus{Event: consensus.RemovedByPeer{}})
 	}
 	return nil
 }
 
-// senderIdentity returns this replica's identity, with the history of boots if a peer may
-// need it.
-func (t *transport) senderIdentity(batch []*pb.Message) *pb.ReplicaIdentity {
+// senderIdentity returns this replica's identity, with the history of boots if the peer may
+// need it: with a HELLO, and with whatever is sent first in a new boot.
+//
+// Failure: a snapshot begins a new boot, and answers that are sent before the HELLO are refused. All
+// replicas take snapshots at the same entry, so the leader hears no quorum until they are repeated.
+func (q *sendQueue) senderIdentity(st *store.Store, batch []*pb.Message) *pb.ReplicaIdentity {
+	id := st.HelloIdentity()
 	for _, m := range batch {
 		switch m.GetKind() {
 		case pb.MessageKind_MESSAGE_KIND_HELLO, pb.MessageKind_MESSAGE_KIND_HELLO_RESPONSE:
-			return t.store.HelloIdentity()
+			return id
 		}
 	}
-	return t.store.Identity()
+	if q.key.bulk || id.GetBoot() == q.introducedBoot {
+		id.PastNonces = nil
+	}
+	return id
 }
 
 // learnAddress remembers the address of an admitted sender.
--- a/internal/control/runner/transport_test.go
+++ b/internal/control/runner/transport_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
+	"goldcrestseam.dev/goldcrestseam/internal/store"
 )
 
 func largeMessage(bytes int) *pb.Message { return &pb.Message{Chunk: make([]byte, bytes)} }
@@ -35,3 +37,37 @@
 		t.Error("a message over the bound is never sent")
 	}
 }
+
+// Guards against answers that are refused after each snapshot, which begins a new boot, until they are
+// repeated: the first message of a boot introduces it.
+func TestFirstMessageOfABootIntroducesIt(t *testing.T) {
+	o := store.Options{Dir: t.TempDir(), Cluster: "c", ReplicaID: 1, Bootstrap: &pb.Membership{}}
+	st, _, err := store.Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.Close()
+	peer := &pb.ReplicaIdentity{}
+	answer := []*pb.Message{{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_RESPONSE}}
+	q, bulk := &sendQueue{}, &sendQueue{key: queueKey{bulk: true}}
+	for n := range uint64(3) {
+		id := q.senderIdentity(st, answer)
+		if n > 0 {
+			if err := consensus.CheckPeer(id, peer, nil); err != nil {
+				t.Errorf("boot %d: %v", id.GetBoot(), err)
+			}
+		}
+		peer, q.introducedBoot = id, id.GetBoot()
+		if again := q.senderIdentity(st, answer); len(again.GetPastNonces()) > 0 || again.GetBoot() != id.GetBoot() {
+			t.Errorf("the history is sent again: %v", again)
+		}
+		if id := bulk.senderIdentity(st, answer); len(id.GetPastNonces()) > 0 {
+			t.Errorf("the history is sent with entries, which need none: %v", id)
+		}
+		meta := &pb.SnapshotMeta{Index: n + 1}
+		consensus.SetSnapshotChecksum(meta, nil)
+		if err := st.SaveSnapshot(meta, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -135,7 +135,7 @@
 }
 
 // HelloIdentity returns the identity with the boot history, for requests that
-// contain a HELLO or HELLO_RESPONSE.
+// contain a HELLO or HELLO_RESPONSE, or are the first of a boot.
 func (s *Store) HelloIdentity() *pb.ReplicaIdentity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
