A server's address is held by what goes on reporting from it

Callers saw 503 for all requests of a service whose engines were ready: one late report of an incarnation that control had not known took the address of the live one, of which no report was accepted again; one report of another writer, with another service and a high sequence, did the same to an engine's own record.

Cause: the last id to arrive, and the highest sequence, decided alone. Change: a report that contradicts the record counts at once only if its holder is silent, has left or is GONE, and else with the second one that comes without a report of the holder between; the replaced one takes its address back in the same way. What has left stays away, recorded before it is answered.

TestEarlierIncarnationIsNotRestored lets 2 s pass before the restart: it asked that one report replace a server that had reported in the same millisecond, which is the fault.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -69,7 +69,7 @@
 	known := r.latestRecord(e.Incarnation)
 	if known == nil {
 		r.log(slog.LevelInfo, "unknown backend server is leaving", Field{"incarnation", e.Incarnation})
-		r.recordDeparted(e.ID, e.Incarnation)
+		r.recordDeparted(e.Incarnation, r.answerReport(e.ID))
 		return
 	}
 	info := proto.CloneOf(known)
@@ -88,6 +88,9 @@
 	sequence uint64
 }
 
+// direct reports whether the server sent the announcement to a control replica itself.
+func (s announcementSource) direct() bool { return s.sequence > 0 }
+
 func (s announcementSource) fields() []Field {
 	return []Field{{"via", s.via}, {"sequence", s.sequence}}
 }
@@ -95,9 +98,12 @@
 // onDirectAnnouncement ignores an announcement that a later one of the same incarnation has
 // overtaken: a delayed "serving" would route requests to a server that is leaving.
 func (r *Reducer) onDirectAnnouncement(callID uint64, a *pb.Announcement, source announcementSource) {
+	if !r.believed(a, source) {
+		r.onDoubted(a.GetServer(), source, r.answerReport(callID))
+		return
+	}
 	t := r.lead.servers[a.GetServer().GetId()]
-	sameIncarnation := t != nil && t.incarnation == a.GetServer().GetIncarnation()
-	if sameIncarnation && source.sequence < t.sequence {
+	if t != nil && sameVoice(r.holder(a.GetServer().GetId()), a.GetServer(), source) && r.overtaken(t, a.GetServer(), source) {
 		r.logDropped("a later one was accepted", a.GetServer(), source)
 		r.reply(callID, &pb.ReportResponse{}, nil)
 		return
@@ -118,6 +124,17 @@
 	t.waiting = append(t.waiting, callID)
 }
 
+// answerReport returns a function that answers a call once its outcome is known.
+func (r *Reducer) answerReport(callID uint64) func(ok bool, err error) {
+	return func(ok bool, err error) {
+		if err != nil {
+			r.reply(callID, nil, err)
+			return
+		}
+		r.replyApplied(callID, &pb.ReportResponse{}, ok)
+	}
+}
+
 // logDropped logs that an announcement changes nothing, with the reason.
 func (r *Reducer) logDropped(reason string, info *pb.BackendServer, source announcementSource) {
 	fields := append(source.fields(), Field{"server", info.GetId()}, Field{"incarnation", info.GetIncarnation()},
--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -74,6 +74,7 @@
 func TestEarlierIncarnationIsNotRestored(t *testing.T) {
 	h := newHarness(t)
 	h.announce(announcementOf("a", "life-1", serving), 7)
+	h.advance(holderSilence)
 	h.announce(announcementOf("a", "life-2", serving), 1)
 	if id := h.announce(announcementOf("a", "life-1", leaving), 8); h.replies[id].Err != nil {
 		t.Fatalf("the late announcement is not answered: %v", h.replies[id].Err)
--- a/internal/control/departed.go
+++ b/internal/control/departed.go
@@ -19,8 +19,8 @@
 	maxDeparted = 4096
 )
 
-// departed holds, for the incarnations that left before control knew of them, the time in Unix
-// milliseconds.
+// departed holds, for the incarnations that left before control knew of them or that had left
+// when another one took their address, the time in Unix milliseconds.
 //
 // Failure: a server is told to shut down right after its start. Its Leave overtakes its first
 // announcement and is confirmed, and the announcement then registers the server as serving, at
@@ -29,9 +29,13 @@
 
 func (d departed) apply(update *pb.DepartedUpdate, nowMS int64) {
 	for _, incarnation := range update.GetIncarnations() {
-		if _, known := d[incarnation]; !known && len(d) < maxDeparted {
-			d[incarnation] = nowMS
-		}
+		d.add(incarnation, nowMS)
+	}
+}
+
+func (d departed) add(incarnation string, nowMS int64) {
+	if _, known := d[incarnation]; !known && len(d) < maxDeparted {
+		d[incarnation] = nowMS
 	}
 }
 
@@ -73,15 +77,15 @@
 	return committed || r.lead.departing[incarnation] > 0
 }
 
-// recordDeparted records an incarnation that control does not know, and answers the call once
+// recordDeparted records an incarnation that control does not know, and calls answer once
 // that is committed.
-func (r *Reducer) recordDeparted(callID uint64, incarnation string) {
+func (r *Reducer) recordDeparted(incarnation string, answer func(ok bool, err error)) {
 	if _, committed := r.state.departed[incarnation]; committed {
-		r.reply(callID, &pb.ReportResponse{}, nil)
+		answer(true, nil)
 		return
 	}
 	if len(r.state.departed)+len(r.lead.departing) >= maxDeparted {
-		r.reply(callID, nil, twirp.ResourceExhausted.Error("too many unknown servers have left"))
+		answer(false, twirp.ResourceExhausted.Error("too many unknown servers have left"))
 		return
 	}
 	lead := r.lead
@@ -89,7 +93,7 @@
 	cmd := &pb.Command{Op: &pb.Command_Departed{Departed: &pb.DepartedUpdate{Incarnations: []string{incarnation}}}}
 	r.propose(cmd, func(_ proto.Message, ok bool) {
 		lead.endDeparting(incarnation)
-		r.replyApplied(callID, &pb.ReportResponse{}, ok)
+		answer(ok, nil)
 	})
 }
 
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -98,6 +98,10 @@
 	// sequence is that of the newest announcement that the server sent to this leader
 	// directly, or of the last one that changed its record at an earlier leader.
 	sequence uint64
+	low      lowReports
+	// heardAt is when the incarnation last reported, or when this leadership began.
+	heardAt time.Duration
+	rival   *rival
 }
 
 // trackedEntry is the leader's in-memory state of an entry.
@@ -135,7 +139,7 @@
 	for _, sv := range s.sortedServers() {
 		l.servers[sv.info.GetId()] = &trackedServer{
 			leaseUntil: now + serverLease, incarnation: sv.info.GetIncarnation(), firstSeenAt: now,
-			sequence: sv.info.GetSequence(),
+			sequence: sv.info.GetSequence(), heardAt: now,
 		}
 	}
 	for _, e := range s.sortedEntries() {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"goldcrestseam.dev/goldcrestseam/internal/incarnation"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -20,9 +21,9 @@
 		r.lead.lastContactAt = r.now
 	}
 	for _, a := range req.GetAnnouncements() {
-		r.onAnnouncement(announcementSource{via: req.GetEntry().GetName()}, a)
+		r.onRelayedAnnouncement(announcementSource{via: req.GetEntry().GetName()}, a)
 	}
-	resp := &pb.ReportResponse{TellInFull: r.onHeartbeats(req.GetHeartbeats()), Term: r.term}
+	resp := &pb.ReportResponse{TellInFull: r.onHeartbeats(req.GetEntry().GetName(), req.GetHeartbeats()), Term: r.term}
 	r.onUsage(req)
 	for _, d := range req.GetDemand() {
 		r.lead.demand.add(d)
@@ -103,6 +104,15 @@
 	return chargedScore(suspect, deathKey(d)) >= reportedScore(q)
 }
 
+// onRelayedAnnouncement handles an announcement from an entry, which gets no answer to it.
+func (r *Reducer) onRelayedAnnouncement(source announcementSource, a *pb.Announcement) {
+	if !r.believed(a, source) {
+		r.onDoubted(a.GetServer(), source, func(bool, error) {})
+		return
+	}
+	r.onAnnouncement(source, a)
+}
+
 // onAnnouncement renews a server's lease and registers changes.
 func (r *Reducer) onAnnouncement(source announcementSource, a *pb.Announcement) {
 	info := a.GetServer()
@@ -110,7 +120,7 @@
 		r.log(slog.LevelWarn, "announcement rejected: id, incarnation or address is missing", Field{"via", source.via})
 		return
 	}
-	if sv := r.state.servers[info.GetId()]; sv != nil && sv.isEarlierIncarnation(info.GetIncarnation()) {
+	if incarnation.Before(info.GetIncarnation(), r.holder(info.GetId()).GetIncarnation()) {
 		return
 	}
 	if r.lead.servers[info.GetId()] == nil && len(r.lead.servers) >= maxServers {
@@ -125,13 +135,14 @@
 		r.logDropped("the server has left", info, source)
 		return
 	}
-	t := r.trackServer(info)
+	t := r.trackServer(info, source)
 	if olderToken(a.GetOrderToken(), t.token) {
 		// The announcement was made before the server carried out its last order.
 		return
 	}
 	t.token, t.fullyAnnounced = a.GetOrderToken(), true
 	t.leaseUntil = r.now + serverLease
+	t.heard(r.now)
 	r.recordLoad(t, a.GetLoad())
 	r.registerChanged(t, info, source)
 	r.onReportedOrder(info, a.GetOrderId())
@@ -143,22 +154,27 @@
 //
 // A heartbeat carries neither state nor order, so that a late one can't undo a newer
 // announcement: it only renews the lease.
-func (r *Reducer) onHeartbeats(list []*pb.Heartbeat) []string {
+func (r *Reducer) onHeartbeats(via string, list []*pb.Heartbeat) []string {
 	var unknown []string
 	for _, h := range list {
 		t := r.lead.servers[h.GetServer()]
 		if t == nil || !t.fullyAnnounced || xxhash.Sum64String(t.incarnation) != h.GetIncarnationHash() {
 			unknown = append(unknown, h.GetServer())
+			r.onRivalHeartbeat(t, h, via)
 			continue
 		}
 		t.leaseUntil = r.now + serverLease
+		t.heard(r.now)
 		r.recordLoad(t, h.GetLoad())
 	}
 	return unknown
 }
 
-func (r *Reducer) trackServer(info *pb.BackendServer) *trackedServer {
-	t := r.lead.servers[info.GetId()]
+func (r *Reducer) trackServer(info *pb.BackendServer, source announcementSource) *trackedServer {
+	known, t := r.holder(info.GetId()), r.lead.servers[info.GetId()]
+	if t != nil && (known == nil || sameVoice(known, info, source)) && t.incarnation == info.GetIncarnation() {
+		return t
+	}
 	if t == nil || t.incarnation != info.GetIncarnation() {
 		if t != nil {
 			r.answerWaitingCalls(t, true)
@@ -166,6 +182,9 @@
 		t = &trackedServer{incarnation: info.GetIncarnation(), firstSeenAt: r.now}
 		r.lead.servers[info.GetId()] = t
 	}
+	if known != nil {
+		t.replace(known)
+	}
 	return t
 }
 
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -35,11 +35,8 @@
 	goneMS           int64
 }
 
-// applyRegister applies the leader's registrations.
-//
-// Failure: an entry relays a late announcement of a server's earlier incarnation, which
-// would restore the old address and role. Replaced incarnations are remembered and never
-// accepted again.
+// applyRegister applies the leader's registrations. The leader decides which incarnation holds
+// an address (see rival); one that is known to have started earlier never replaces another.
 func (s *State) applyRegister(r *pb.RegisterServers) {
 	for _, info := range r.GetServers() {
 		if info.GetId() != "" {
@@ -57,12 +54,11 @@
 		sv = &server{}
 		s.servers[info.GetId()] = sv
 	}
-	if sv.isEarlierIncarnation(info.GetIncarnation()) {
+	if incarnation.Before(info.GetIncarnation(), sv.info.GetIncarnation()) {
 		return
 	}
-	previous := sv.info
-	if previous != nil && previous.GetIncarnation() != info.GetIncarnation() {
-		sv.pastIncarnations = appendIncarnation(sv.pastIncarnations, previous.GetIncarnation())
+	if previous := sv.info; previous != nil && previous.GetIncarnation() != info.GetIncarnation() {
+		s.replaceIncarnation(sv, info.GetIncarnation())
 	}
 	sv.info = proto.CloneOf(info)
 	sv.info.Drained, sv.info.ChecksFencing = false, false
@@ -83,10 +79,20 @@
 	return sv.info
 }
 
-// isEarlierIncarnation reports whether an incarnation was replaced by the current one or
-// began before it: a follower that has just become leader may only know the later one.
-func (sv *server) isEarlierIncarnation(incarnationID string) bool {
-	return slices.Contains(sv.pastIncarnations, incarnationID) || incarnation.Before(incarnationID, sv.info.GetIncarnation())
+// replaceIncarnation remembers the incarnation that another one replaces. If it had left, it
+// must not serve again.
+func (s *State) replaceIncarnation(sv *server, next string) {
+	previous := sv.info.GetIncarnation()
+	sv.pastIncarnations = slices.DeleteFunc(slices.Clone(sv.pastIncarnations), func(id string) bool { return id == next })
+	sv.pastIncarnations = appendIncarnation(sv.pastIncarnations, previous)
+	if sv.hasLeft(previous) {
+		s.departed.add(previous, s.nowMS)
+	}
+}
+
+// wasReplaced reports whether another incarnation took the address of that one.
+func (sv *server) wasReplaced(incarnationID string) bool {
+	return sv != nil && slices.Contains(sv.pastIncarnations, incarnationID)
 }
 
 // hasLeft reports whether that incarnation is the current one and has said that it leaves.
