Two causes by which a first replica gets a wrong identity, as tests that fail

With BootstrapOnce HasArchive makes it lasting: a first replica whose disk took no writes for a moment at the first start waits to be added for good; with two of three the group never forms. The folder of a removed replica is discarded, and only the process's memory knows that the next one needs a new id. If the process ends in between (a kill, a loss of power, a disk that refuses the new file) while first_start still holds, the next start creates a second incarnation under the first id with the first list, which a majority of first replicas then trusts. TestDiscardedFolderOfAFirstReplicaGetsANewID.

Refused writes are imitated by RLIMIT_FSIZE.

--- a/internal/control/runner/firststart_test.go
+++ b/internal/control/runner/firststart_test.go
@@ -3,10 +3,13 @@
 import (
 	"log/slog"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
+	"goldcrestseam.dev/goldcrestseam/internal/store"
 )
 
 // Guards against a whole system that never starts since one of its seeds was lost at the first start: it
@@ -68,3 +71,61 @@
 		t.Errorf("after an end between moving the damaged folder and creating the next: id %d, waits to be added %v", id, waits)
 	}
 }
+
+// Guards against a second incarnation under the id of a first replica: the group removed it, and its
+// process ended between discarding its folder and creating the next one, while the settings still said
+// that this is the first start.
+func TestDiscardedFolderOfAFirstReplicaGetsANewID(t *testing.T) {
+	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
+	cfg.Cluster = "test"
+	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
+	openFolder := func() (id uint64, waits bool) {
+		st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer st.Close()
+		return st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
+	}
+	if id, waits := openFolder(); id != 7 || waits {
+		t.Fatalf("the first start: id %d, waits to be added %v", id, waits)
+	}
+	if err := store.Discard(cfg.DataDir); err != nil {
+		t.Fatal(err)
+	}
+	if id, waits := openFolder(); id == 7 || !waits {
+		t.Errorf("after an end between discarding the folder and creating the next: id %d, waits to be added %v", id, waits)
+	}
+}
+
+// Guards against a group that never forms since the disks of its first replicas took no writes for a
+// moment at the first start: each counted its new folder as damaged, and waits to be added ever since.
+func TestFirstReplicaKeepsItsIDAfterItsDiskRefusedWrites(t *testing.T) {
+	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
+	cfg.Cluster = "test"
+	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
+	signal.Ignore(syscall.SIGXFSZ)
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 1 << 10, Max: before.Max}); err != nil {
+		t.Fatal(err)
+	}
+	_, _, err := open(cfg, slog.New(slog.DiscardHandler))
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err == nil {
+		t.Fatal("the folder was created")
+	}
+	st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.Close()
+	id, waits := st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
+	if id != 7 || waits {
+		t.Errorf("once the disk takes writes again: id %d, waits to be added %v", id, waits)
+	}
+}
