--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -110,7 +110,7 @@
 		case <-gauges.C:
 			l.updateGauges()
 			l.logCallCounts()
-			l.usage.report("storage", l.reducer.Consensus())
+			l.usage.reportBeside("storage", l.reducer.Consensus())
 		}
 	}
 }
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -311,6 +311,7 @@
 	<-r.loop.done
 	r.loop.intro.wait()
 	r.net.close()
+	r.loop.usage.wg.Wait()
 	close(r.loop.disk.writes)
 	if err := r.store.Close(); err != nil {
 		r.log.Error("close", "error", err.Error())
--- a/internal/control/runner/usage.go
+++ b/internal/control/runner/usage.go
@@ -3,6 +3,9 @@
 import (
 	"log/slog"
 	"runtime/metrics"
+	"sync"
+
+	"github.com/sourcegraph/conc"
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
@@ -14,6 +17,9 @@
 	store  *store.Store
 	log    *slog.Logger
 	limits slog.Attr
+	// reporting is held while a line is made beside the control goroutine.
+	reporting sync.Mutex
+	wg        conc.WaitGroup
 }
 
 func newUsageReporter(cfg *settings.Control, st *store.Store, log *slog.Logger) *usageReporter {
@@ -21,6 +27,19 @@
 	return &usageReporter{store: st, log: log, limits: limits}
 }
 
+// reportBeside reports beside the caller, which a slow disk must not hold up; not if the last line is still being
+// made.
+func (u *usageReporter) reportBeside(message string, st consensus.Status) {
+	if !u.reporting.TryLock() {
+		u.log.Info("the last size of the data folder is still being read")
+		return
+	}
+	u.wg.Go(func() {
+		defer u.reporting.Unlock()
+		u.report(message, st)
+	})
+}
+
 // report logs one line. The message names the occasion.
 func (u *usageReporter) report(message string, st consensus.Status) {
 	onDisk, err := u.store.Usage()
--- a/internal/store/save.go
+++ b/internal/store/save.go
@@ -11,8 +11,8 @@
 // is there or nothing. Errors: Failed; the host must then stop, since the content
 // of the disk is unknown.
 func (s *Store) Save(p consensus.Persist) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	bounds := clone(s.bounds)
 	err := s.update(func(tx *bolt.Tx) error { return save(tx, p, bounds) })
 	if err != nil {
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -35,8 +35,8 @@
 }
 
 func (s *Store) saveSnapshot(meta *pb.SnapshotMeta, data []byte, dropLog bool) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	if !consensus.SnapshotChecksumMatches(meta, data) {
 		return Failed.New("snapshot at %d does not match its checksum", meta.Index)
 	}
@@ -67,15 +67,18 @@
 	if err != nil {
 		return err
 	}
-	s.snapshot, s.bounds, s.folder = meta, bounds, folder
+	s.bounds = bounds
+	s.mu.Lock()
+	s.snapshot, s.folder = meta, folder
+	s.mu.Unlock()
 	return s.removeStaleSnapshots()
 }
 
 // LoadSnapshot reads the latest snapshot, nil if there is none. Errors: Corrupt,
 // Failed.
 func (s *Store) LoadSnapshot() (*pb.SnapshotMeta, []byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	if s.snapshot == nil {
 		return nil, nil, nil
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,12 +65,18 @@
 
 // Store is an open data folder. Its methods may be called from any goroutine.
 type Store struct {
-	db       *bolt.DB
-	dir      string
-	folder   *pb.FolderIdentity
+	db  *bolt.DB
+	dir string
+
+	// writing is held while log or snapshot are written, admitting while a peer's identity is. Neither
+	// is needed to send and take heartbeats: a disk that is slow must not cost the leader its lead.
+	writing, admitting sync.Mutex
+	// bounds is guarded by writing.
+	bounds *pb.LogBounds
+	// mu guards the fields below and is never held during I/O.
 	mu       sync.Mutex
+	folder   *pb.FolderIdentity
 	snapshot *pb.SnapshotMeta
-	bounds   *pb.LogBounds
 	peers    map[uint64]*pb.ReplicaIdentity
 	// leaderIncarnations holds the incarnation that was last seen as leader
 	// under each id.
