A data folder whose disk refuses a call for a moment is not damaged

With too many open files, or a full disk at the first start, at two of three replicas, a group never formed or forgot what was acknowledged.

Change: where the operating system refused the call (other than that a recorded file is missing) the error is Failed: the process ends with it, and starts again on its folder. Damage is what the content shows: checksums, structure, a file that ends too early.

--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -1,6 +1,11 @@
 package store
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+)
 
 // Namespace holds the error types of this package.
 var Namespace = errorx.NewNamespace("store")
@@ -16,3 +21,10 @@
 	// Locked: another process has the folder open.
 	Locked = Namespace.NewType("locked")
 )
+
+// refusedByDisk reports whether the operating system refused a call. That says nothing of the content: a
+// folder that can't be read or written for a moment must not be given up as damaged.
+func refusedByDisk(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.ENOENT
+}
--- a/internal/store/pages.go
+++ b/internal/store/pages.go
@@ -48,6 +48,9 @@
 func checkMetaPage(f io.ReaderAt, page, size int64) error {
 	buf := make([]byte, metaBytes)
 	if _, err := f.ReadAt(buf, page*pageSize+pageHeaderBytes); err != nil {
+		if refusedByDisk(err) {
+			return Failed.Wrap(err, "meta page %d", page)
+		}
 		return Corrupt.Wrap(err, "meta page %d", page)
 	}
 	sum := fnv.New64a()
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -88,7 +88,10 @@
 
 func readSnapshot(dir string, meta *pb.SnapshotMeta) ([]byte, error) {
 	data, err := os.ReadFile(filepath.Join(dir, snapshotName(meta)))
-	if err != nil {
+	switch {
+	case refusedByDisk(err):
+		return nil, Failed.Wrap(err, "snapshot at %d", meta.Index)
+	case err != nil:
 		return nil, Corrupt.Wrap(err, "snapshot at %d", meta.Index)
 	}
 	if !consensus.SnapshotChecksumMatches(meta, data) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -232,7 +232,7 @@
 	switch {
 	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, Locked.Wrap(err, "%s", path)
-	case errors.Is(err, os.ErrPermission):
+	case refusedByDisk(err):
 		return nil, Failed.Wrap(err, "open")
 	case err != nil:
 		return nil, Corrupt.Wrap(err, "open")
