--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -119,11 +119,28 @@
 		err = os.Rename(temp, filepath.Join(dir, name))
 	}
 	if err != nil {
+		// What fits no more on the disk must not take its last room.
+		_ = os.Remove(temp)
 		return Failed.Wrap(err, "snapshot")
 	}
 	return syncDir(dir)
 }
 
+// removeIncompleteSnapshots removes what a crash left of snapshots that were being written: the room may be
+// needed to cut the log. The folder must be locked.
+func removeIncompleteSnapshots(dir string) error {
+	paths, err := filepath.Glob(filepath.Join(dir, snapshotPattern+snapshotTemp))
+	if err != nil {
+		return Failed.Wrap(err, "snapshots")
+	}
+	for _, path := range paths {
+		if err := os.Remove(path); err != nil {
+			return Failed.Wrap(err, "remove incomplete snapshot")
+		}
+	}
+	return nil
+}
+
 // removeStaleSnapshots removes snapshots other than the latest: older ones, and
 // those that a crash left before they were recorded.
 func (s *Store) removeStaleSnapshots() error {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,7 +108,9 @@
 	if s, err = openFile(o.Dir); err != nil {
 		return nil, nil, err
 	}
-	err = s.shortenLog(o)
+	if err = removeIncompleteSnapshots(o.Dir); err == nil {
+		err = s.shortenLog(o)
+	}
 	if err == nil && !s.isOversized(o.MaxLogBytes) {
 		return s, nil, nil
 	}
