A folder that was given up is marked before its files go

A first replica that the group has removed discards its folder, and only its process's memory knew then that the next folder must be another replica's; a damaged folder was known by the subfolder that its files were moved to, which was not synced before them. After a loss of power, or an end in between, with settings that still say that this is the first start, an empty folder would have got the first id, the first list and a new incarnation: what a group of which a majority forms must be able to rule out.

Change: a marker file is synced before the first file is moved or removed, and stays; the subfolder is synced before the files count as moved.

The order of syncs was read, not played with losses of power.

--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -153,8 +153,8 @@
 		Bootstrap: bootstrap(cfg), Join: cfg.Join,
 		MaxLogBytes: oversizedLogFactor * cfg.LogLimits().Snapshot, Replay: replayFrom,
 	}
-	if cfg.BootstrapFromControl && store.HasArchive(cfg.DataDir) {
-		// The process may have ended between archiving the folder and creating the next one.
+	if cfg.BootstrapFromControl && store.GivenUp(cfg.DataDir) {
+		// The process may have ended between giving the folder up and creating the next one.
 		waitForNewID(&o)
 	}
 	st, recovered, err := store.Open(o)
--- a/internal/store/archive.go
+++ b/internal/store/archive.go
@@ -6,8 +6,13 @@
 	"path/filepath"
 )
 
-// archiveName is the name of the nth subfolder with damaged files.
-const archiveName = "damaged-%d"
+const (
+	// archiveName is the name of the nth subfolder with damaged files.
+	archiveName = "damaged-%d"
+	// formerName is a file that marks a folder whose replica has been given up. It is synced before the
+	// first of its files is moved or removed.
+	formerName = "former-replica"
+)
 
 // ArchiveDamaged moves a Corrupt folder's files into a new subfolder, where an
 // operator may inspect them, and returns its path. The next Open must set Join: the
@@ -18,21 +23,46 @@
 	if err != nil {
 		return "", Failed.Wrap(err, "read data folder")
 	}
+	if err := markFormer(dir); err != nil {
+		return "", err
+	}
 	archive, err := createArchiveFolder(dir)
 	if err != nil {
 		return "", err
 	}
+	if err := syncDir(dir); err != nil {
+		return "", err
+	}
 	for _, e := range entries {
-		if e.IsDir() {
+		if e.IsDir() || e.Name() == formerName {
 			continue
 		}
 		if err := os.Rename(filepath.Join(dir, e.Name()), filepath.Join(archive, e.Name())); err != nil {
 			return "", Failed.Wrap(err, "archive damaged folder")
 		}
 	}
+	if err := syncDir(archive); err != nil {
+		return "", err
+	}
 	return archive, syncDir(dir)
 }
 
+// markFormer makes GivenUp true for the folder, also after a loss of power.
+func markFormer(dir string) error {
+	f, err := os.OpenFile(filepath.Join(dir, formerName), os.O_CREATE|os.O_WRONLY, fileMode)
+	if err != nil {
+		return Failed.Wrap(err, "mark folder")
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return Failed.Wrap(err, "mark folder")
+	}
+	return syncDir(dir)
+}
+
 func createArchiveFolder(dir string) (string, error) {
 	for n := 1; ; n++ {
 		archive := filepath.Join(dir, fmt.Sprintf(archiveName, n))
@@ -46,10 +76,15 @@
 	}
 }
 
-// HasArchive reports whether the folder holds files of an earlier, damaged one.
-func HasArchive(dir string) bool {
-	_, err := os.Stat(filepath.Join(dir, fmt.Sprintf(archiveName, 1)))
-	return err == nil
+// GivenUp reports whether a replica that had this folder was given up, since its files were damaged or the group
+// had removed it. Another one must not start under its id.
+func GivenUp(dir string) bool {
+	for _, name := range []string{formerName, fmt.Sprintf(archiveName, 1)} {
+		if _, err := os.Stat(filepath.Join(dir, name)); err == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // Discard deletes the folder's content after the group has removed the replica, so
@@ -59,7 +94,13 @@
 	if err != nil {
 		return Failed.Wrap(err, "read data folder")
 	}
+	if err := markFormer(dir); err != nil {
+		return err
+	}
 	for _, e := range entries {
+		if e.Name() == formerName {
+			continue
+		}
 		if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
 			return Failed.Wrap(err, "discard")
 		}
