One archive of a damaged folder is kept, and counts

Each damaged folder was moved into a further subfolder, without a bound, on a disk of 128 MB; and the size of the data folder that control logs left subfolders out.

Change: an earlier archive goes before the next one is made, and the size counts all files.

--- a/internal/store/archive.go
+++ b/internal/store/archive.go
@@ -8,14 +8,15 @@
 
 const (
 	// archiveName is the name of the nth subfolder with damaged files.
-	archiveName = "damaged-%d"
+	archiveName    = "damaged-%d"
+	archivePattern = "damaged-*"
 	// formerName is a file that marks a folder whose replica has been given up. It is synced before the
 	// first of its files is moved or removed.
 	formerName = "former-replica"
 )
 
 // ArchiveDamaged moves a Corrupt folder's files into a new subfolder, where an
-// operator may inspect them, and returns its path. The next Open must set Join: the
+// operator may inspect them, and returns its path. Of earlier ones none is kept. The next Open must set Join: the
 // replica starts with a new incarnation, which peers refuse until the operator has
 // replaced the old one by it, under the same id or a new one. Errors: Failed.
 func ArchiveDamaged(dir string) (string, error) {
@@ -26,6 +27,9 @@
 	if err := markFormer(dir); err != nil {
 		return "", err
 	}
+	if err := removeArchives(dir); err != nil {
+		return "", err
+	}
 	archive, err := createArchiveFolder(dir)
 	if err != nil {
 		return "", err
@@ -63,6 +67,20 @@
 	return syncDir(dir)
 }
 
+// removeArchives removes earlier archives: the disk has room for one beside the folder.
+func removeArchives(dir string) error {
+	paths, err := filepath.Glob(filepath.Join(dir, archivePattern))
+	if err != nil {
+		return Failed.Wrap(err, "archives")
+	}
+	for _, path := range paths {
+		if err := os.RemoveAll(path); err != nil {
+			return Failed.Wrap(err, "remove earlier archive")
+		}
+	}
+	return nil
+}
+
 func createArchiveFolder(dir string) (string, error) {
 	for n := 1; ; n++ {
 		archive := filepath.Join(dir, fmt.Sprintf(archiveName, n))
--- a/internal/store/usage.go
+++ b/internal/store/usage.go
@@ -1,6 +1,11 @@
 package store
 
-import "os"
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+)
 
 // Usage is what the data folder takes on the disk, in bytes.
 type Usage struct {
@@ -28,22 +33,29 @@
 	return u, err
 }
 
+// folderBytes returns the size of the folder's files, also of archived ones.
 func folderBytes(dir string) (int64, error) {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return 0, Failed.Wrap(err, "read data folder")
-	}
 	total := int64(0)
-	for _, e := range entries {
+	err := filepath.WalkDir(dir, func(_ string, e fs.DirEntry, err error) error {
+		if errors.Is(err, fs.ErrNotExist) {
+			// A snapshot that was replaced meanwhile.
+			return nil
+		}
+		if err != nil || e.IsDir() {
+			return err
+		}
 		info, err := e.Info()
 		switch {
-		case os.IsNotExist(err):
-			// A snapshot that was replaced meanwhile.
-			continue
+		case errors.Is(err, fs.ErrNotExist):
+			return nil
 		case err != nil:
-			return 0, Failed.Wrap(err, "stat data folder")
+			return err
 		}
 		total += info.Size()
+		return nil
+	})
+	if err != nil {
+		return 0, Failed.Wrap(err, "read data folder")
 	}
 	return total, nil
 }
