An answer of an engine's next life takes back no crash of the one before

Callers saw a request that crashes engines crash 16 of them in 20 s: the quarantine ended each time that the first of them was back, since a health check's answer names the id, not the start, and counted for the life that had crashed.

Cause: evidence about one life of an engine taken for another's.

Tests: TestAnswerOfTheNextLifeTakesBackNoCrash failed before.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -70,7 +70,7 @@
 		s.at = r.now
 		s.furthestCrash = max(s.furthestCrash, position)
 		j := judgement{
-			key: key, server: server.pb.Id, incarnation: server.pb.Incarnation, own: true,
+			key: key, server: server.pb.Id, incarnation: server.deathIncarnation(), own: true,
 			request: q.fingerprint, position: position,
 		}
 		death.Suspects = append(death.Suspects, j.charged(r.chargeFor(j, score)))
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -44,6 +44,10 @@
 	died bool
 	// diedAt is when it was last taken for dead, 0 once an answer has shown that it was not.
 	diedAt time.Duration
+	// lives counts the lives after the one that control knows, as far as their ends were seen. nextLife is
+	// set once an answer came that may be such a life's.
+	lives    int
+	nextLife bool
 	// running holds the ids of this entry's requests there.
 	running []string
 	cache   cacheCursor
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -141,7 +141,7 @@
 // deathKey identifies the death of a server's incarnation.
 func deathKey(server, incarnation string) string { return server + "/" + incarnation }
 
-func (s *server) deathKey() string { return deathKey(s.pb.Id, s.pb.Incarnation) }
+func (s *server) deathKey() string { return deathKey(s.pb.Id, s.deathIncarnation()) }
 
 func (q *request) crashScore() int {
 	switch {
@@ -267,7 +267,11 @@
 // would never reach a whole crash at any of them.
 func (r *Reducer) serverDied(s *server, q *request, ev AttemptEnded) {
 	s.fail(r.now)
-	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
+	if s.nextLife && !s.died {
+		s.nextLife = false
+		s.lives++
+	}
+	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.deathIncarnation()}
 	if s.died {
 		if ev.started() {
 			r.charge(q, s, death)
@@ -326,7 +330,7 @@
 		s.deaths[death] = charge{score: score, uncertain: true}
 		return s.uncertainCrash()
 	}
-	return r.chargeFor(judgement{key: q.key(), server: server.pb.Id, incarnation: server.pb.Incarnation, own: true}, score)
+	return r.chargeFor(judgement{key: q.key(), server: server.pb.Id, incarnation: server.deathIncarnation(), own: true}, score)
 }
 
 func (r *Reducer) reportSuspects(death *pb.ServerDeath) {
