A request whose crashes are in doubt runs one at a time, and not while others end

Callers saw a request that had ended three engines reach engines 4 or 5 times more, beside crashes for other reasons; and harmless requests refused as crashing after two ends of one engine.

Cause: each crash beside others counted a quarter, and the request went on running, at several entries at once; each life of one engine was a witness of its own, and the next life, empty, the cheapest place to go. Change: a request with two crashes that is not quarantined runs one at a time, the entries spread over 2 s, with no separate prefill; with three it waits until no other servers crash, and the fourth counts in full. Further lives of one engine count half, and a request avoids the engine that failed it, not that life only.

TestFailedServerIsAvoidedBesideSuspects names the server by its id.

--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -45,7 +45,7 @@
 		r.dispatch(q, s, placement.Choice{Reason: "resumes on the server that runs it"}, true)
 		return
 	}
-	if r.recentlySuspected(q) || r.awaitsAnyVerdict(q) || r.awaitsCalm(q) {
+	if r.recentlySuspected(q) || r.suspects.runsApart(q) || r.awaitsAnyVerdict(q) || r.awaitsCalm(q) {
 		q.notBefore = r.now + suspectStartDelay
 		q.waitingSince = q.notBefore
 		r.held = append(r.held, q)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -38,6 +38,9 @@
 		r.refuse(q, refusal)
 		return
 	}
+	if r.suspects.byKey[q.key()].inDoubt() {
+		prefillThere(q, &choice, "a request in doubt goes to one server only")
+	}
 	if !r.takeRetriesFor(q, &choice) {
 		r.outOfRetries(q)
 		return
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -86,7 +86,7 @@
 	q.mayHaveRun = true
 	q.runs++
 	if !ev.Complete {
-		q.failedServers = append(q.failedServers, s)
+		q.failedServers = append(q.failedServers, s.pb.Id)
 	}
 }
 
@@ -179,7 +179,7 @@
 	q.work.FirstTokenBy = q.work.FinishBy
 	q.notBefore = max(q.notBefore, r.now+r.suspects.stagger(q))
 	q.waitingSince = max(r.now, q.notBefore)
-	if q.notBefore > r.now || r.suspects.onProbation(q) || r.awaitsCalm(q) {
+	if q.notBefore > r.now || r.suspects.runsApart(q) || r.awaitsCalm(q) {
 		r.held = append(r.held, q)
 		return
 	}
@@ -198,7 +198,7 @@
 		case r.requests[q.work.RequestID] != q:
 		case r.now < q.notBefore || r.awaitsAnyVerdict(q) || r.awaitsCalm(q):
 			r.held = append(r.held, q)
-		case !r.suspects.onProbation(q):
+		case !r.suspects.runsApart(q):
 			r.decisions.queue.Push(q.work)
 		default:
 			r.startSuspect(q)
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
@@ -24,12 +25,20 @@
 	// other servers crashed about then.
 	doubtfulScore     = 2
 	veryDoubtfulScore = 1
-	// maxDoubtfulCrashes is how many crashes may be in doubt. Beside others that never end, or beside
-	// other requests that crash servers, nothing else would stop one.
-	maxDoubtfulCrashes = 4
-	// maxCalmWait bounds how long a request that was charged with several crashes waits until no
+	// maxDoubtfulCrashes is how many crashes may be in doubt. A request with as many runs again only once
+	// no other servers crash, alone, and its next crash counts in full.
+	maxDoubtfulCrashes = 3
+	// maxDoubtfulPartCrashes is the same for a part of prompts, which runs on in other requests.
+	maxDoubtfulPartCrashes = 4
+	// maxCalmWait bounds how long a request that was charged with two crashes waits until no
 	// other servers crash.
 	maxCalmWait = 3 * time.Second
+	// calmShare is which part of the servers may crash beside a request in doubt: of so many, hardly one
+	// ends under the same request again.
+	calmShare = 100
+	// maxTrialSpread spreads the next attempts of a request in doubt at several entries over time, so
+	// that the others hear how the first one ends.
+	maxTrialSpread = 2 * time.Second
 	// crashSettles is how long after a crash all entries have told which requests it is charged to.
 	// Until then it may seem that a request was not there.
 	crashSettles = 200 * time.Millisecond
@@ -112,9 +121,11 @@
 //
 // Servers end, or are cut off, for reasons of their own, some of them one after the other. A harmless
 // request that happens to run on two of them must not be refused.
-func (t *suspectTable) mostScore(key quarantineKey, death string, now time.Duration) int {
-	beside := t.besideLikelierPart(key, death)
-	if t.byKey[key].counted() > maxDoubtfulCrashes {
+//
+// An engine that ends again and again may end under the same harmless request more than once.
+func (t *suspectTable) mostScore(key quarantineKey, server, death string, now time.Duration) int {
+	beside, counted := t.besideLikelierPart(key, death), t.byKey[key].counted()
+	if counted > maxDoubtful(key) {
 		if key.part && beside {
 			return doubtfulScore
 		}
@@ -125,15 +136,32 @@
 		others = t.otherCrashesAround(t.byKey[key], own.at, now-crashSettles)
 	}
 	switch {
-	case others > 1:
+	case others > 1 && (key.part || counted < maxDoubtfulCrashes):
 		return veryDoubtfulScore
-	case others == 1 || beside || t.alwaysBesideAnother(key, death):
+	case others > 0 || beside || !key.part && t.byKey[key].crashedBefore(server, death) || t.alwaysBesideAnother(key, death):
 		return doubtfulScore
 	default:
 		return scorePerCrash
 	}
 }
 
+func maxDoubtful(key quarantineKey) int {
+	if key.part {
+		return maxDoubtfulPartCrashes
+	}
+	return maxDoubtfulCrashes
+}
+
+// crashedBefore reports whether another incarnation of the server ended under the request, too.
+func (s *suspect) crashedBefore(server, death string) bool {
+	for other, c := range s.deaths {
+		if other != death && !c.uncertain && strings.HasPrefix(other, deathKey(server, "")) {
+			return true
+		}
+	}
+	return false
+}
+
 // otherCrashesAround counts the servers that crashed about that time and until then, for a reason that is
 // not known, and of which the request was not charged.
 func (t *suspectTable) otherCrashesAround(s *suspect, at, until time.Duration) int {
@@ -148,15 +176,45 @@
 }
 
 // awaitsCalm reports whether the request should run only once no other servers crash: then its next
-// crash, or its answer, tells whether it is the cause.
+// crash, or its answer, tells whether it is the cause. Until then it is not refused as one that crashes servers,
+// which it may not be. Once it may run, one does at a time.
+//
+// Failure: a request that crashes servers comes again and again while others end for other reasons. All of its
+// crashes are in doubt, and it ends one server after the other.
 func (r *Reducer) awaitsCalm(q *request) bool {
 	s := r.suspects.byKey[q.key()]
-	if s == nil || s.counted() < 2 || r.now >= s.at+maxCalmWait {
+	if !s.inDoubt() {
 		return false
 	}
-	return r.suspects.otherCrashesAround(s, r.now, r.now) > 0
+	others := r.suspects.otherCrashesAround(s, r.now, r.now)
+	busy := others > 0 && r.now < s.at+maxCalmWait
+	if s.counted() >= maxDoubtfulCrashes {
+		busy = others*calmShare > len(r.servers.sorted)
+	}
+	if busy {
+		s.calmAt = 0
+		return true
+	}
+	if s.calmAt == 0 {
+		s.calmAt = r.now
+	}
+	key := q.key()
+	spread := time.Duration(rendezvousHash(EntryWeight{Name: r.cfg.Identity.GetName()}, strconv.FormatUint(key.fingerprint, 16)) % uint64(maxTrialSpread))
+	if r.now < s.calmAt+spread {
+		return true
+	}
+	for _, other := range r.requests {
+		if other.server != nil && other.key() == key {
+			return true
+		}
+	}
+	return false
 }
 
+// inDoubt reports whether the request was charged with several crashes. If it is not quarantined, some of
+// them may have had another cause.
+func (s *suspect) inDoubt() bool { return s != nil && s.counted() >= 2 }
+
 // alwaysBesideAnother reports whether another request was on all of the servers that crashed under this
 // one, up to the last of them, and is no less likely to be the cause.
 func (t *suspectTable) alwaysBesideAnother(key quarantineKey, last string) bool {
@@ -273,7 +331,7 @@
 func (r *Reducer) judge(j *judgement) int {
 	s := r.suspects.byKey[j.key]
 	c := s.deaths[j.death()]
-	c.score, c.pending = min(c.score, r.suspects.mostScore(j.key, j.death(), r.now)), false
+	c.score, c.pending = min(c.score, r.suspects.mostScore(j.key, j.server, j.death(), r.now)), false
 	s.deaths[j.death()] = c
 	return c.score
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -12,13 +12,14 @@
 )
 
 // fleet returns the servers in the form that the decisions use, for one request. A request that
-// a server has failed goes to other servers as long as there are any. While no request is on
+// a server has failed goes to other servers as long as there are any, and not to the server's next
+// incarnation, which is empty and the cheapest. While no request is on
 // probation, the fleet is the same for all others and is built once per step and dispatch: with
 // thousands of servers and a full queue it is the largest cost of a step.
 func (r *Reducer) fleet(q *request) decision.Fleet {
 	isolates := r.anyOnProbation()
 	if len(q.failedServers) > 0 {
-		f := r.fleetFor(q, isolates, func(s *server) bool { return !slices.Contains(q.failedServers, s) })
+		f := r.fleetFor(q, isolates, func(s *server) bool { return !slices.Contains(q.failedServers, s.pb.Id) })
 		if anyServes(&f, &q.work) {
 			return f
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -35,8 +35,8 @@
 	deliveries deliveries
 	// notRunCount counts attempts that servers did not run.
 	notRunCount int
-	// failedServers are the servers that have failed the request.
-	failedServers []*server
+	// failedServers are the ids of the servers that have failed the request.
+	failedServers []string
 	// originalFirstTokenBy is the first-token deadline at arrival. Requeueing extends the one in
 	// work.
 	originalFirstTokenBy time.Duration
--- a/internal/entry/retries.go
+++ b/internal/entry/retries.go
@@ -67,14 +67,27 @@
 	if r.takeRetries(q, q.deliveries.retryCost(choice.Prefill != nil)) {
 		return true
 	}
-	if choice.Prefill == nil || choice.Server.Role != engineapi.RoleMixed || !r.takeRetries(q, q.deliveries.retryCost(false)) {
+	if !mayPrefillThere(choice) || !r.takeRetries(q, q.deliveries.retryCost(false)) {
 		return false
 	}
+	prefillThere(q, choice, "retry limit leaves no room for a separate prefill")
+	return true
+}
+
+// mayPrefillThere reports whether a separate prefill can be left out.
+func mayPrefillThere(choice *placement.Choice) bool {
+	return choice.Prefill != nil && choice.Server.Role == engineapi.RoleMixed
+}
+
+// prefillThere lets the decoding engine prefill the prompt itself, if it can.
+func prefillThere(q *request, choice *placement.Choice, reason string) {
+	if !mayPrefillThere(choice) {
+		return
+	}
 	*choice = placement.Choice{
 		Server: choice.Server, UncachedTokens: q.work.PromptTokens, NewKVTokens: q.work.PromptTokens,
-		Reason: "retry limit leaves no room for a separate prefill", Figures: choice.Figures,
+		Reason: reason, Figures: choice.Figures,
 	}
-	return true
 }
 
 func (r *Reducer) takeRetries(q *request, n int) bool {
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -58,6 +58,8 @@
 	deaths map[string]charge
 	// at is the time of the last crash.
 	at time.Duration
+	// calmAt is since when no other servers crash, as far as was asked for; 0 if they do.
+	calmAt time.Duration
 	// cleared is set once the request has made progress again.
 	cleared bool
 	// requests are fingerprints of requests that a part ran in, as many as are needed to quarantine it.
@@ -177,6 +179,11 @@
 	return s != nil && !s.cleared
 }
 
+// runsApart reports whether the request starts by itself, not out of the queue: on probation, or in doubt.
+func (t *suspectTable) runsApart(q *request) bool {
+	return t.onProbation(q) || t.byKey[q.key()].inDoubt()
+}
+
 // anyOnProbation reports whether a request of this entry is a suspect that is not cleared.
 func (r *Reducer) anyOnProbation() bool {
 	if len(r.suspects.byKey) == 0 {
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -118,7 +118,7 @@
 	w.arrive("other-request")
 	d := w.singleDispatch()
 	q := w.r.requests["other-request"]
-	q.failedServers = append(q.failedServers, w.r.servers.byID[d.Server])
+	q.failedServers = append(q.failedServers, d.Server)
 	w.r.detach(q)
 	fleet := w.r.fleet(q)
 	for _, s := range fleet.Servers {
