--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -58,6 +58,8 @@
 	deaths map[string]charge
 	// at is the time of the last crash.
 	at time.Duration
+	// calmAt is since when no other servers crash, as far as was asked for; 0 if they do.
+	calmAt time.Duration
 	// cleared is set once the request has made progress again.
 	cleared bool
 	// requests are fingerprints of requests that a part ran in, as many as are needed to quarantine it.
@@ -141,7 +143,7 @@
 // deathKey identifies the death of a server's incarnation.
 func deathKey(server, incarnation string) string { return server + "/" + incarnation }
 
-func (s *server) deathKey() string { return deathKey(s.pb.Id, s.pb.Incarnation) }
+func (s *server) deathKey() string { return deathKey(s.pb.Id, s.deathIncarnation()) }
 
 func (q *request) crashScore() int {
 	switch {
@@ -177,6 +179,11 @@
 	return s != nil && !s.cleared
 }
 
+// runsApart reports whether the request starts by itself, not out of the queue: on probation, or in doubt.
+func (t *suspectTable) runsApart(q *request) bool {
+	return t.onProbation(q) || t.byKey[q.key()].inDoubt()
+}
+
 // anyOnProbation reports whether a request of this entry is a suspect that is not cleared.
 func (r *Reducer) anyOnProbation() bool {
 	if len(r.suspects.byKey) == 0 {
@@ -267,7 +274,11 @@
 // would never reach a whole crash at any of them.
 func (r *Reducer) serverDied(s *server, q *request, ev AttemptEnded) {
 	s.fail(r.now)
-	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.pb.Incarnation}
+	if s.nextLife && !s.died {
+		s.nextLife = false
+		s.lives++
+	}
+	death := &pb.ServerDeath{Server: s.pb.Id, Incarnation: s.deathIncarnation()}
 	if s.died {
 		if ev.started() {
 			r.charge(q, s, death)
@@ -326,7 +337,7 @@
 		s.deaths[death] = charge{score: score, uncertain: true}
 		return s.uncertainCrash()
 	}
-	return r.chargeFor(judgement{key: q.key(), server: server.pb.Id, incarnation: server.pb.Incarnation, own: true}, score)
+	return r.chargeFor(judgement{key: q.key(), server: server.pb.Id, incarnation: server.deathIncarnation(), own: true}, score)
 }
 
 func (r *Reducer) reportSuspects(death *pb.ServerDeath) {
