--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -199,8 +199,7 @@
 		s.calmAt = r.now
 	}
 	key := q.key()
-	spread := time.Duration(rendezvousHash(EntryWeight{Name: r.cfg.Identity.GetName()}, strconv.FormatUint(key.fingerprint, 16)) % uint64(maxTrialSpread))
-	if r.now < s.calmAt+spread {
+	if r.now < s.calmAt+r.trialSpread(key) {
 		return true
 	}
 	for _, other := range r.requests {
@@ -211,6 +210,15 @@
 	return false
 }
 
+// trialSpread returns how long this entry lets others try a request in doubt before it does.
+func (r *Reducer) trialSpread(key quarantineKey) time.Duration {
+	if len(r.noticeTargets()) == 0 {
+		return 0
+	}
+	own := EntryWeight{Name: r.cfg.Identity.GetName()}
+	return time.Duration(rendezvousHash(own, strconv.FormatUint(key.fingerprint, 16)) % uint64(maxTrialSpread))
+}
+
 // inDoubt reports whether the request was charged with several crashes. If it is not quarantined, some of
 // them may have had another cause.
 func (s *suspect) inDoubt() bool { return s != nil && s.counted() >= 2 }
