An address is not taken by reports that come together, nor by a leaving

Found by the review of the work on reports of engines, each by a test that failed before:

- Two reports with growing sequences, 5 ms apart, were the two that take an address from a live server; what a partition held back comes so.
Reports of a rival count a second apart now, whatever their sequence.
- A late 'draining' of a dead incarnation took the address of a server that was silent for 2 s.
What leaves needs no address: it is recorded as departed.
- Heartbeats that a replica relays carry only the hash of the incarnation, which another writer shares: they confirmed its record for ever.
While another writer has reported for the incarnation within a lease, the replica is asked for the report in full.

--- a/internal/control/contest.go
+++ b/internal/control/contest.go
@@ -18,8 +18,9 @@
 	// confirmingReports is how many reports, none of the holder's between them, replace a record
 	// that one report must not.
 	confirmingReports = 2
-	// minReportSpacing separates two reports that have no sequence.
-	minReportSpacing = 500 * time.Millisecond
+	// minReportSpacing separates two reports that count: what a partition has held back comes at once.
+	// Servers report about once a second.
+	minReportSpacing = time.Second
 )
 
 // rival reports for an address that another one holds: another incarnation, or the same one with
@@ -37,13 +38,10 @@
 	at           time.Duration
 }
 
-// count counts a report of the rival, unless it is an older or repeated one.
+// count counts a report of the rival, unless it is an older or repeated one, or comes together with the last.
 func (v *rival) count(source announcementSource, now time.Duration) {
-	later := source.sequence > v.source.sequence
-	if source.sequence == 0 {
-		later = now-v.at >= minReportSpacing
-	}
-	if v.reports > 0 && !later {
+	repeated := source.sequence > 0 && source.sequence <= v.source.sequence
+	if v.reports > 0 && (repeated || now-v.at < minReportSpacing) {
 		return
 	}
 	v.reports++
@@ -81,13 +79,18 @@
 	if incarnation.Before(known.GetIncarnation(), info.GetIncarnation()) || other && t.incarnation == info.GetIncarnation() {
 		return true
 	}
-	if other && t.silent(known, r.now) && !r.state.servers[info.GetId()].wasReplaced(info.GetIncarnation()) {
+	// What leaves needs no address.
+	leaving := other && info.GetState() == pb.ServerState_SERVER_STATE_LEAVING
+	if other && !leaving && t.silent(known, r.now) && !r.state.servers[info.GetId()].wasReplaced(info.GetIncarnation()) {
 		return true
 	}
 	if t.rival == nil || !sameVoice(t.rival.announcement.GetServer(), info, source) {
 		t.rival = &rival{}
 	}
 	t.rival.announcement = a
+	if leaving {
+		return false
+	}
 	t.rival.count(source, r.now)
 	return t.rival.reports >= confirmingReports
 }
@@ -125,6 +128,12 @@
 	}
 }
 
+// twoVoices reports whether another writer has reported of late for the incarnation that holds the address. Its
+// heartbeats don't tell which of the two sends them.
+func (t *trackedServer) twoVoices(now time.Duration) bool {
+	return t.rival != nil && t.rival.announcement.GetServer().GetIncarnation() == t.incarnation && now-t.rival.at < serverLease
+}
+
 // replace makes the server that t tracks the holder of its address. The one that held it becomes
 // its rival, unless it has ended.
 func (t *trackedServer) replace(known *pb.BackendServer) {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -150,7 +150,8 @@
 
 // onHeartbeats renews the leases of servers that this leader has a full announcement of,
 // and returns the servers that must announce in full: those with another incarnation than
-// the known one, and those that announced only to an earlier leader.
+// the known one, those that announced only to an earlier leader, and those for whose incarnation two
+// writers report.
 //
 // A heartbeat carries neither state nor order, so that a late one can't undo a newer
 // announcement: it only renews the lease.
@@ -158,7 +159,7 @@
 	var unknown []string
 	for _, h := range list {
 		t := r.lead.servers[h.GetServer()]
-		if t == nil || !t.fullyAnnounced || xxhash.Sum64String(t.incarnation) != h.GetIncarnationHash() {
+		if t == nil || !t.fullyAnnounced || t.twoVoices(r.now) || xxhash.Sum64String(t.incarnation) != h.GetIncarnationHash() {
 			unknown = append(unknown, h.GetServer())
 			r.onRivalHeartbeat(t, h, via)
 			continue
