A request in doubt is asked again as it leaves the queue, and waits for its own pool only

- Copies that stood in the queue when their request came into doubt went out together, in the moment of another server's crash: doubt was asked on arrival only.
They are held now.
- One server of another model that crashed each 1.5 s held a harmless request with three doubted crashes to its deadline, beside six idle servers.
Only crashes of servers that may run the request count, beside the size of their pool.

Open of the review: what a look at many held copies costs, and a bound of the wait where the request's own servers go on crashing.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -22,6 +22,11 @@
 			return
 		}
 		q := r.requests[w.RequestID]
+		if r.awaitsCalm(q) {
+			// It came into doubt while it waited.
+			r.held = append(r.held, q)
+			continue
+		}
 		if refusal := r.refuseIfLate(q, choice); refusal != nil {
 			r.refuse(q, refusal, append(choice.Figures, Figure{Name: "first_seconds", Value: choice.FirstTokenSeconds})...)
 			continue
--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -133,7 +134,7 @@
 	}
 	others := 0
 	if own := t.crashes.byKey[death]; own != nil {
-		others = t.otherCrashesAround(t.byKey[key], own.at, now-crashSettles)
+		others = t.otherCrashesAround(t.byKey[key], own.at, now-crashSettles, anyServer)
 	}
 	switch {
 	case others > 1 && (key.part || counted < maxDoubtfulCrashes):
@@ -163,18 +164,21 @@
 }
 
 // otherCrashesAround counts the servers that crashed about that time and until then, for a reason that is
-// not known, and of which the request was not charged.
-func (t *suspectTable) otherCrashesAround(s *suspect, at, until time.Duration) int {
+// not known, and of which the request was not charged, of those that count.
+func (t *suspectTable) otherCrashesAround(s *suspect, at, until time.Duration, counts func(serverID string) bool) int {
 	n := 0
 	for death, c := range t.crashes.byKey {
 		apart := max(at, c.at) - min(at, c.at)
-		if _, charged := s.deaths[death]; !c.explained && !charged && apart < otherCrashesPeriod && c.at <= until {
+		server, _, _ := strings.Cut(death, "/")
+		if _, charged := s.deaths[death]; !c.explained && !charged && apart < otherCrashesPeriod && c.at <= until && counts(server) {
 			n++
 		}
 	}
 	return n
 }
 
+func anyServer(string) bool { return true }
+
 // awaitsCalm reports whether the request should run only once no other servers crash: then its next
 // crash, or its answer, tells whether it is the cause. Until then it is not refused as one that crashes servers,
 // which it may not be. Once it may run, one does at a time.
@@ -186,10 +190,22 @@
 	if !s.inDoubt() {
 		return false
 	}
-	others := r.suspects.otherCrashesAround(s, r.now, r.now)
+	// Only a crash of a server that may run the request could be taken for one of its own.
+	pool := cmp.Or(q.work.Model, q.work.Service)
+	inPool := func(s *server) bool { return roleOf(s.pb).pool == pool }
+	others := r.suspects.otherCrashesAround(s, r.now, r.now, func(id string) bool {
+		server := r.servers.byID[id]
+		return server == nil || inPool(server)
+	})
 	busy := others > 0 && r.now < s.at+maxCalmWait
 	if s.counted() >= maxDoubtfulCrashes {
-		busy = others*calmShare > len(r.servers.sorted)
+		poolSize := 0
+		for _, server := range r.servers.sorted {
+			if inPool(server) {
+				poolSize++
+			}
+		}
+		busy = others*calmShare > poolSize
 	}
 	if busy {
 		s.calmAt = 0
