--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -95,10 +95,12 @@
 	nextID       uint64
 	// proposalSizes are the sizes of proposals in bytes, in turn; nil: 8 bytes each.
 	proposalSizes []int
-	reads         int
-	refusals      int
-	readsDone     int
-	violations    []string
+	// stateBytes is the size of each snapshot beyond its first bytes; 0: by the applied index, up to 31.
+	stateBytes int
+	reads      int
+	refusals   int
+	readsDone  int
+	violations []string
 }
 
 // simStep is the step of the simulated time.
@@ -228,9 +230,13 @@
 	case Persist, RestoreSnapshot:
 		h.pendingWrites = append(h.pendingWrites, e)
 	case TakeSnapshot:
-		data := make([]byte, 8, 40)
+		data := make([]byte, 8, 40+c.stateBytes)
 		binary.BigEndian.PutUint64(data, h.stateHash)
-		data = append(data, make([]byte, h.applied%32)...)
+		padding := int(h.applied % 32)
+		if c.stateBytes > 0 {
+			padding = c.stateBytes
+		}
+		data = append(data, make([]byte, padding)...)
 		SetSnapshotChecksum(e.Meta, data)
 		if e.Meta.Index != h.applied {
 			c.violation("replica %d: snapshot requested for index %d at applied index %d", h.id, e.Meta.Index, h.applied)
