--- a/internal/control/runner/firststart_test.go
+++ b/internal/control/runner/firststart_test.go
@@ -40,34 +40,44 @@
 	}
 }
 
-// Guards against a second incarnation under the id of a first replica: its folder was damaged while
-// the settings still said that this is the first start.
-func TestDamagedFolderOfAFirstReplicaGetsANewID(t *testing.T) {
+// firstReplicaSettings returns those of first replica 7 while the settings still say that this is the first start.
+func firstReplicaSettings(t *testing.T) *settings.Control {
+	t.Helper()
 	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
 	cfg.Cluster = "test"
 	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
-	openFolder := func() (id uint64, waits bool) {
-		st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer st.Close()
-		return st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
+	return cfg
+}
+
+// openFolder opens and closes the data folder, and returns the replica's id and whether it waits to be added.
+func openFolder(t *testing.T, cfg *settings.Control) (id uint64, waits bool) {
+	t.Helper()
+	st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
 	}
-	if id, waits := openFolder(); id != 7 || waits {
+	defer st.Close()
+	return st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
+}
+
+// Guards against a second incarnation under the id of a first replica: its folder was damaged while
+// the settings still said that this is the first start.
+func TestDamagedFolderOfAFirstReplicaGetsANewID(t *testing.T) {
+	cfg := firstReplicaSettings(t)
+	if id, waits := openFolder(t, cfg); id != 7 || waits {
 		t.Fatalf("the first start: id %d, waits to be added %v", id, waits)
 	}
 	database := filepath.Join(cfg.DataDir, "control.db")
 	if err := os.WriteFile(database, []byte("damaged"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if id, waits := openFolder(); id == 7 || !waits {
+	if id, waits := openFolder(t, cfg); id == 7 || !waits {
 		t.Errorf("after the damage: id %d, waits to be added %v", id, waits)
 	}
 	if err := os.Remove(database); err != nil {
 		t.Fatal(err)
 	}
-	if id, waits := openFolder(); id == 7 || !waits {
+	if id, waits := openFolder(t, cfg); id == 7 || !waits {
 		t.Errorf("after an end between moving the damaged folder and creating the next: id %d, waits to be added %v", id, waits)
 	}
 }
@@ -76,24 +86,14 @@
 // process ended between discarding its folder and creating the next one, while the settings still said
 // that this is the first start.
 func TestDiscardedFolderOfAFirstReplicaGetsANewID(t *testing.T) {
-	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
-	cfg.Cluster = "test"
-	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
-	openFolder := func() (id uint64, waits bool) {
-		st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer st.Close()
-		return st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
-	}
-	if id, waits := openFolder(); id != 7 || waits {
+	cfg := firstReplicaSettings(t)
+	if id, waits := openFolder(t, cfg); id != 7 || waits {
 		t.Fatalf("the first start: id %d, waits to be added %v", id, waits)
 	}
 	if err := store.Discard(cfg.DataDir); err != nil {
 		t.Fatal(err)
 	}
-	if id, waits := openFolder(); id == 7 || !waits {
+	if id, waits := openFolder(t, cfg); id == 7 || !waits {
 		t.Errorf("after an end between discarding the folder and creating the next: id %d, waits to be added %v", id, waits)
 	}
 }
@@ -101,9 +101,7 @@
 // Guards against a group that never forms since the disks of its first replicas took no writes for a
 // moment at the first start: each counted its new folder as damaged, and waits to be added ever since.
 func TestFirstReplicaKeepsItsIDAfterItsDiskRefusedWrites(t *testing.T) {
-	cfg := &settings.Control{BootstrapFromControl: true, FirstStart: true, ReplicaID: 7, DataDir: t.TempDir()}
-	cfg.Cluster = "test"
-	cfg.Bootstrap = []settings.ControlReplica{{ID: 7, Address: "127.0.0.1:1"}}
+	cfg := firstReplicaSettings(t)
 	signal.Ignore(syscall.SIGXFSZ)
 	var before syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_FSIZE, &before); err != nil {
@@ -119,13 +117,7 @@
 	if err == nil {
 		t.Fatal("the folder was created")
 	}
-	st, recovered, err := open(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer st.Close()
-	id, waits := st.Identity().GetId(), len(recovered.Initial.Membership.GetMembers()) == 0
-	if id != 7 || waits {
+	if id, waits := openFolder(t, cfg); id != 7 || waits {
 		t.Errorf("once the disk takes writes again: id %d, waits to be added %v", id, waits)
 	}
 }
--- a/internal/httpconn/cut_test.go
+++ b/internal/httpconn/cut_test.go
@@ -70,7 +70,7 @@
 // Guards against an answer that is cut at any byte and passes for a whole one: in its head, in the digits of its
 // length, in a chunk's size, or in a trailer.
 func TestAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
-	const tail = "Content-Type: text/plain\r\nX-Server-Seal: s1\r\n"
+	const tail = "Content-Type: text/plain\r\nX-Proof-Of-Run: s1\r\n"
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
 	for _, c := range []struct {
 		name, method, answer, body string
