Control asks an address which of two incarnations runs there

Cause: each report of the holder of an address set the other's count back to 0, so that the order of arrival decided, which tells nothing about which of the two started last. An incarnation never comes back, so what answers at the address after both have reported is the later one, and the other has ended.

Related, tried: a late first call of a dead entry takes the live entry's name, but only until the end of its lease (TestLateCallOfAnUnknownEntryTakesItsNameForOneLeaseOnly passes before and after).

--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -103,7 +103,7 @@
 	engines := platform.EngineSettings{Roles: s.Roles, IgnoreFencing: s.EnginesIgnoreFencing}
 	return runner.Drivers{
 		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, engines, s.MaxRegistryConnections(), log)},
-		Orders: platform.OrderProtocol{},
+		Orders: platform.OrderProtocol{}, Identity: platform.IdentityProtocol{},
 		Duties: platform.DutyProtocol{},
 	}
 }
--- a/internal/control/contest.go
+++ b/internal/control/contest.go
@@ -30,7 +30,8 @@
 // the address, or one report of another writer, decides over a record that the live server
 // confirms each second. The server gets no requests until its record is removed. So what goes on
 // reporting holds the address: a rival takes it over with its first report only if the holder is
-// silent, and otherwise by reports that go on while the holder sends none.
+// silent, and otherwise by reports that go on while the holder sends none. What runs at the address
+// decides before that, if it answers (see checkAddress).
 type rival struct {
 	announcement *pb.Announcement
 	source       announcementSource
@@ -48,6 +49,14 @@
 	v.source, v.at = source, now
 }
 
+// counted returns how many of the rival's reports count.
+func (v *rival) counted() int {
+	if v == nil {
+		return 0
+	}
+	return v.reports
+}
+
 // holder returns the record of the server that holds an address, as it will be once all
 // proposals are committed, or nil.
 func (r *Reducer) holder(id string) *pb.BackendServer {
@@ -76,11 +85,13 @@
 		return true
 	}
 	other := known.GetIncarnation() != info.GetIncarnation()
+	leaving := other && info.GetState() == pb.ServerState_SERVER_STATE_LEAVING
+	if other && !leaving && (t.hasEnded(info.GetIncarnation()) || t.hasEnded(known.GetIncarnation())) {
+		return !t.hasEnded(info.GetIncarnation())
+	}
 	if incarnation.Before(known.GetIncarnation(), info.GetIncarnation()) || other && t.incarnation == info.GetIncarnation() {
 		return true
 	}
-	// What leaves needs no address.
-	leaving := other && info.GetState() == pb.ServerState_SERVER_STATE_LEAVING
 	if other && !leaving && t.silent(known, r.now) && !r.state.servers[info.GetId()].wasReplaced(info.GetIncarnation()) {
 		return true
 	}
@@ -89,6 +100,7 @@
 	}
 	t.rival.announcement = a
 	if leaving {
+		// What leaves needs no address.
 		return false
 	}
 	t.rival.count(source, r.now)
@@ -106,12 +118,16 @@
 // A leaving that is answered must hold, so that of another incarnation is recorded.
 func (r *Reducer) onDoubted(info *pb.BackendServer, source announcementSource, answer func(ok bool, err error)) {
 	t := r.lead.servers[info.GetId()]
+	ended := t.hasEnded(info.GetIncarnation())
 	r.log(slog.LevelWarn, "announcement doubted: another server reports from its address", append(source.fields(),
 		Field{"server", info.GetId()}, Field{"incarnation", info.GetIncarnation()}, Field{"state", info.GetState().String()},
-		Field{"services", info.GetServices()}, Field{"model", info.GetModel()}, Field{"reports", t.rival.reports},
+		Field{"services", info.GetServices()}, Field{"model", info.GetModel()}, Field{"reports", t.rival.counted()}, Field{"ended", ended},
 		Field{"holder", t.incarnation}, Field{"holder_silent_ms", (r.now - t.heardAt).Milliseconds()})...)
 	switch {
 	case info.GetState() != pb.ServerState_SERVER_STATE_LEAVING:
+		if !ended && info.GetIncarnation() != t.incarnation {
+			r.checkAddress(t, r.holder(info.GetId()), info)
+		}
 		answer(true, nil)
 	case info.GetIncarnation() == t.incarnation:
 		answer(false, invalid("the announcement contradicts those that the server goes on sending"))
@@ -154,6 +170,8 @@
 	}
 	if r.believed(t.rival.announcement, announcementSource{via: via}) {
 		r.onAnnouncement(announcementSource{via: via}, t.rival.announcement)
+	} else if !t.hasEnded(info.GetIncarnation()) {
+		r.checkAddress(t, r.holder(info.GetId()), info)
 	}
 }
 
--- a/internal/control/entry_incarnations_test.go
+++ b/internal/control/entry_incarnations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
@@ -48,3 +49,21 @@
 		})
 	}
 }
+
+// Guards against a late first call of an entry that has died, which takes the name of the live one for
+// good: the live one's calls are refused until the lease of the dead one has ended, and no longer.
+func TestLateCallOfAnUnknownEntryTakesItsNameForOneLeaseOnly(t *testing.T) {
+	h := newHarness(t)
+	live := h.addEntry("e1")
+	live.identity = entryIdentity("e1", "2")
+	h.advance(time.Second)
+	h.watchFrom("e1", "1", false)
+	h.advance(entryLease + time.Second)
+	if e := h.Reducer.state.entries["e1"]; e == nil || incarnationOf(e.info) != "2" {
+		t.Errorf("the entry after a lease: %v", e)
+	}
+	h.advance(entryLease + time.Second)
+	if e := h.Reducer.state.entries["e1"]; e == nil || incarnationOf(e.info) != "2" {
+		t.Errorf("the entry after another lease: %v", e)
+	}
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -110,6 +110,9 @@
 	// entries poll for the view; silent ones do not.
 	entries map[string]*fakeEntry
 	logs    []Log
+	// runsAt is the incarnation that answers at a server's address; checks counts the questions.
+	runsAt map[string]string
+	checks int
 }
 
 // fakeEntry polls with Watch and applies the answers.
@@ -159,6 +162,7 @@
 }
 
 func (h *harness) step(ev Event) {
+	var answers []Event
 	for _, eff := range h.Step(h.clock, ev) {
 		switch e := eff.(type) {
 		case Reply:
@@ -172,8 +176,14 @@
 			h.logs = append(h.logs, e)
 		case Introduce:
 			h.introductions = append(h.introductions, e.To...)
+		case CheckAddress:
+			h.checks++
+			answers = append(answers, AddressChecked{Server: e.Server, Candidates: e.Candidates, Incarnation: h.runsAt[e.Server], Reason: "test"})
 		}
 	}
+	for _, answer := range answers {
+		h.step(answer)
+	}
 }
 
 func (h *harness) tick() {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -102,6 +102,10 @@
 	// heardAt is when the incarnation last reported, or when this leadership began.
 	heardAt time.Duration
 	rival   *rival
+	// checkedAt is when the address was last checked, zero for never. ended are incarnations that
+	// a check has shown to have ended, at most maxPastIncarnations.
+	checkedAt time.Duration
+	ended     []string
 }
 
 // trackedEntry is the leader's in-memory state of an entry.
--- a/internal/control/reducer.go
+++ b/internal/control/reducer.go
@@ -137,6 +137,8 @@
 		r.onLeave(e)
 	case OrderAnswered:
 		r.onOrderAnswered(e)
+	case AddressChecked:
+		r.onAddressChecked(e)
 	case OrderUnanswered:
 		r.onOrderUnanswered(e)
 	case DutyAnswered:
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -180,11 +180,16 @@
 		if t != nil {
 			r.answerWaitingCalls(t, true)
 		}
-		t = &trackedServer{incarnation: info.GetIncarnation(), firstSeenAt: r.now}
+		next := &trackedServer{incarnation: info.GetIncarnation(), firstSeenAt: r.now}
+		if t != nil {
+			next.ended, next.checkedAt = t.ended, t.checkedAt
+		}
+		t = next
 		r.lead.servers[info.GetId()] = t
 	}
 	if known != nil {
 		t.replace(known)
+		r.checkReplacement(t, known, info)
 	}
 	return t
 }
--- a/internal/control/runner/engines.go
+++ b/internal/control/runner/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"time"
 
@@ -29,6 +30,14 @@
 	Read(resp *fasthttp.Response, e control.SendOrder) (*engineapi.OrderAnswer, error)
 }
 
+// IdentityProtocol asks an address which server incarnation runs there.
+type IdentityProtocol interface {
+	// WriteCheck fills the request. Errors: the address can't be asked.
+	WriteCheck(req *fasthttp.Request, e control.CheckAddress) error
+	// ReadCheck returns the incarnation that answered, by its id or its name. Errors: the answer names none.
+	ReadCheck(resp *fasthttp.Response) (string, error)
+}
+
 // nativeOrders is the default OrderProtocol.
 type nativeOrders struct{}
 
@@ -36,14 +45,64 @@
 type engineSender struct {
 	loop     *loop
 	protocol OrderProtocol
+	identity IdentityProtocol
+	checks   chan struct{}
 	wg       conc.WaitGroup
 }
 
-func newEngineSender(l *loop, p OrderProtocol) *engineSender {
-	if p == nil {
-		p = nativeOrders{}
+// maxChecks bounds the checks of addresses in flight. Others fail at once and are repeated by
+// the reports that lead to them.
+const maxChecks = 32
+
+func newEngineSender(l *loop, d Drivers) *engineSender {
+	s := &engineSender{loop: l, protocol: d.Orders, identity: d.Identity, checks: make(chan struct{}, maxChecks)}
+	if s.protocol == nil {
+		s.protocol = nativeOrders{}
+	}
+	if s.identity == nil {
+		s.identity = nativeIdentity{}
+	}
+	return s
+}
+
+// check asks an address once, off the control goroutine.
+func (s *engineSender) check(e control.CheckAddress) {
+	result := control.AddressChecked{Server: e.Server, Candidates: e.Candidates}
+	select {
+	case s.checks <- struct{}{}:
+	default:
+		result.Reason = "too many checks in flight"
+		s.wg.Go(func() { s.loop.post(result) })
+		return
+	}
+	s.wg.Go(func() {
+		defer func() { <-s.checks }()
+		call := leasedCall{address: e.Address, leaseUntil: math.MaxInt64, timeout: e.Timeout, maxAnswerBytes: maxOrderAnswerBytes}
+		_, err := callOnce(call, func(req *fasthttp.Request) error { return s.identity.WriteCheck(req, e) },
+			func(resp *fasthttp.Response) (err error) {
+				result.Incarnation, err = s.identity.ReadCheck(resp)
+				return err
+			})
+		if err != nil {
+			result.Incarnation, result.Reason = "", err.Error()
+		}
+		s.loop.post(result)
+	})
+}
+
+// nativeIdentity is the default IdentityProtocol.
+type nativeIdentity struct{}
+
+func (nativeIdentity) WriteCheck(req *fasthttp.Request, e control.CheckAddress) error {
+	req.SetRequestURI("http://" + e.Address + engineapi.PathHealth)
+	return nil
+}
+
+func (nativeIdentity) ReadCheck(resp *fasthttp.Response) (string, error) {
+	if id := string(resp.Header.Peek(engineapi.HeaderIncarnation)); id != "" {
+		return id, nil
 	}
-	return &engineSender{loop: l, protocol: p}
+	return "", Failed.New("status %d names no incarnation", resp.StatusCode())
 }
 
 func (s *engineSender) wait() { s.wg.Wait() }
--- a/internal/control/runner/loop.go
+++ b/internal/control/runner/loop.go
@@ -156,6 +156,8 @@
 		l.reply(e)
 	case control.SendOrder:
 		l.engines.send(e)
+	case control.CheckAddress:
+		l.engines.check(e)
 	case control.DutyCall:
 		l.duties.call(e)
 	case control.Members:
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -28,6 +28,8 @@
 	Calls []Driver
 	// Orders is the protocol for orders to engines; nil: the default protocol.
 	Orders OrderProtocol
+	// Identity is the protocol that asks servers for their incarnation; nil: the default protocol.
+	Identity IdentityProtocol
 	// Duties is the protocol of the calls to external services; nil: the default protocol.
 	Duties DutyProtocol
 }
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -104,7 +104,7 @@
 	r.loop = newLoop(reducer, log, r.metrics.Scope)
 	r.relay = newAnnouncementRelay(cfg, auth, log)
 	r.net = newTransport(cfg, auth, st, r.loop)
-	r.engines = newEngineSender(r.loop, drivers.Orders)
+	r.engines = newEngineSender(r.loop, drivers)
 	r.loop.duties = newDutyCaller(r.loop, cfg.Duties.Address, drivers.Duties)
 	r.loop.disk, r.loop.net, r.loop.engines = newDisk(st, r.loop), r.net, r.engines
 	r.loop.intro, r.loop.usage = newIntroducer(auth, log), usage
