Roles don't follow from how many engines a leader knows for a moment

A leader split the engines that it knew at that moment, 5 of 9 while the system starts, and 7 or 8 while some were away, and the change lasts.

Cause: a lasting decision from what is known at a passing moment. Now a build's roles are left alone until the number of its engines has stood for 2 s (under load at most 4 s), an engine counts for 10 s after its lease has ended, and under load a share that is wrong by less than an engine stays, as a change takes an engine away for five seconds.

--- a/internal/control/planning.go
+++ b/internal/control/planning.go
@@ -17,10 +17,15 @@
 // interval.
 const planInterval = time.Second
 
+// expectedBack is how long an engine whose lease has ended counts as one that comes back. An engine
+// that has crashed is back within seconds.
+const expectedBack = 10 * time.Second
+
 // modelPlan is the role planning of one model. Each new leader starts an empty one: it
 // changes no role until the averages have filled again.
 type modelPlan struct {
 	planner *roles.Planner
+	keeper  *roles.ShareKeeper
 	// prefillRate and decodeRate are the highest rates that an engine of that role has
 	// reported, in tokens/s: an engine with both kinds of work reports less than it is
 	// capable of.
@@ -53,18 +58,24 @@
 // maintainPrefillShare orders the changes that keep the declared share of a model's engines
 // in the prefill role.
 func (r *Reducer) maintainPrefillShare(model string, share float64) {
-	o := roles.Observation{Engines: r.engines(model, &modelPlan{}), Bounds: r.roleBounds()}
-	for _, c := range roles.KeepPrefillShare(&o, share) {
+	plan := r.planOf(model)
+	o := roles.Observation{Engines: r.engines(model, plan), Bounds: r.roleBounds(), Loaded: r.loaded()}
+	for _, c := range plan.keeper.Keep(r.now, &o, share) {
 		r.orderChange(&o, c)
 	}
 }
 
-func (r *Reducer) planModel(model string, interval time.Duration, demand *modelDemand) {
+func (r *Reducer) planOf(model string) *modelPlan {
 	plan := r.lead.plans[model]
 	if plan == nil {
-		plan = &modelPlan{planner: roles.NewPlanner()}
+		plan = &modelPlan{planner: roles.NewPlanner(), keeper: roles.NewShareKeeper()}
 		r.lead.plans[model] = plan
 	}
+	return plan
+}
+
+func (r *Reducer) planModel(model string, interval time.Duration, demand *modelDemand) {
+	plan := r.planOf(model)
 	if demand == nil {
 		demand = &modelDemand{}
 	}
@@ -105,6 +116,7 @@
 				e.TargetRole = wire.Role(o.GetRole())
 			}
 		}
+		e.Expected = !e.Changing && sv.goneMS != 0 && !sv.info.GetLeft() && r.wall()-sv.goneMS < expectedBack.Milliseconds()
 		e.Usable = !e.Changing && !r.state.drained[id] && sv.info.GetState() == pb.ServerState_SERVER_STATE_SERVING
 		list = append(list, e)
 	}
@@ -128,6 +140,9 @@
 // number of entries: each change is sent to all entries several times.
 const maxChangeNotifications = 1700
 
+// loaded reports whether an entry has reported demand of late.
+func (r *Reducer) loaded() bool { return r.now < r.lead.lastDemandAt+noDemandPeriod }
+
 // roleBounds returns the limits for automatic changes: few engines at once while there is
 // demand, and otherwise as many as can be announced to all entries without delaying the
 // leader's other messages.
@@ -136,7 +151,7 @@
 	limit := r.state.maxUnavailable()
 	if loaded := d.MaxUnavailableUnderLoad; loaded > 0 {
 		idle := max(loaded, maxChangeNotifications/max(1, len(r.state.entries)))
-		if r.now < r.lead.lastDemandAt+noDemandPeriod {
+		if r.loaded() {
 			idle = loaded
 		}
 		limit = min(limit, idle)
--- a/internal/decision/roles/keep_test.go
+++ b/internal/decision/roles/keep_test.go
@@ -40,7 +40,7 @@
 		{2, 0, 0, 1, 1, engineapi.RoleMixed},
 		{5, 3, 1, 0.67, 0, ""},
 	} {
-		changes := KeepPrefillShare(observationWith(c.prefill, c.mixed, c.unavailable), c.share)
+		changes := keepSettled(observationWith(c.prefill, c.mixed, c.unavailable), c.share)
 		if len(changes) != c.changes {
 			t.Errorf("%+v: %d changes %+v", c, len(changes), changes)
 			continue
@@ -60,7 +60,7 @@
 	for i := range o.Engines {
 		o.Engines[i].Age = time.Duration(10-i) * time.Minute
 	}
-	for _, c := range KeepPrefillShare(o, 0.34) {
+	for _, c := range keepSettled(o, 0.34) {
 		if c.Engine != "5" && c.Engine != "4" {
 			t.Errorf("engine %s changes its role, want the youngest", c.Engine)
 		}
@@ -75,7 +75,7 @@
 		o.Engines[i].SoftwareVersion = []string{"v1", "v2"}[i/6]
 	}
 	to := make(map[string]map[engineapi.Role]int)
-	for _, c := range KeepPrefillShare(o, 0.67) {
+	for _, c := range keepSettled(o, 0.67) {
 		version := map[bool]string{true: "v1", false: "v2"}[c.Engine < "6"]
 		if to[version] == nil {
 			to[version] = make(map[engineapi.Role]int)
@@ -86,7 +86,14 @@
 		t.Errorf("changes %v, want 2 of v1 to mixed and 2 of v2 to prefill", to)
 	}
 	o.Bounds.MaxUnavailable = 1
-	if changes := KeepPrefillShare(o, 0.67); len(changes) != 1 {
+	if changes := keepSettled(o, 0.67); len(changes) != 1 {
 		t.Errorf("%d changes at once, want 1", len(changes))
 	}
 }
+
+// keepSettled returns the changes once the number of engines has stood for long enough.
+func keepSettled(o *Observation, share float64) []Change {
+	k := NewShareKeeper()
+	k.Keep(0, o, share)
+	return k.Keep(settleTime, o, share)
+}
--- a/internal/decision/roles/plan.go
+++ b/internal/decision/roles/plan.go
@@ -40,7 +40,7 @@
 		if e.Changing {
 			f.unavailable++
 			f.split.count(e.TargetRole, 1)
-		} else if e.Usable {
+		} else if e.Usable || e.Expected {
 			f.split.count(e.Role, 1)
 		}
 	}
--- a/internal/decision/roles/roles.go
+++ b/internal/decision/roles/roles.go
@@ -31,6 +31,9 @@
 	Changing bool
 	// Usable is false while the engine is leaving, gone or changing.
 	Usable bool
+	// Expected tells that the engine is gone, but for so short a time that it may be back. It counts with
+	// its last role.
+	Expected bool
 	// Age is how long the engine's incarnation has been known. Engines that were there when the
 	// planner started all have the same age.
 	Age time.Duration
@@ -78,6 +81,8 @@
 	Rates   Rates
 	Bounds  Bounds
 	Price   ChangePrice
+	// Loaded tells that work was offered of late.
+	Loaded bool
 }
 
 // Change is a role change to order.
