--- a/internal/decision/roles/keep.go
+++ b/internal/decision/roles/keep.go
@@ -25,9 +25,10 @@
 // after engines joined or left.
 //
 // A role lasts, and how many engines are known at a moment does not: while a fleet starts, or after
-// a change of leader, they come into sight one after the other. So a build is left alone until the number of
-// its engines has stood for settleTime, or under load has been changing for maxSettleTime, and engines that are expected back count. Under load a change takes
-// an engine away for seconds, so a share that is wrong by less than one engine stays.
+// a change of leader, they come into sight one after the other. So a build is left alone until the
+// number of its engines has stood for settleTime, or under load has been changing for
+// maxSettleTime, and engines that are expected back count. Under load a change takes an engine
+// away for seconds, so a share that is wrong by less than one engine stays.
 type ShareKeeper struct{ builds map[string]fleetSize }
 
 // fleetSize is the number of engines of one build, since when it is that, and since when it has been
--- a/internal/entry/doubt_review_test.go
+++ b/internal/entry/doubt_review_test.go
@@ -111,3 +111,42 @@
 		})
 	}
 }
+
+// Guards against copies of a request in doubt that are sent one after the other as their callers leave: the
+// server may end under each of them, and it is not known yet whether it does.
+func TestCopyOfARequestInDoubtWaitsForTheOneWhoseCallerLeft(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(3)...)
+	first := w.arrival("copy-1", "hotels")
+	w.inDoubtAfter(first.Fingerprint, 2)
+	var sent []Dispatch
+	arrive := func(id string) {
+		a := w.arrival(id, "hotels")
+		a.Fingerprint = first.Fingerprint
+		w.step(a)
+		sent = append(sent, effectsOf[Dispatch](w.effects)...)
+	}
+	for _, id := range []string{"copy-1", "copy-2", "copy-3"} {
+		arrive(id)
+	}
+	for range 100 {
+		w.advance(100 * time.Millisecond)
+		w.renew()
+		sent = append(sent, effectsOf[Dispatch](w.effects)...)
+		if len(sent) == 1 {
+			break
+		}
+	}
+	if len(sent) != 1 {
+		t.Fatalf("%d copies were sent, want the first one", len(sent))
+	}
+	w.startAttempt(sent[0])
+	w.step(CallerDisconnected{RequestID: sent[0].RequestID})
+	sent = append(sent, effectsOf[Dispatch](w.effects)...)
+	w.advance(100 * time.Millisecond)
+	w.renew()
+	sent = append(sent, effectsOf[Dispatch](w.effects)...)
+	if len(sent) != 1 {
+		t.Errorf("%d more copies were sent within 100 ms of the moment in which the caller of the first one left", len(sent)-1)
+	}
+}
