Soak: a stand-in server that starts again at once gets its address

Cause: the soak closes a listener and listens again in the same moment, while a process that is being started in the same test (an entry that is killed and started again) still holds a copy of the socket until it runs its own program. So it is the soak's own, not the product's, whose processes already try again (internal/listen).

No program of the product changes.

--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -3,12 +3,16 @@
 package forwarder
 
 import (
+	"context"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
+
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 )
 
 // Namespace holds the error types of this package.
@@ -88,7 +92,7 @@
 
 // Relisten accepts connections again. Errors: Failed.
 func (f *Forwarder) Relisten() error {
-	ln, err := net.Listen("tcp", f.address)
+	ln, err := listen.Open(context.Background(), f.address, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return Failed.Wrap(err, "listen again")
 	}
