--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 		"entries", len(recovered.Initial.Entries), "took_ms", time.Since(startedAt).Milliseconds())
 	id := st.Identity().GetId()
 	node := consensus.NewNode(nodeConfig(id, cfg), recovered.Initial)
+	logRecoveredGroup(log, id, node.Status())
 	usage := newUsageReporter(cfg, st, log)
 	usage.report("storage at start", node.Status())
 	r := &Runner{
@@ -111,6 +113,22 @@
 	return r, nil
 }
 
+// logRecoveredGroup logs the group that the data folder names, which tells after a loss of power whether
+// the replicas that are back can be a quorum.
+func logRecoveredGroup(log *slog.Logger, id uint64, s consensus.Status) {
+	var voters, learners []string
+	for _, m := range s.Membership.GetMembers() {
+		member := fmt.Sprintf("%d at %s", m.GetIdentity().GetId(), m.GetAddress())
+		if m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER {
+			voters = append(voters, member)
+		} else {
+			learners = append(learners, member)
+		}
+	}
+	log.Info("recovered group", "replica", id, "standing", string(s.Standing), "term", s.Term, "last_index", s.LastIndex,
+		"voters", voters, "learners", learners)
+}
+
 // Reload applies the settings that can change while the replica runs: the addresses of control.
 // The others take effect at the next start.
 func (r *Runner) Reload(cfg *settings.Control) {
