The log says where replicas run, so that a leader tells those that its seeds don't name

Callers saw: no entry is ever ready after all have lost power ('no configuration', spares 'know no leader'), while a group leads. Cause: a leader introduces itself to its own seeds, its members, and who asked within the last minute of its own life. Entries and spares come back with seeds among the spares only; all of these have forgotten the group, and the leader's seeds name none of them. Change: the replicated state holds the addresses of members and of replicas that asked to be added (64 at most, the oldest go first); a leader introduces itself to those that it has not heard from, twice a second in the first minute of its term, each 10 s after it.

--- a/internal/control/introduction.go
+++ b/internal/control/introduction.go
@@ -24,6 +24,9 @@
 	rememberAsked = time.Minute
 	// maxAsked bounds the replicas that are remembered.
 	maxAsked = 64
+	// lateIntroduceInterval is introduceInterval for recorded replicas that have not been heard from for
+	// rememberAsked: most of them are gone for good.
+	lateIntroduceInterval = 10 * time.Second
 )
 
 // heardLeader is a leader that a replica has heard of without following it, and the addresses of
@@ -41,6 +44,8 @@
 	sentAt time.Duration
 	// last is the addressees of the last introductions.
 	last []string
+	// recordedAt is when the last introductions to recorded replicas were sent.
+	recordedAt time.Duration
 	// askedAt is when a replica outside of the group last asked to join, by address.
 	askedAt map[string]time.Duration
 }
@@ -56,7 +61,8 @@
 //
 // Only members keep the group's addresses on disk. All others know the seeds at their start, and
 // no more. Once the seeds are spares or have lost their disks, a group that returns after a loss
-// of power would lead and nobody could find it. So whoever is asked first must have been told.
+// of power would lead and nobody could find it. So whoever is asked first must have been told. The
+// seeds of two processes may differ; see knownReplicas.
 func (r *Reducer) introduce() {
 	in := &r.lead.introductions
 	first := in.sentAt == 0
@@ -77,17 +83,27 @@
 	}})
 }
 
-// strangers returns the addresses of the seeds, members and former joiners that this leader has
-// not heard from of late; with allSeeds also those of seeds that it has.
+// strangers returns the addresses of the seeds, members, former joiners and recorded replicas that this
+// leader has not heard from of late; with allSeeds also those of seeds that it has.
 func (r *Reducer) strangers(allSeeds bool) []string {
 	informed := r.informedAddresses()
-	addresses := slices.Concat(r.seeds, memberAddresses(r.members), slices.Collect(maps.Keys(r.lead.introductions.askedAt)))
+	addresses := slices.Concat(r.seeds, memberAddresses(r.members), slices.Collect(maps.Keys(r.lead.introductions.askedAt)), r.recordedReplicas())
 	slices.Sort(addresses)
 	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool {
 		return a == r.cfg.Address || informed[a] && !(allSeeds && slices.Contains(r.seeds, a))
 	})
 }
 
+// recordedReplicas returns the recorded addresses if introductions to them are due.
+func (r *Reducer) recordedReplicas() []string {
+	in := &r.lead.introductions
+	if r.now >= r.lead.startedAt+rememberAsked && r.now < in.recordedAt+lateIntroduceInterval {
+		return nil
+	}
+	in.recordedAt = r.now
+	return r.state.replicas
+}
+
 // informedAddresses returns the replicas that know this leader: members that answer it, and
 // replicas that ask it to be added.
 func (r *Reducer) informedAddresses() map[string]bool {
--- a/internal/control/introduction_test.go
+++ b/internal/control/introduction_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -115,3 +116,55 @@
 		t.Errorf("it introduces itself to %v", got)
 	}
 }
+
+// Guards against a group that nobody finds after all have restarted: the leader's seeds name none of the
+// replicas that the others ask, which have forgotten the group and ask each other.
+func TestLeaderIntroducesItselfToRecordedReplicas(t *testing.T) {
+	h := newGroupLeader(t)
+	h.becomeLeader(3)
+	spare := &pb.ReplicaMember{Identity: &pb.ReplicaIdentity{Id: 9, Incarnation: "i"}, Address: "spare"}
+	call[*pb.JoinResponse](h, &pb.JoinRequest{ClusterId: cluster, Member: spare})
+	h.advance(time.Second)
+	restored, err := RestoreState(h.State().Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.stepDown(4)
+	h.Reducer.state = restored
+	h.becomeLeader(5)
+	if got := h.introduced(); !slices.Equal(got, []string{"a3", "spare"}) {
+		t.Errorf("the next leader introduces itself to %v, want also the replica that had asked before", got)
+	}
+	h.advance(rememberAsked)
+	h.introductions = nil
+	h.advance(2 * lateIntroduceInterval)
+	if n := len(slices.DeleteFunc(h.introductions, func(a string) bool { return a != "spare" })); n == 0 || n > 3 {
+		t.Errorf("%d introductions in %v to a replica that has been silent for long, want one each %v", n, 2*lateIntroduceInterval, lateIntroduceInterval)
+	}
+}
+
+// Guards against a state that grows with each machine that was ever added, and against records that are
+// made again and again since more replicas are present than are kept.
+func TestRecordedReplicasAreBounded(t *testing.T) {
+	h := newGroupLeader(t)
+	h.becomeLeader(3)
+	join := func(n int) {
+		member := &pb.ReplicaMember{Identity: &pb.ReplicaIdentity{Id: uint64(n), Incarnation: "i"}, Address: fmt.Sprint("replica-", n)}
+		call[*pb.JoinResponse](h, &pb.JoinRequest{ClusterId: cluster, Member: member})
+	}
+	for n := range 2 * maxKnownReplicas {
+		join(100 + n)
+	}
+	h.advance(time.Second)
+	recorded, index := slices.Clone(h.State().replicas), h.State().Index()
+	if len(recorded) != maxKnownReplicas || !slices.Contains(recorded, "a3") {
+		t.Errorf("%d addresses are recorded, want %d with the members", len(recorded), maxKnownReplicas)
+	}
+	for n := range 2 * maxKnownReplicas {
+		join(100 + n)
+	}
+	h.advance(time.Second)
+	if h.State().Index() != index || !slices.Equal(recorded, h.State().replicas) {
+		t.Errorf("the same replicas are recorded again: index %d, was %d", h.State().Index(), index)
+	}
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -61,6 +61,8 @@
 	// is true while a change of the member list is in progress.
 	joiners                 map[string]*joiner
 	membershipChangePending bool
+	// recordingReplicas is true while addresses of replicas are being recorded.
+	recordingReplicas bool
 	// group is the state of the control group as last logged.
 	group         groupCondition
 	introductions introductions
@@ -175,6 +177,7 @@
 	r.processUsage()
 	r.reconcileScale()
 	r.proposeExpiry()
+	r.recordReplicas()
 	r.reconcileMembership()
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -29,7 +29,7 @@
 		Suspects: s.suspects.sorted(), Tombstones: s.changes.tombstones,
 		OldestDelta: s.changes.oldestDelta, ViewVersion: s.changes.version, RoleChanges: s.roleChanges,
 		UsageDecided: s.usage.decided, UsagePending: s.usage.pending, ScaleTargets: s.scale.sorted(),
-		Departed: s.departed.records(),
+		Departed: s.departed.records(), ReplicaAddresses: s.replicas,
 	}
 	for _, id := range s.requests.ids {
 		snap.Requests = append(snap.Requests, s.requests.byID[id])
@@ -63,6 +63,7 @@
 	s.usage = usageState{decided: snap.GetUsageDecided(), pending: snap.GetUsagePending()}
 	s.scale.apply(&pb.ScaleUpdate{Targets: snap.GetScaleTargets()})
 	s.departed.restore(snap.GetDeparted())
+	s.replicas = snap.GetReplicaAddresses()
 	s.changes = changes{
 		version: snap.GetViewVersion(), tombstones: snap.GetTombstones(), oldestDelta: snap.GetOldestDelta(),
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,6 +30,7 @@
 	usage    usageState
 	scale    scaleTargets
 	departed departed
+	replicas knownReplicas
 	// roleChanges counts the role orders that were carried out.
 	roleChanges uint64
 }
@@ -121,6 +122,8 @@
 		s.scale.apply(op.Scale)
 	case *pb.Command_Departed:
 		s.departed.apply(op.Departed, s.nowMS)
+	case *pb.Command_Replicas:
+		s.replicas.apply(op.Replicas)
 	case *pb.Command_Expire:
 		s.applyExpire()
 	}
