A removed replica that asks to be added is told, and keeps nobody else out

What an operator would see: a lost voter is not replaced for as long as one machine asks; with the next loss the group has no quorum (RECOVER). Cause: a replica that waits is added as a learner while it is away (it counts for 3 s after it last asked), and removed after 1.5 to 4 s of silence. Back, it has no member list, so it speaks to no member that could tell it, and asks to be added under the identity that was removed. The group proposes to add the first replica by address that asks; this one is refused each time, and the next never has its turn.

--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -42,6 +42,8 @@
 	replicas []consensus.ReplicaStatus
 	// standing is what Status returns about the replica itself.
 	standing consensus.Standing
+	// removed are the ids of replicas that the group has removed.
+	removed map[uint64]bool
 	// changes are the proposed changes of the member list.
 	changes []consensus.MembershipChange
 	// commitsBlocked keeps proposals from committing; they wait in blocked.
@@ -55,7 +57,7 @@
 func (n *fakeNode) Status() consensus.Status {
 	return consensus.Status{Term: n.term, Replicas: n.replicas, Standing: n.standing}
 }
-func (n *fakeNode) IsRemoved(id *pb.ReplicaIdentity) bool { return false }
+func (n *fakeNode) IsRemoved(id *pb.ReplicaIdentity) bool { return n.removed[id.GetId()] }
 
 func (n *fakeNode) Step(_ time.Duration, ev consensus.Event) []consensus.Effect {
 	switch e := ev.(type) {
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -31,6 +31,13 @@
 		r.reply(id, nil, invalid("the replica's id, incarnation or address is missing"))
 		return
 	}
+	if r.node.IsRemoved(m.GetIdentity()) {
+		// Added while it was away, and removed since it was silent, it has no member list and so speaks to nobody who
+		// could tell it. If it waited, the group would try to add it, and no other one, for good.
+		r.log(slog.LevelWarn, "removed replica asks to join", Field{"replica", m.GetIdentity().GetId()}, Field{"address", m.GetAddress()})
+		r.reply(id, &pb.JoinResponse{Term: r.term, Replicas: memberAddresses(r.members), Removed: true}, nil)
+		return
+	}
 	if r.lead.joiners[m.GetAddress()] == nil {
 		r.log(slog.LevelInfo, "replica is waiting to join", Field{"replica", m.GetIdentity().GetId()},
 			Field{"address", m.GetAddress()}, Field{"mends", r.cfg.TargetVoters > 0})
--- a/internal/control/membership_test.go
+++ b/internal/control/membership_test.go
@@ -65,3 +65,21 @@
 		t.Fatalf("changes %v", h.node.changes)
 	}
 }
+
+// Guards against a group that replaces nobody any more: a replica was added while it was away, removed for its silence,
+// and asks to be added again under the identity that was removed.
+func TestRemovedReplicaThatAsksIsToldAndKeepsNobodyOut(t *testing.T) {
+	h := newMembershipHarness(t)
+	h.node.removed = map[uint64]bool{8: true}
+	removed := &pb.JoinRequest{ClusterId: cluster, Member: replicaAt(8, "10.0.0.8:1", "y")}
+	if answer := call[*pb.JoinResponse](h, removed); !answer.GetRemoved() {
+		t.Errorf("a removed replica is answered %v", answer)
+	}
+	if answer := call[*pb.JoinResponse](h, &pb.JoinRequest{ClusterId: cluster, Member: replicaAt(9, "10.0.0.9:1", "z")}); answer.GetRemoved() {
+		t.Errorf("another one is answered %v", answer)
+	}
+	h.advance(time.Second)
+	if len(h.node.changes) != 1 || h.node.changes[0].Add.GetIdentity().GetId() != 9 {
+		t.Fatalf("changes %v, want replica 9 added", h.node.changes)
+	}
+}
--- a/internal/control/runner/introduction_test.go
+++ b/internal/control/runner/introduction_test.go
@@ -27,12 +27,18 @@
 	dir       string
 	addresses []string
 	stops     []func()
+	// identities are those of the running replicas, ended their ends.
+	identities []*pb.ReplicaIdentity
+	ended      []chan error
 }
 
 const seedCount = 3
 
 func newReplicaGroup(t *testing.T, replicas int) *replicaGroup {
-	g := &replicaGroup{t: t, dir: t.TempDir(), stops: make([]func(), replicas)}
+	g := &replicaGroup{
+		t: t, dir: t.TempDir(), stops: make([]func(), replicas),
+		identities: make([]*pb.ReplicaIdentity, replicas), ended: make([]chan error, replicas),
+	}
 	for range replicas {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -68,10 +74,12 @@
 		g.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	// A replica that was removed ends with an error; the test looks at the group alone.
-	go func() { defer close(ended); _ = r.Run(ctx) }()
-	g.stops[n] = func() { cancel(); <-ended }
+	ended := make(chan error, 1)
+	stopped := make(chan struct{})
+	// A replica that was removed ends with an error.
+	go func() { defer close(stopped); ended <- r.Run(ctx) }()
+	g.stops[n] = func() { cancel(); <-stopped }
+	g.identities[n], g.ended[n] = r.store.Identity(), ended
 }
 
 func (g *replicaGroup) startAll(firstStart bool) {
--- a/internal/control/runner/join.go
+++ b/internal/control/runner/join.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
 	"goldcrestseam.dev/goldcrestseam/internal/ctl"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -62,6 +63,9 @@
 		}})
 		return err
 	})
+	if resp.GetRemoved() {
+		r.loop.post(control.Consensus{Event: consensus.RemovedByPeer{}})
+	}
 	if err == nil {
 		r.loop.post(control.LeaderFound{Leader: client.Leader(), Term: resp.GetTerm(), Replicas: resp.GetReplicas()})
 	}
