A voter is replaced in one change, in which the quorums of before and after it both count

Cause: a voter that is silent for 1.5 s was removed first, then its successor promoted. Between the two a quorum is both of the two that are left (three of four), and the disk of the removed one, which may only be without power, counts no more. If all lose power then and one of the rest loses its disk, one disk is lost in all and no quorum is left for good. Weighed: promoting first. Joint consensus bears both: a list with an outgoing and an incoming voter, in force until it is committed, then the list without the outgoing one, which whoever leads appends.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -249,8 +249,7 @@
 }
 
 func (n *Node) hasQuorum(votes map[uint64]bool) bool {
-	voters := voterIDs(n.members.current())
-	return len(voters) > 0 && countVotes(votes, voters) >= quorumSize(len(voters))
+	return isQuorum(n.members.current(), func(id uint64) bool { return votes[id] })
 }
 
 // countVotes counts the voters that have granted their vote.
--- a/internal/consensus/event.go
+++ b/internal/consensus/event.go
@@ -75,11 +75,13 @@
 func (TransferLeadership) isEvent() {}
 func (RemovedByPeer) isEvent()      {}
 
-// MembershipChange is one step of the member list: add a learner or remove a
+// MembershipChange is one change of the member list: add a learner, replace a voter by a learner, or remove a
 // replica. The leader itself promotes a learner that has caught up to a voter.
 type MembershipChange struct {
-	// Add is the replica to add as a learner; nil when removing.
+	// Add is the replica to add as a learner; nil otherwise.
 	Add *pb.ReplicaMember
 	// RemoveID is the id of the replica to remove; zero when adding.
 	RemoveID uint64
+	// PromoteID is the id of the learner that takes the removed voter's place; zero for none.
+	PromoteID uint64
 }
--- a/internal/consensus/firststart_test.go
+++ b/internal/consensus/firststart_test.go
@@ -152,7 +152,7 @@
 	if !ok {
 		return
 	}
-	proposal := MembershipChange{RemoveID: change.Remove}
+	proposal := MembershipChange{RemoveID: change.Remove, PromoteID: change.Promote}
 	if change.Add != nil {
 		proposal = MembershipChange{Add: &pb.ReplicaMember{
 			Identity: &pb.ReplicaIdentity{Id: change.Add.ID}, Address: change.Add.Address,
--- a/internal/consensus/handshake.go
+++ b/internal/consensus/handshake.go
@@ -117,14 +117,7 @@
 // hasMetQuorum reports whether this replica and the voters that have answered are a quorum of the
 // committed list.
 func (n *Node) hasMetQuorum() bool {
-	voters := voterIDs(n.CommittedMembership())
-	met := 0
-	for _, id := range voters {
-		if id == n.cfg.ID || n.handshake.answered[id] {
-			met++
-		}
-	}
-	return met >= quorumSize(len(voters))
+	return isQuorum(n.CommittedMembership(), func(id uint64) bool { return id == n.cfg.ID || n.handshake.answered[id] })
 }
 
 // onHello handles HELLO and HELLO_RESPONSE, and returns true if m is one of them.
@@ -155,8 +148,7 @@
 func (n *Node) isExpectedVoter(id uint64, incarnation string) bool {
 	member := findMember(n.CommittedMembership(), id)
 	expected := member.GetIdentity().GetIncarnation()
-	voter := member.GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER
-	return voter && (expected == "" || expected == incarnation)
+	return votes(member.GetRole()) && (expected == "" || expected == incarnation)
 }
 
 func (n *Node) onHelloResponse(m *pb.Message) {
--- a/internal/consensus/leadership.go
+++ b/internal/consensus/leadership.go
@@ -106,19 +106,14 @@
 // leader that is partitioned steps down, so that its callers turn to another
 // replica.
 func (n *Node) quorumActive() bool {
-	voters := voterIDs(n.members.current())
-	return n.countActive(voters, n.answerTimeout()) >= quorumSize(len(voters))
+	return n.isActiveQuorum(n.members.current(), n.answerTimeout())
 }
 
-// countActive counts the replicas that have answered within that time.
-func (n *Node) countActive(ids []uint64, within time.Duration) int {
-	active := 0
-	for _, id := range ids {
-		if pr := n.leaderState.progress[id]; id == n.cfg.ID || pr.active(n.now, within) {
-			active++
-		}
-	}
-	return active
+// isActiveQuorum reports whether the replicas that have answered within that time are a quorum.
+func (n *Node) isActiveQuorum(m *pb.Membership, within time.Duration) bool {
+	return isQuorum(m, func(id uint64) bool {
+		return id == n.cfg.ID || n.leaderState.progress[id].active(n.now, within)
+	})
 }
 
 // heartbeat starts a heartbeat round. Its responses renew the lease and confirm
@@ -148,16 +143,12 @@
 
 // quorumMatch is the highest index that a quorum has synced.
 func (n *Node) quorumMatch() uint64 {
-	voters := voterIDs(n.members.current())
-	matches := make([]uint64, 0, len(voters))
-	for _, id := range voters {
-		match := n.log.stable
-		if id != n.cfg.ID {
-			match = n.leaderState.progress[id].match
+	return reachedByQuorum(n.members.current(), func(id uint64) uint64 {
+		if id == n.cfg.ID {
+			return n.log.stable
 		}
-		matches = append(matches, match)
-	}
-	return quorumValue(matches)
+		return n.leaderState.progress[id].match
+	})
 }
 
 // advanceCommit commits what a quorum has synced, if it is of the current term. An
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -33,16 +33,12 @@
 	if n.role != leader || n.leaderState.transferTo != 0 || !n.ready() {
 		return 0
 	}
-	voters := voterIDs(n.members.current())
-	sent := make([]time.Duration, 0, len(voters))
-	for _, id := range voters {
-		at := n.now
-		if id != n.cfg.ID {
-			at = n.leaderState.progress[id].ackedSentAt
+	base := reachedByQuorum(n.members.current(), func(id uint64) time.Duration {
+		if id == n.cfg.ID {
+			return n.now
 		}
-		sent = append(sent, at)
-	}
-	base := quorumValue(sent)
+		return n.leaderState.progress[id].ackedSentAt
+	})
 	if base == 0 {
 		return 0
 	}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -125,7 +125,7 @@
 		return NotLeader
 	case !n.log.matches(n.log.commit, n.term):
 		return NotReady
-	case n.members.pending(n.log.commit):
+	case n.members.pending(n.log.commit), isReplacing(n.members.current()):
 		return ChangePending
 	}
 	return 0
@@ -133,12 +133,61 @@
 
 // applyChange edits a member list, or returns why the change is refused.
 func (n *Node) applyChange(m *pb.Membership, c MembershipChange) RefusalReason {
-	if c.Add != nil {
+	switch {
+	case c.Add != nil:
 		return addLearner(m, c.Add)
+	case c.PromoteID != 0:
+		return n.beginReplacement(m, c.RemoveID, c.PromoteID)
 	}
 	return n.removeMember(m, c.RemoveID)
 }
 
+// beginReplacement lets a learner take a voter's place. Until the list is committed, and the next one
+// drops the voter, both vote; see votingSets.
+//
+// Failure: with the lost voter removed first, two of three are left, and with one of these the quorum is lost for good
+// though the removed one is back from a loss of power with all that it had. With the learner promoted
+// first, a quorum is all live ones, and the loss of the learner, which is new, is one too many.
+func (n *Node) beginReplacement(m *pb.Membership, outgoing, incoming uint64) RefusalReason {
+	from, to := findMember(m, outgoing), findMember(m, incoming)
+	if from.GetRole() != pb.ReplicaRole_REPLICA_ROLE_VOTER || to.GetRole() != pb.ReplicaRole_REPLICA_ROLE_LEARNER || outgoing == n.cfg.ID {
+		return InvalidChange
+	}
+	named := to.Identity.Incarnation != "" && to.Identity.Incarnation == n.incarnationOf(to)
+	if !named || !n.keepsUp(to) {
+		return NotReady
+	}
+	from.Role, to.Role = pb.ReplicaRole_REPLICA_ROLE_OUTGOING, pb.ReplicaRole_REPLICA_ROLE_INCOMING
+	if !n.isActiveQuorum(m, n.cfg.ElectionTimeout) {
+		return QuorumAtRisk
+	}
+	return 0
+}
+
+// endReplacement removes the outgoing voter, and returns false if there is none.
+func (n *Node) endReplacement(m *pb.Membership) bool {
+	if !isReplacing(m) {
+		return false
+	}
+	for _, member := range slices.Clone(m.Members) {
+		switch member.Role {
+		case pb.ReplicaRole_REPLICA_ROLE_OUTGOING:
+			n.dropMember(m, member)
+		case pb.ReplicaRole_REPLICA_ROLE_INCOMING:
+			member.Role = pb.ReplicaRole_REPLICA_ROLE_VOTER
+		}
+	}
+	return true
+}
+
+// dropMember moves a member to the removed ones.
+func (n *Node) dropMember(m *pb.Membership, member *pb.ReplicaMember) {
+	removed := &pb.ReplicaIdentity{Id: member.Identity.Id, Incarnation: n.incarnationOf(member)}
+	m.Removed = append(m.Removed, removed)
+	m.Removed = m.Removed[max(0, len(m.Removed)-maxRemoved):]
+	m.Members = slices.DeleteFunc(m.Members, func(other *pb.ReplicaMember) bool { return other == member })
+}
+
 func addLearner(m *pb.Membership, add *pb.ReplicaMember) RefusalReason {
 	id := add.GetIdentity().GetId()
 	if id == 0 || add.Address == "" || findMember(m, id) != nil || wasRemoved(m, add.Identity) {
@@ -158,12 +207,8 @@
 	if member == nil {
 		return InvalidChange
 	}
-	removed := &pb.ReplicaIdentity{Id: id, Incarnation: n.incarnationOf(member)}
-	m.Removed = append(m.Removed, removed)
-	m.Removed = m.Removed[max(0, len(m.Removed)-maxRemoved):]
-	m.Members = slices.DeleteFunc(m.Members, func(other *pb.ReplicaMember) bool { return other == member })
-	voters := voterIDs(m)
-	if len(voters) == 0 || n.countActive(voters, n.cfg.ElectionTimeout) < quorumSize(len(voters)) {
+	n.dropMember(m, member)
+	if !n.isActiveQuorum(m, n.cfg.ElectionTimeout) {
 		return QuorumAtRisk
 	}
 	return 0
@@ -249,7 +294,7 @@
 	n.emit(MembershipChanged{Membership: n.members.current(), Committed: n.CommittedMembership()})
 }
 
-// advanceMembership records members' incarnations that the list lacks, or promotes
+// advanceMembership ends a replacement, records members' incarnations that the list lacks, or promotes
 // a learner to a voter once it has synced everything that is committed, and the group
 // has room for a voter.
 //
@@ -259,11 +304,11 @@
 // is recorded in a separate change before, so that no other incarnation can be
 // taken for the new voter.
 func (n *Node) advanceMembership() {
-	if n.role != leader || n.membershipChangeRefusal() != 0 {
+	if reason := n.membershipChangeRefusal(); reason != 0 && (reason != ChangePending || n.members.pending(n.log.commit)) {
 		return
 	}
 	next := cloneMembership(n.members.current())
-	if n.recordIncarnations(next) || n.promoteLearner(next) {
+	if n.endReplacement(next) || n.recordIncarnations(next) || n.promoteLearner(next) {
 		n.appendMembership(next)
 		n.replicateAll()
 	}
--- a/internal/consensus/readindex.go
+++ b/internal/consensus/readindex.go
@@ -68,16 +68,12 @@
 
 // quorumRound is the latest round that a quorum has answered.
 func (n *Node) quorumRound() uint64 {
-	voters := voterIDs(n.members.current())
-	rounds := make([]uint64, 0, len(voters))
-	for _, id := range voters {
-		round := n.leaderState.rounds.last
-		if id != n.cfg.ID {
-			round = n.leaderState.progress[id].ackedRound
+	return reachedByQuorum(n.members.current(), func(id uint64) uint64 {
+		if id == n.cfg.ID {
+			return n.leaderState.rounds.last
 		}
-		rounds = append(rounds, round)
-	}
-	return quorumValue(rounds)
+		return n.leaderState.progress[id].ackedRound
+	})
 }
 
 func (n *Node) refuseReads() {
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -72,7 +72,9 @@
 func (g *maintainedGroup) ask(l *host) {
 	for _, id := range slices.Clone(g.ids) {
 		h := g.hosts[id]
-		if h.removed {
+		if h.removed || h.node != nil && l.node.IsRemoved(h.disk.identity) {
+			g.crash(h)
+			h.gone = true
 			h.removed = false
 			id = slices.Max(g.ids) + 1
 			h = g.addHost(id, nil)
@@ -100,7 +102,7 @@
 	if !ok {
 		return
 	}
-	change := MembershipChange{RemoveID: c.Remove}
+	change := MembershipChange{RemoveID: c.Remove, PromoteID: c.Promote}
 	if c.Add != nil {
 		identity := &pb.ReplicaIdentity{Id: c.Add.ID, Incarnation: g.hosts[c.Add.ID].disk.identity.Incarnation}
 		change = MembershipChange{Add: &pb.ReplicaMember{Identity: identity, Address: c.Add.Address}}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -247,7 +247,10 @@
 		pr.caughtUpAt = n.now
 	}
 	n.advanceMembership()
-	n.replicate(m.From)
+	if n.leaderState.progress[m.From] != nil {
+		// The sender is still a member: the end of a replacement may have dropped it.
+		n.replicate(m.From)
+	}
 	n.continueTransfer()
 }
 
--- a/internal/consensus/standing.go
+++ b/internal/consensus/standing.go
@@ -1,7 +1,5 @@
 package consensus
 
-import "goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
-
 // Standing is the part that a replica has in elections.
 type Standing string
 
@@ -36,7 +34,7 @@
 		return StandingSpare
 	case expected != "" && expected != n.identity.GetIncarnation():
 		return StandingReplaced
-	case self.GetRole() != pb.ReplicaRole_REPLICA_ROLE_VOTER:
+	case !votes(self.GetRole()):
 		return StandingLearner
 	case !n.handshake.formed:
 		return StandingForming
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -31,6 +31,8 @@
 	LogBytes      int
 	SnapshotBytes int
 	Membership    *pb.Membership
+	// Replacing is true while a learner takes a voter's place.
+	Replacing bool
 	// Replicas lists the members. Only a leader fills in the state of other
 	// members.
 	Replicas []ReplicaStatus
@@ -90,7 +92,7 @@
 		LastIndex: n.log.lastIndex(), FirstIndex: n.log.baseIndex + 1,
 		SnapshotIndex: n.snapshot.GetIndex(),
 		LogEntries:    len(n.log.entries), LogBytes: n.log.bytes, SnapshotBytes: len(n.snapshotData),
-		Membership: n.members.current(),
+		Membership: n.members.current(), Replacing: isReplacing(n.members.current()),
 	}
 	for _, m := range s.Membership.Members {
 		s.Replicas = append(s.Replicas, n.replicaStatus(m))
@@ -99,7 +101,7 @@
 }
 
 func (n *Node) replicaStatus(m *pb.ReplicaMember) ReplicaStatus {
-	s := ReplicaStatus{ID: m.Identity.Id, Voter: m.Role == pb.ReplicaRole_REPLICA_ROLE_VOTER}
+	s := ReplicaStatus{ID: m.Identity.Id, Voter: votes(m.Role)}
 	if m.Identity.Id == n.cfg.ID {
 		s.Match, s.Active, s.CaughtUp = n.log.stable, true, true
 		return s
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -50,7 +50,7 @@
 // reconcileMembership proposes the next change that brings the member list to the target
 // number of reachable voters.
 func (r *Reducer) reconcileMembership() {
-	if r.cfg.TargetVoters == 0 || r.lead.membershipChangePending {
+	if r.cfg.TargetVoters == 0 || r.lead.membershipChangePending || r.node.Status().Replacing {
 		return
 	}
 	maps.DeleteFunc(r.lead.joiners, func(_ string, j *joiner) bool { return r.now-j.lastSeenAt > joinerTimeout })
@@ -60,14 +60,14 @@
 	if !ok {
 		return
 	}
-	change := consensus.MembershipChange{RemoveID: c.Remove}
+	change := consensus.MembershipChange{RemoveID: c.Remove, PromoteID: c.Promote}
 	id := c.Remove
 	if c.Add != nil {
 		id = c.Add.ID
 		change = consensus.MembershipChange{Add: proto.CloneOf(r.lead.joiners[c.Add.Address].member)}
 	}
 	r.log(slog.LevelWarn, "control group membership change proposed", Field{"add", c.Add != nil}, Field{"replica", id},
-		Field{"reason", c.Reason}, Field{"voters_wanted", r.cfg.TargetVoters})
+		Field{"successor", c.Promote}, Field{"reason", c.Reason}, Field{"voters_wanted", r.cfg.TargetVoters})
 	r.proposeReconciledMembership(change)
 }
 
@@ -95,7 +95,7 @@
 	for _, m := range r.members.GetMembers() {
 		id := m.GetIdentity().GetId()
 		g.Members = append(g.Members, replicas.Member{
-			ID: id, Address: m.GetAddress(), Voter: m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER,
+			ID: id, Address: m.GetAddress(), Voter: m.GetRole() != pb.ReplicaRole_REPLICA_ROLE_LEARNER,
 			Leader: id == r.cfg.ID, SilentFor: status[id].SinceLastContact, CaughtUp: status[id].CaughtUp,
 		})
 	}
--- a/internal/decision/replicas/replicas.go
+++ b/internal/decision/replicas/replicas.go
@@ -4,11 +4,10 @@
 // or restarts with an empty disk. A group that waits for an operator stops as soon as more
 // replicas are lost than it tolerates, and the data that it has committed can no longer be read.
 //
-// A new replica joins as a learner. Once it has caught up, the lost voter is removed, and the
-// learner takes its place. So live voters that form a quorum still form one after every step, and
-// a replacement that is interrupted goes on without its leader's memory: the member list says what
-// is left to be done. The other way round, while the lost voter and its successor both counted, a
-// quorum would be all live voters, and a new leader would have to find out anew who is lost.
+// A new replica joins as a learner. Once it has caught up, it takes the place of the lost voter in one change, in
+// which quorums of before and after it both count. So the group bears as much within the change as before
+// it: the lost voter may only be without power, and what is new may be lost again. A replacement that is interrupted
+// goes on without its leader's memory: the member list says what is left to be done.
 package replicas
 
 import (
@@ -42,6 +41,8 @@
 	SilentFor time.Duration
 	// CaughtUp tells that a learner has synced all that is committed, and answers.
 	CaughtUp bool
+	// Leaving tells that the member's process is about to end as planned.
+	Leaving bool
 }
 
 // Joiner is a replica that waits to be added.
@@ -58,11 +59,13 @@
 	Joiners      []Joiner
 }
 
-// Change is the next change of the member list: an addition if Add is set, otherwise a removal.
+// Change is the next change of the member list: an addition if Add is set, otherwise a removal, in which the learner
+// Promote, if set, takes the voter's place.
 type Change struct {
-	Add    *Joiner
-	Remove uint64
-	Reason string
+	Add     *Joiner
+	Remove  uint64
+	Promote uint64
+	Reason  string
 }
 
 // NextChange returns the next change, or false for none. It depends on nothing but the group.
@@ -70,9 +73,10 @@
 	if m := g.lostLearner(); m != nil {
 		return Change{Remove: m.ID, Reason: "the learner is lost"}, true
 	}
-	lost := g.lostVoter()
-	if lost != nil && (g.voterCount() > g.TargetVoters || g.voterCount() == g.TargetVoters && g.hasSuccessor()) {
-		return Change{Remove: lost.ID, Reason: "a replica that has caught up takes the lost voter's place"}, true
+	if lost := g.lostVoter(); lost != nil && g.voterCount() > g.TargetVoters {
+		return Change{Remove: lost.ID, Reason: "the group has a voter too many, and this one is lost"}, true
+	} else if successor := g.successor(); lost != nil && successor != nil && g.voterCount() == g.TargetVoters {
+		return Change{Remove: lost.ID, Promote: successor.ID, Reason: "a replica that has caught up takes the place of a voter that is lost or leaves"}, true
 	}
 	if g.learnerCount() > 0 || g.suspectedVoter() == nil && g.voterCount() >= g.TargetVoters {
 		return Change{}, false
@@ -108,7 +112,7 @@
 	switch {
 	case changing:
 		return WaitNone
-	case g.learnerCount() > 0 && !g.hasSuccessor():
+	case g.learnerCount() > 0 && g.successor() == nil:
 		return WaitLearner
 	case silent == 0 && g.voterCount() >= g.TargetVoters:
 		return WaitNone
@@ -125,9 +129,13 @@
 		slices.ContainsFunc(g.Members, func(o Member) bool { return o.Address == m.Address && o.ID != m.ID && m.Voter && !o.Voter })
 }
 
-// hasSuccessor reports whether a learner can take a voter's place.
-func (g *Group) hasSuccessor() bool {
-	return slices.ContainsFunc(g.Members, func(m Member) bool { return !m.Voter && m.CaughtUp })
+// successor returns a learner that can take a voter's place, nil for none.
+func (g *Group) successor() *Member {
+	i := slices.IndexFunc(g.Members, func(m Member) bool { return !m.Voter && m.CaughtUp })
+	if i < 0 {
+		return nil
+	}
+	return &g.Members[i]
 }
 
 // lostLearner returns a learner that is lost, nil for none. While another replica could take the place
@@ -153,9 +161,9 @@
 func (g *Group) suspectedVoter() *Member { return g.silentVoter(prepareAfter) }
 
 // silentVoter returns a voter that is lost for good if there is one; otherwise the one that has
-// been silent longest, if that is long enough.
+// been silent longest, if that is long enough; otherwise one that leaves.
 func (g *Group) silentVoter(longEnough time.Duration) *Member {
-	var silent *Member
+	var silent, leaving *Member
 	for i := range g.Members {
 		m := &g.Members[i]
 		switch {
@@ -164,9 +172,11 @@
 			return m
 		case m.SilentFor >= longEnough && (silent == nil || m.SilentFor > silent.SilentFor):
 			silent = m
+		case m.Leaving:
+			leaving = m
 		}
 	}
-	return silent
+	return cmp.Or(silent, leaving)
 }
 
 func (g *Group) voterCount() int {
