A voter that stops as planned hands its place over to a replica that waits

Cause: SIGTERM ended a voter at once. Until its silence had lasted 1.5 s the group listed it, and bore one loss less: with three voters none. Evidence: TestStoppedVoterHasHandedItsPlaceOver without the call: the group lists the stopped voter as it has ended. Change: HandOver. After it has given up the lead, a stopping voter tells the leader, which lets a replica that waits take its place, and ends once it is removed, no other one is there, or 2.5 s have passed. Groups that operators manage are as before. Result: the test passes; TestHandOverNeedsASuccessor: without a replica that waits nothing changes.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -73,6 +73,8 @@
 		r.onChangeReplica(id, q)
 	case *pb.JoinRequest:
 		r.onJoin(id, q)
+	case *pb.HandOverRequest:
+		r.onHandOver(id, q)
 	default:
 		r.reply(id, nil, invalid("unknown call"))
 	}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -61,6 +61,8 @@
 	// is true while a change of the member list is in progress.
 	joiners                 map[string]*joiner
 	membershipChangePending bool
+	// stoppingAt is when a replica last said that it is about to stop, by id.
+	stoppingAt map[uint64]time.Duration
 	// recordingReplicas is true while addresses of replicas are being recorded.
 	recordingReplicas bool
 	// group is the state of the control group as last logged.
@@ -136,6 +138,7 @@
 		demand:        newDemandWindow(now),
 		plans:         make(map[string]*modelPlan),
 		joiners:       make(map[string]*joiner),
+		stoppingAt:    make(map[uint64]time.Duration),
 		introductions: introductions{askedAt: make(map[string]time.Duration)},
 		departing:     make(map[string]int),
 		usage:         newLeaderUsage(),
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -17,6 +17,10 @@
 // several times a second.
 const joinerTimeout = 3 * time.Second
 
+// stoppingValidity is how long a replica counts as about to stop after its last HandOver call: it calls
+// several times a second.
+const stoppingValidity = time.Second
+
 // joiner is a replica that waits to be added to the group.
 type joiner struct {
 	member     *pb.ReplicaMember
@@ -47,6 +51,30 @@
 	r.reply(id, &pb.JoinResponse{Term: r.term, Replicas: memberAddresses(r.members)}, nil)
 }
 
+// onHandOver records that a replica is about to stop, and answers whether another one can take its place.
+//
+// Failure: a voter's machine is removed as planned, its successor has long been there and waits. Until the silence has
+// lasted, the group bears one loss less than it should.
+func (r *Reducer) onHandOver(id uint64, req *pb.HandOverRequest) {
+	var isVoter, successor bool
+	for _, s := range r.node.Status().Replicas {
+		isVoter = isVoter || s.ID == req.GetReplica() && s.Voter
+		successor = successor || !s.Voter && s.Active
+	}
+	successor = isVoter && r.cfg.TargetVoters > 0 && (successor || len(r.lead.joiners) > 0 || r.node.Status().Replacing)
+	if successor {
+		r.lead.stoppingAt[req.GetReplica()] = r.now
+	}
+	r.log(slog.LevelInfo, "replica is about to stop", Field{"replica", req.GetReplica()}, Field{"successor", successor})
+	r.reply(id, &pb.HandOverResponse{Successor: successor}, nil)
+}
+
+// isStopping reports whether a replica has said of late that it is about to stop.
+func (r *Reducer) isStopping(id uint64) bool {
+	at, ok := r.lead.stoppingAt[id]
+	return ok && r.now-at < stoppingValidity
+}
+
 // reconcileMembership proposes the next change that brings the member list to the target
 // number of reachable voters.
 func (r *Reducer) reconcileMembership() {
@@ -97,6 +125,7 @@
 		g.Members = append(g.Members, replicas.Member{
 			ID: id, Address: m.GetAddress(), Voter: m.GetRole() != pb.ReplicaRole_REPLICA_ROLE_LEARNER,
 			Leader: id == r.cfg.ID, SilentFor: status[id].SinceLastContact, CaughtUp: status[id].CaughtUp,
+			Leaving: r.isStopping(id),
 		})
 	}
 	for _, address := range slices.Sorted(maps.Keys(r.lead.joiners)) {
--- a/internal/control/runner/introduction_test.go
+++ b/internal/control/runner/introduction_test.go
@@ -124,6 +124,15 @@
 	g.t.Fatal("the group has not five voters that answer")
 }
 
+// awaitJoiner waits until the last replica has asked to be added: it asks each joinInterval.
+func (g *replicaGroup) awaitJoiner() {
+	select {
+	case err := <-g.ended[len(g.ended)-1]:
+		g.t.Fatal(err)
+	case <-time.After(4 * joinInterval):
+	}
+}
+
 const nobody = -1
 
 func (g *replicaGroup) isWhole(replicas []*pb.ReplicaStatus, without int) bool {
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -224,7 +224,7 @@
 	return m
 }
 
-// Run serves until ctx ends, then transfers leadership and stops. Errors: Failed, Removed.
+// Run serves until ctx ends, then transfers leadership, hands its place as a voter over and stops. Errors: Failed, Removed.
 func (r *Runner) Run(ctx context.Context) error {
 	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address), r.log)
 	if err != nil {
@@ -264,6 +264,9 @@
 		"incarnation", r.store.Identity().GetIncarnation())
 	err = r.wait(ctx)
 	r.logEnd(err)
+	if err == nil {
+		r.handOver()
+	}
 	r.stop()
 	endServing()
 	wg.Wait()
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -207,6 +207,11 @@
 	return typedAnswer[*pb.JoinResponse](s.loop.call(ctx, q))
 }
 
+// HandOver implements pb.Operator.
+func (s *services) HandOver(ctx context.Context, q *pb.HandOverRequest) (*pb.HandOverResponse, error) {
+	return typedAnswer[*pb.HandOverResponse](s.loop.call(ctx, q))
+}
+
 // Introduce implements pb.Operator.
 func (s *services) Introduce(ctx context.Context, q *pb.IntroduceRequest) (*pb.IntroduceResponse, error) {
 	return typedAnswer[*pb.IntroduceResponse](s.loop.call(ctx, q))
