A copy of a request in doubt waits for the server of the one that was given up

Cause: copies of a request in doubt run one at a time, and one whose caller leaves counted as ended at once. Three sends in 170 ms from one entry, before the first could end its engine. Change: such an attempt keeps the next copy back until its server has ended, or for 2 s.

--- a/internal/entry/calm.go
+++ b/internal/entry/calm.go
@@ -16,8 +16,34 @@
 	// maxTrialSpread spreads the next attempts of a request in doubt at several entries over time, so
 	// that the others hear how the first one ends.
 	maxTrialSpread = 2 * time.Second
+	// maxAbandonedWait bounds how long a request in doubt waits for the end of a server that was left while it
+	// ran a copy: longer than a server takes from the send to its end.
+	maxAbandonedWait = 2 * time.Second
 )
 
+// abandonedTrial is an attempt of a request in doubt that ended without its server: its caller left, or its
+// deadline passed.
+type abandonedTrial struct {
+	server, deathKey string
+	until            time.Duration
+}
+
+// abandonTrial records that a request in doubt is given up while its server may still end under it.
+func (r *Reducer) abandonTrial(q *request) {
+	if s := r.suspects.byKey[q.key()]; q.server != nil && s.inDoubt() {
+		s.abandoned = abandonedTrial{server: q.server.pb.Id, deathKey: q.server.deathKey(), until: r.now + maxAbandonedWait}
+	}
+}
+
+// awaitsAbandoned reports whether it is open if the server of an abandoned trial ends.
+func (r *Reducer) awaitsAbandoned(t abandonedTrial) bool {
+	if r.now >= t.until {
+		return false
+	}
+	s := r.servers.byID[t.server]
+	return s != nil && !s.died && s.deathKey() == t.deathKey
+}
+
 // awaitsCalm reports whether the request should run only once no other servers crash: then its next
 // crash, or its answer, tells whether it is the cause. Until then it is not refused as one that crashes servers,
 // which it may not be. Once it may run, one does at a time.
@@ -57,6 +83,9 @@
 	if r.now < s.calmAt+r.trialSpread(key) {
 		return true
 	}
+	if r.awaitsAbandoned(s.abandoned) {
+		return true
+	}
 	for _, other := range r.requests {
 		if other.server != nil && other.key() == key {
 			return true
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -48,6 +48,7 @@
 }
 
 func (r *Reducer) removeRequest(q *request) {
+	r.abandonTrial(q)
 	r.detach(q)
 	r.decisions.queue.Remove(q.work.RequestID)
 	delete(r.requests, q.work.RequestID)
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -60,6 +60,8 @@
 	at time.Duration
 	// calmAt is since when no other servers crash, as far as was asked for; 0 if they do.
 	calmAt time.Duration
+	// abandoned is the last attempt whose end is not known here.
+	abandoned abandonedTrial
 	// cleared is set once the request has made progress again.
 	cleared bool
 	// requests are fingerprints of requests that a part ran in, as many as are needed to quarantine it.
