Tests of replacements end at a violated invariant instead of standing still

Found with the mutant consensus-joint-quorum: a violation stops the simulated time, and a loop over that time did not end.

--- a/internal/consensus/replacement_overlap_test.go
+++ b/internal/consensus/replacement_overlap_test.go
@@ -37,6 +37,9 @@
 			t.Fatalf("no leader within %v: %s; violations %v", serviceBack, story, g.violations)
 		}
 	}
+	if len(g.violations) > 0 {
+		t.Fatalf("%s; violations %v", story, g.violations)
+	}
 }
 
 // awaitListWithout runs until some replica's member list has lost the voter, or for the limit.
@@ -47,7 +50,7 @@
 			return other != id && len(n.members.current().GetMembers()) > 0 && !isVoter(n.members.current(), id)
 		})
 	}
-	for end := g.now + limit; g.now < end && !changed(); g.runFor(5 * simStep) {
+	for end := g.now + limit; g.now < end && !changed() && len(g.violations) == 0; g.runFor(5 * simStep) {
 	}
 }
 
@@ -138,7 +141,7 @@
 			g.runFor(g.draw(4 * time.Second))
 		}
 		g.lossRate, g.faultRate, g.writeDelayRate = 0, 0, 0
-		for end := g.now + 3*serviceBack; !g.isWhole(); g.runFor(sweepEvery) {
+		for end := g.now + 3*serviceBack; !g.isWhole() || len(g.violations) > 0; g.runFor(sweepEvery) {
 			if g.now >= end || len(g.violations) > 0 {
 				t.Fatalf("seed %d: the group is not whole again: violations %v", seed, g.violations)
 			}
--- a/internal/consensus/replacement_test.go
+++ b/internal/consensus/replacement_test.go
@@ -49,7 +49,8 @@
 }
 
 func (g *maintainedGroup) runFor(d time.Duration) {
-	for end := g.now + d; g.now < end; g.run(5 * simStep) {
+	// Time stands still once an invariant is violated.
+	for end := g.now + d; g.now < end && len(g.violations) == 0; g.run(5 * simStep) {
 		l := g.leader()
 		if l == nil {
 			continue
