--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -125,7 +125,7 @@
 		return NotLeader
 	case !n.log.matches(n.log.commit, n.term):
 		return NotReady
-	case n.members.pending(n.log.commit), isReplacing(n.members.current()):
+	case n.members.pending(n.log.commit):
 		return ChangePending
 	}
 	return 0
@@ -134,6 +134,8 @@
 // applyChange edits a member list, or returns why the change is refused.
 func (n *Node) applyChange(m *pb.Membership, c MembershipChange) RefusalReason {
 	switch {
+	case isReplacing(m):
+		return ChangePending
 	case c.Add != nil:
 		return addLearner(m, c.Add)
 	case c.PromoteID != 0:
@@ -304,7 +306,7 @@
 // is recorded in a separate change before, so that no other incarnation can be
 // taken for the new voter.
 func (n *Node) advanceMembership() {
-	if reason := n.membershipChangeRefusal(); reason != 0 && (reason != ChangePending || n.members.pending(n.log.commit)) {
+	if n.role != leader || n.membershipChangeRefusal() != 0 {
 		return
 	}
 	next := cloneMembership(n.members.current())
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -56,12 +56,13 @@
 // Failure: a voter's machine is removed as planned, its successor has long been there and waits. Until the silence has
 // lasted, the group bears one loss less than it should.
 func (r *Reducer) onHandOver(id uint64, req *pb.HandOverRequest) {
-	var isVoter, successor bool
-	for _, s := range r.node.Status().Replicas {
+	group := r.node.Status()
+	isVoter, waiting := false, group.Replacing || len(r.lead.joiners) > 0
+	for _, s := range group.Replicas {
 		isVoter = isVoter || s.ID == req.GetReplica() && s.Voter
-		successor = successor || !s.Voter && s.Active
+		waiting = waiting || !s.Voter && s.Active
 	}
-	successor = isVoter && r.cfg.TargetVoters > 0 && (successor || len(r.lead.joiners) > 0 || r.node.Status().Replacing)
+	successor := isVoter && waiting && r.cfg.TargetVoters > 0
 	if successor {
 		r.lead.stoppingAt[req.GetReplica()] = r.now
 	}
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -119,10 +119,10 @@
 	var voters, learners []string
 	for _, m := range s.Membership.GetMembers() {
 		member := fmt.Sprintf("%d at %s", m.GetIdentity().GetId(), m.GetAddress())
-		if m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_VOTER {
-			voters = append(voters, member)
-		} else {
+		if m.GetRole() == pb.ReplicaRole_REPLICA_ROLE_LEARNER {
 			learners = append(learners, member)
+		} else {
+			voters = append(voters, member)
 		}
 	}
 	log.Info("recovered group", "replica", id, "standing", string(s.Standing), "term", s.Term, "last_index", s.LastIndex,
--- a/internal/decision/replicas/replicas.go
+++ b/internal/decision/replicas/replicas.go
@@ -73,9 +73,12 @@
 	if m := g.lostLearner(); m != nil {
 		return Change{Remove: m.ID, Reason: "the learner is lost"}, true
 	}
-	if lost := g.lostVoter(); lost != nil && g.voterCount() > g.TargetVoters {
+	lost, successor := g.lostVoter(), g.successor()
+	switch {
+	case lost == nil:
+	case g.voterCount() > g.TargetVoters:
 		return Change{Remove: lost.ID, Reason: "the group has a voter too many, and this one is lost"}, true
-	} else if successor := g.successor(); lost != nil && successor != nil && g.voterCount() == g.TargetVoters {
+	case g.voterCount() == g.TargetVoters && successor != nil:
 		return Change{Remove: lost.ID, Promote: successor.ID, Reason: "a replica that has caught up takes the place of a voter that is lost or leaves"}, true
 	}
 	if g.learnerCount() > 0 || g.suspectedVoter() == nil && g.voterCount() >= g.TargetVoters {
