A planned stop and what it cuts can be told from the logs by the request's id

Cause: of the users' LOST no process had a line that names the request. A line on a request that is passed on was written only once the other entry answered; the stop said neither how many requests were open nor which; a request without a mailbox yet (it waits for a configuration, a lease, the origin of its stream), or with its last bytes unwritten, wasn't counted by the stop at all. And while the listeners closed, the entry's own tasks had ended already: probes fail at once then, origins of streams are not told. Tasks end after the listeners have closed; natively before, as calls of plain services go on without their callers there.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -61,7 +61,7 @@
 	s := &Snapshot{
 		Declaration: v.declaration, Members: v.members, Routes: v.routes, ViewVersion: v.version,
 		Revision: v.revision, ViewFrom: v.receivedFrom, Control: v.control,
-		Leaving: r.leaving, Drained: make(map[string]bool), Servers: len(r.servers.sorted), Builds: r.servers.builds, Load: r.loadShare(),
+		Leaving: r.stop.stopping, Stop: r.stop, Drained: make(map[string]bool), Servers: len(r.servers.sorted), Builds: r.servers.builds, Load: r.loadShare(),
 		Aggregator: r.peers.group.aggregatorAddress(r.now), AskAggregatorFrom: r.peers.group.backoffUntil,
 		LeaseExpiring: r.leaseExpiring(),
 	}
@@ -104,7 +104,7 @@
 	id := e.info.Identity
 	load, leaving := e.info.Load, e.info.Leaving
 	if id.Name == r.cfg.Identity.Name && id.Incarnation == r.cfg.Identity.Incarnation {
-		load, leaving = r.loadShare(), r.leaving
+		load, leaving = r.loadShare(), r.stop.stopping
 	}
 	ramp := min(1, float64(r.now-e.since)/float64(rampTime))
 	return EntryWeight{
--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -64,7 +64,7 @@
 	switch {
 	case r.view.declaration == nil:
 		return outcome.NoConfiguration(), nil
-	case r.refusesNew(q):
+	case r.stop.Refuses(r.now, q.lastsUntil()):
 		return refuseLeaving(), nil
 	}
 	if refusal := r.authorize(q); refusal != nil {
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -75,12 +75,7 @@
 	retryLimit *admission.RetryLimiter
 	report     reportBuffer
 	usage      usageCounter
-	leaving    bool
-	// acceptUntil is when a leaving entry stops accepting requests.
-	acceptUntil time.Duration
-	// From shortOnlyFrom on, a leaving entry accepts only work that ends before endsAt. A zero
-	// endsAt means no such restriction.
-	shortOnlyFrom, endsAt time.Duration
+	stop       StopPlan
 	// sharedFleet is the fleet of this step, nil if it has to be rebuilt.
 	sharedFleet *decision.Fleet
 	// dirty requests a new snapshot at the end of the step.
@@ -177,7 +172,7 @@
 	case PermitTimedOut:
 		r.permitTimedOut(ev)
 	case Stop:
-		r.stop(ev)
+		r.beginStop(ev)
 	}
 	r.requestPermits()
 	r.sendNotice()
@@ -226,7 +221,7 @@
 // Idle reports whether nothing waits for time to pass except what happens at intervals of seconds:
 // there is no request, the lease is valid, and no server is probed or carries out an order.
 func (r *Reducer) Idle() bool {
-	if len(r.requests) > 0 || r.leaving || r.stale() || r.report.changing || r.peers.reportedAny {
+	if len(r.requests) > 0 || r.stop.stopping || r.stale() || r.report.changing || r.peers.reportedAny {
 		return false
 	}
 	return !slices.ContainsFunc(r.servers.sorted, func(s *server) bool { return s.failures > 0 })
@@ -234,29 +229,3 @@
 
 // stale reports whether the lease on the view has ended.
 func (r *Reducer) stale() bool { return r.now >= r.view.leaseUntil }
-
-// stop keeps the entry open for callers that resolved its address earlier.
-func (r *Reducer) stop(ev Stop) {
-	if r.leaving {
-		return
-	}
-	r.leaving, r.dirty = true, true
-	r.acceptUntil, r.shortOnlyFrom = r.now+ev.AcceptFor, r.now+ev.ShortOnlyAfter
-	if ev.EndsAfter > 0 {
-		r.endsAt = r.now + ev.EndsAfter
-	}
-}
-
-// refusesNew reports whether a leaving entry no longer accepts the request.
-//
-// If a long request arrives 3.7 s after the stop began, it would be aborted 3.9 s later in the
-// middle of its stream, when the entry has to end. Its caller is refused at once instead and has
-// all of its time left for another entry. Before shortOnlyFrom nearly all requests still have
-// enough time, and callers have not learned of other addresses yet.
-func (r *Reducer) refusesNew(q *request) bool {
-	if !r.leaving {
-		return false
-	}
-	late := r.endsAt > 0 && q.hardDeadline && r.now >= r.shortOnlyFrom && q.work.FinishBy > r.endsAt
-	return late || r.now >= r.acceptUntil
-}
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -30,7 +30,9 @@
 	UnavailableUntil map[string]time.Duration
 	// Control lists the control replicas of the view.
 	Control []string
+	// Leaving is set while the entry stops as planned; Stop says what it still does then.
 	Leaving bool
+	Stop    StopPlan
 	// Aggregator is the address of the entry that is asked for the sum of all other entries'
 	// backlogs before a server is chosen, empty for none.
 	Aggregator string
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -183,8 +183,13 @@
 // OpenRequests returns how many requests have a mailbox.
 func (h *Host) OpenRequests() int { return h.loop.openRequests() }
 
-// Snapshot returns the snapshot that the reducer published last. It is never nil.
-func (h *Host) Snapshot() *entry.Snapshot { return h.loop.snapshot.Load() }
+// Snapshot returns the snapshot that the reducer published last, an empty one before Start.
+func (h *Host) Snapshot() *entry.Snapshot {
+	if h.loop == nil {
+		return &entry.Snapshot{}
+	}
+	return h.loop.snapshot.Load()
+}
 
 // AwaitConfiguration waits up to the given time until the entry has a configuration. It returns
 // false on timeout and if ctx has ended.
@@ -213,9 +218,12 @@
 	Serve []func() error
 	// PeerHandler serves calls from other entries, or is nil if there are none.
 	PeerHandler http.Handler
-	// CancelRequests ends the requests that still run at the deadline of a graceful stop.
+	// OpenRequests returns how many requests a graceful stop has to wait for.
+	OpenRequests func() int
+	// CancelRequests ends the requests that still run at the deadline of a graceful stop. It may do so until
+	// Shutdown ends.
 	CancelRequests func()
-	// Shutdown closes the listeners.
+	// Shutdown closes the listeners. Tasks of the entry still run.
 	Shutdown func(ctx context.Context)
 }
 
@@ -242,14 +250,14 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		h.leave(frontend.CancelRequests)
+		h.leave(&frontend)
 	case err = <-failed:
 		h.Log.Error("listener failed; stopping the entry", "error", err.Error())
 	}
-	h.cancelTasks()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	frontend.Shutdown(shutdownCtx)
+	h.CancelTasks()
 	_ = peerServer.Shutdown(shutdownCtx)
 	_ = peerServer.Close()
 	stop()
@@ -265,20 +273,25 @@
 
 // leave performs the graceful stop up to the point where closing the listeners cuts off no
 // request.
-func (h *Host) leave(cancelRequests func()) {
+func (h *Host) leave(frontend *Frontend) {
 	acceptFor := h.Settings.EntryListTTL + AddressPropagation
-	h.Log.Info("entry is leaving", "keep", acceptFor.String(), "requests", h.OpenRequests())
+	h.Log.Info("entry is leaving", "keep", acceptFor.String(), "requests", frontend.OpenRequests())
+	begun := time.Now()
 	h.Post(entry.Stop{
 		AcceptFor: acceptFor, ShortOnlyAfter: h.Settings.EntryListTTL + connectGrace, EndsAfter: acceptFor + h.Settings.StopTimeout,
 	})
 	time.Sleep(acceptFor)
 	deadline := time.Now().Add(h.Settings.StopTimeout)
-	for h.OpenRequests() > 0 && time.Now().Before(deadline) {
+	for frontend.OpenRequests() > 0 && time.Now().Before(deadline) {
 		time.Sleep(StopPollInterval)
 	}
-	cancelRequests()
+	h.Log.Info("entry closes its listeners", "requests", frontend.OpenRequests(), "after_ms", time.Since(begun).Milliseconds())
+	frontend.CancelRequests()
 }
 
+// CancelTasks ends TaskContext. Run does so once the listeners are closed.
+func (h *Host) CancelTasks() { h.cancelTasks() }
+
 // peerHandler serves other entries, metrics and health on the peer address.
 func (h *Host) peerHandler(frontendHandler http.Handler) http.Handler {
 	mux := http.NewServeMux()
--- a/internal/host/readiness_test.go
+++ b/internal/host/readiness_test.go
@@ -106,7 +106,7 @@
 			result := make(chan error, 1)
 			go func() {
 				result <- h.Run(context.Background(), Frontend{
-					Serve: []func() error{serve}, CancelRequests: func() {}, Shutdown: func(context.Context) {},
+					Serve: []func() error{serve}, OpenRequests: func() int { return 0 }, CancelRequests: func() {}, Shutdown: func(context.Context) {},
 				})
 			}()
 			select {
--- a/internal/obs/lines.go
+++ b/internal/obs/lines.go
@@ -9,8 +9,10 @@
 	LineLateDecodeEngine     = "decoding engine named after the attempt had ended"
 	LineTaskPanicked         = "a task panicked"
 	LineAttemptFailed        = "attempt failed"
+	LineForwarding           = "passing on to another entry"
 	LineForwarded            = "passed on to another entry"
 	LineAnswered             = "answered"
 	LineRefused              = "refused"
+	LineCutOff               = "cut off by the end of a planned stop"
 	LineReadiness            = "readiness changed"
 )
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -124,6 +124,7 @@
 func (j *job) forwardTo(e entry.EntryWeight, left time.Duration, reason string) bool {
 	ctx, cancel := context.WithTimeout(j.callerCtx, left+transitAllowance+forwardSlack)
 	defer cancel()
+	j.log.forwarding(e.Name, reason)
 	f := Forwarded{Request: j.req, By: j.s.host.Settings.Name}
 	if j.req.CallerTimeout > 0 {
 		f.Timeout = j.req.CallerTimeout - (clock.SinceBoot() - j.arrived.Work.Arrived)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
@@ -31,7 +32,7 @@
 
 func (l *jobLog) write(message string, args ...any) {
 	args = append([]any{
-		"request_id", l.job.req.ID, "route", l.job.route.Name, "ms", time.Since(l.start).Milliseconds(),
+		"request_id", l.job.req.ID, "route", l.job.route.Name, "ms", time.Since(l.start).Milliseconds(), l.job.s.stopAttr(),
 	}, args...)
 	if l.job.member != "" {
 		args = append(args, "member", l.job.member)
@@ -90,7 +91,12 @@
 	l.write(obs.LineLateDecodeEngine, "server", e.Server, "incarnation", e.Incarnation, "version", e.Version, "attempt", e.Attempt)
 }
 
-// forwarded writes a line for a request that was passed on to another entry.
+// forwarding writes a line for a request that is about to be passed on: if this process ends meanwhile, no other tells.
+func (l *jobLog) forwarding(to, reason string) {
+	l.write(obs.LineForwarding, "entry", to, "reason", reason, "left_ms", remainingTime(&l.job.arrived.Work).Milliseconds())
+}
+
+// forwarded writes a line for a request that another entry has answered, or not.
 func (l *jobLog) forwarded(to, reason string, resp *Response, err error) {
 	args := []any{"entry", to, "reason", reason}
 	if err != nil {
@@ -140,7 +146,7 @@
 		slog.String("request_id", req.ID), slog.String("route", route), slog.String("code", string(r.Code)),
 		slog.Int("status", r.Status), slog.String("outcome", string(r.Outcome)),
 		slog.Float64("retry_after_s", r.RetryAfter.Seconds()), slog.String("reason", r.Message),
-		slog.Uint64("on_connection", req.ConnectionSeq),
+		slog.Uint64("on_connection", req.ConnectionSeq), s.stopAttr(),
 	}
 	if req.Resumes != "" {
 		attrs = append(attrs, slog.String("resumes", req.Resumes), slog.String("after_event", req.LastEventID))
@@ -148,6 +154,16 @@
 	s.host.Log.LogAttrs(s.host.TaskContext, slog.LevelInfo, obs.LineRefused, append(attrs, extra...)...)
 }
 
+// stopAttr tells how far this entry's planned stop has got; it is empty, and left out of lines, if there is none.
+func (s *Server) stopAttr() slog.Attr {
+	stop := s.host.Snapshot().Stop
+	since, left, ok := stop.Progress(clock.SinceBoot())
+	if !ok {
+		return slog.Attr{}
+	}
+	return slog.Group("stop", "since_ms", since.Milliseconds(), "left_ms", left.Milliseconds())
+}
+
 // count updates the metrics of finished requests. The profile label is bounded, because profiles
 // are few and declared.
 func (s *Server) count(profile, how string, took time.Duration) {
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -98,8 +98,13 @@
 		},
 		Serve:          []func() error{func() error { return s.app.Listener(s.host.CallerListener(s.callerListener)) }},
 		PeerHandler:    pb.NewPeerServer(peerService{s}),
+		OpenRequests:   s.host.OpenRequests,
 		CancelRequests: s.finishStop,
-		Shutdown:       func(ctx context.Context) { _ = s.app.ShutdownWithContext(ctx) },
+		Shutdown: func(ctx context.Context) {
+			// Calls of plain services go on without their callers.
+			s.host.CancelTasks()
+			_ = s.app.ShutdownWithContext(ctx)
+		},
 	})
 }
 
