A stopping entry passes on nothing that may outlast it

Cause: whether a stopping entry still takes a request was decided once, by the reducer, at arrival. A request of a pool that the entry is cut off from was passed on before the reducer saw it (endCutOff), and so was one that the reducer had refused because the entry stops (othersMayServe). The answer comes back through this process, and ends with it. Change: one rule for both ways, entry.StopPlan: Refuses at arrival, MaySend before each passing on. A request that another entry has passed on is refused at once if it may outlast this one: its sender asks a third one without waiting. Ruled out: passing on with the time that is left here; its caller has more, and is served whole elsewhere.

--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -21,7 +21,7 @@
 	q := &request{
 		work: ev.Work, retry: ev.Retry, caller: callerOf(&ev), fingerprint: ev.Fingerprint, retryBudget: ev.RetryBudget,
 		attempt: ev.Attempt, earlierTokens: ev.Offset, waitingSince: r.now,
-		maxRuns: ev.MaxRuns, hardDeadline: ev.HardDeadline, originalFirstTokenBy: ev.Work.FirstTokenBy,
+		maxRuns: ev.MaxRuns, hardDeadline: ev.HardDeadline, forwarded: ev.Forwarded, originalFirstTokenBy: ev.Work.FirstTokenBy,
 	}
 	q.work.EngineSpeed = r.speeds.fastestSpeed(r.servers.sorted, &q.work)
 	if !ev.Forwarded {
@@ -64,7 +64,7 @@
 	switch {
 	case r.view.declaration == nil:
 		return outcome.NoConfiguration(), nil
-	case r.stop.Refuses(r.now, q.lastsUntil()):
+	case r.stop.Refuses(r.now, q.lastsUntil(), q.forwarded):
 		return refuseLeaving(), nil
 	}
 	if refusal := r.authorize(q); refusal != nil {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -42,6 +42,8 @@
 	originalFirstTokenBy time.Duration
 	// hardDeadline is set if the final answer is due at work.FinishBy.
 	hardDeadline bool
+	// forwarded is set if another entry has passed the request on.
+	forwarded bool
 	// server is where the attempt runs, nil while the request waits. prefill is the engine of a
 	// separate prefill, if there is one.
 	server  *server
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -20,16 +20,23 @@
 // a hard deadline.
 func (p *StopPlan) outlasts(until time.Duration) bool { return p.endsAt > 0 && until > p.endsAt }
 
-// Refuses reports whether an arriving request is refused that may last until then.
+// Refuses reports whether an arriving request is refused that may last until then. One that another entry has
+// passed on is refused earlier: that entry can ask a third one at once.
 //
 // If a long request arrives 3.7 s after the stop began, it would be aborted 3.9 s later in the middle of its stream,
 // when the entry has to end. Its caller is refused at once instead and has all of its time left for another entry.
 // Before shortOnlyFrom nearly all requests still have enough time, and callers have not learned of other addresses yet.
-func (p *StopPlan) Refuses(now, until time.Duration) bool {
+func (p *StopPlan) Refuses(now, until time.Duration, forwarded bool) bool {
 	if !p.stopping {
 		return false
 	}
-	return now >= p.acceptUntil || p.outlasts(until) && now >= p.shortOnlyFrom
+	return now >= p.acceptUntil || p.outlasts(until) && (forwarded || now >= p.shortOnlyFrom)
+}
+
+// MaySend reports whether an accepted request that may last until then may still be sent to a server, or passed
+// on to another entry.
+func (p *StopPlan) MaySend(now, until time.Duration) bool {
+	return !p.stopping || now < p.acceptUntil || !p.outlasts(until)
 }
 
 // Progress returns how long the stop has lasted, and how long it is until the entry ends what still runs, negative after
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -77,7 +77,7 @@
 
 // forward passes the request on to an entry that has links to servers, and reports whether the
 // caller has its final answer. It returns false as long as the request has not run and no other
-// entry could take it.
+// entry could take it, and if this entry may end before the answer: the answer comes through it.
 //
 // The other entry treats the request as its caller's own: credentials, limits, retries, quarantine
 // and usage apply there, once. It is sent to one entry at a time, and to the next one only after a
@@ -93,7 +93,7 @@
 	}
 	for _, e := range j.forwardTargets() {
 		left := remainingTime(&j.arrived.Work)
-		if left <= 0 || j.callerCtx.Err() != nil {
+		if left <= 0 || j.callerCtx.Err() != nil || !j.mayPassOn() {
 			return false
 		}
 		if j.forwardTo(e, left, reason) {
@@ -103,6 +103,12 @@
 	return false
 }
 
+// mayPassOn reports whether a planned stop of this entry leaves time for another entry's answer.
+func (j *job) mayPassOn() bool {
+	stop := j.s.host.Snapshot().Stop
+	return stop.MaySend(clock.SinceBoot(), j.arrived.Work.FinishBy)
+}
+
 // forwardTargets returns the entries to ask: those of the own data centre first, where bytes are
 // cheap, and one of each other data centre before a second one of any.
 func (j *job) forwardTargets() []entry.EntryWeight {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -153,7 +153,7 @@
 	j.callerCtx = ctx
 	ctx, cancel := j.withDeadline(ctx)
 	defer cancel()
-	if j.cutOff() && j.endCutOff() {
+	if j.cutOff() && !j.refusedByStop() && j.endCutOff() {
 		return
 	}
 	j.refreshPeers(ctx)
@@ -175,6 +175,12 @@
 	}
 }
 
+// refusedByStop reports whether the reducer refuses the request as this entry stops.
+func (j *job) refusedByStop() bool {
+	stop := j.s.host.Snapshot().Stop
+	return stop.Refuses(clock.SinceBoot(), j.arrived.Work.FinishBy, j.req.ForwardedBy != "")
+}
+
 // endCutOff ends a request of a service whose servers this entry can't reach: another entry serves
 // it. It returns false if none can; its servers may just not answer anybody.
 func (j *job) endCutOff() bool {
@@ -191,7 +197,7 @@
 // one, or sees none that runs the request while some don't answer it. What a server has received would
 // be a retry at the other entry, which would take it for the first send and not count it.
 func (j *job) othersMayServe(e *entry.Refuse) bool {
-	if e.Refusal.Outcome != outcome.NotRun || j.delivered {
+	if e.Refusal.Outcome != outcome.NotRun || e.Refusal.Code == outcome.CodeLeaving || j.delivered {
 		return false
 	}
 	return j.unreached || e.ServersSilent && e.Refusal.Code == outcome.CodeNoServer || j.cutOff() || j.originUnseen(e)
@@ -269,7 +275,7 @@
 func (j *job) refuse(r *outcome.Refusal) {
 	switch {
 	case j.streamed != nil:
-		j.log.answered("cut", "reason", r.Message)
+		j.log.answered("cut", "code", r.Code, "reason", r.Message)
 		j.caller.EndStream(false)
 	case j.serverError != nil && r.Outcome != outcome.NotRun:
 		j.log.answered("server's own failure", "status", j.serverError.head.Status)
