A stopping entry refuses what waits for a server while its caller has time

What callers saw: a request accepted early in a planned stop waited for a server until the entry ended, and its connection closed without an answer, though no server had received it. Cause: nothing called back what waits when the entry ends; the platform's driver has no end of its own for requests. Change: once the entry accepts nothing more, what may outlast it is no longer sent to a server, at arrival, from the queue or again, but refused as not run; at the end all that waits is. A stream that its caller has begun to read still goes on at another engine.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -43,6 +43,10 @@
 		r.refuse(q, refusal)
 		return
 	}
+	if r.tooLateToSend(q) {
+		r.refuse(q, refuseStopped(q))
+		return
+	}
 	if r.suspects.byKey[q.key()].inDoubt() {
 		prefillThere(q, &choice, "a request in doubt goes to one server only")
 	}
--- a/internal/entry/reducer.go
+++ b/internal/entry/reducer.go
@@ -208,6 +208,7 @@
 	r.giveVerdicts()
 	r.expireNotices()
 	r.expireWaiting()
+	r.refuseAtStop()
 	r.dispatchWaiting()
 	r.refuseStranded()
 	r.refuseBlocked()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -39,6 +39,11 @@
 	return !p.stopping || now < p.acceptUntil || !p.outlasts(until)
 }
 
+// ended reports whether the entry ends what still runs.
+func (p *StopPlan) ended(now time.Duration) bool {
+	return p.stopping && p.endsAt > 0 && now >= p.endsAt
+}
+
 // Progress returns how long the stop has lasted, and how long it is until the entry ends what still runs, negative after
 // that. ok is false for an entry that does not stop.
 func (p *StopPlan) Progress(now time.Duration) (since, left time.Duration, ok bool) {
@@ -64,3 +69,26 @@
 	}
 	return q.work.FinishBy
 }
+
+// tooLateToSend reports whether the request must not be sent to a server any more, since the entry may end before its answer. A
+// stream that its caller has begun to read goes on: refused, it would be cut at once.
+func (r *Reducer) tooLateToSend(q *request) bool {
+	return q.earlierTokens == 0 && !r.stop.MaySend(r.now, q.lastsUntil())
+}
+
+// refuseAtStop refuses what waits for a server and must not be sent any more, and all that waits once the entry ends.
+func (r *Reducer) refuseAtStop() {
+	if !r.stop.stopping || r.now < r.stop.acceptUntil {
+		return
+	}
+	ended := r.stop.ended(r.now)
+	for _, id := range sortedKeys(r.requests) {
+		q := r.requests[id]
+		if !q.hardDeadline || q.server != nil {
+			continue
+		}
+		if ended || q.pendingEnd == nil && r.tooLateToSend(q) {
+			r.refuse(q, refuseStopped(q))
+		}
+	}
+}
