What still runs at the end of a planned stop gets its final answer

What callers saw: what a server still ran when the entry ended was cut with the connection, with no word whether it may have run, and without a log line that names it. Cause: on the platform nothing ended requests at the deadline of a stop (CancelRequests was empty): the listeners had 0.8 s to close, then the process ended beneath them. Change: for 0.5 s after the deadline answers that come are still delivered; then each request that runs, here or at another entry, gets its refusal (may have run: 502; not run: 503), a stream its end as a truncated one, and a line. 0.3 s are left to write that. The test of a started stream's deadline builds its job with a server, as that knows the end now; what it asks is unchanged.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -100,6 +100,8 @@
 		r.refuse(q, refuseInvalid())
 	case q.hardDeadline && r.now >= q.work.FinishBy:
 		r.refuse(q, refuseTimeout(q))
+	case q.hardDeadline && r.stop.ended(r.now):
+		r.refuse(q, refuseStopped(q))
 	case (q.hardDeadline || q.work.Origin != nil) && !r.anyCandidate(q):
 		r.refuse(q, refuseNoCandidate(q))
 	case q.hardDeadline && ev.Outcome == outcome.NotRun && r.refuseIfBlocked(q):
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -190,7 +190,8 @@
 // CallerDisconnected reports that the caller's connection is closed.
 type CallerDisconnected struct{ RequestID string }
 
-// DeadlineExpired reports that the deadline of a request with HardDeadline has passed.
+// DeadlineExpired reports that the deadline of a request with HardDeadline has passed, or that the end of a planned stop
+// has ended it.
 type DeadlineExpired struct{ RequestID string }
 
 // Stop begins the planned stop of the entry. AcceptFor is how long the entry still accepts
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -17,9 +17,14 @@
 	r.dispatchWaiting()
 }
 
-// deadlineExpired refuses a request whose deadline has passed, in whatever state it is.
+// deadlineExpired refuses a request whose deadline has passed, or that the end of a planned stop has ended, in whatever
+// state it is.
 func (r *Reducer) deadlineExpired(ev DeadlineExpired) {
 	if q := r.requests[ev.RequestID]; q != nil {
+		if r.now < q.work.FinishBy && r.stop.ended(r.now) {
+			r.refuse(q, refuseStopped(q))
+			return
+		}
 		r.refuse(q, refuseTimeout(q))
 		r.dispatchWaiting()
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -130,6 +130,7 @@
 func (j *job) forwardTo(e entry.EntryWeight, left time.Duration, reason string) bool {
 	ctx, cancel := context.WithTimeout(j.callerCtx, left+transitAllowance+forwardSlack)
 	defer cancel()
+	defer context.AfterFunc(j.s.ended, cancel)()
 	j.log.forwarding(e.Name, reason)
 	f := Forwarded{Request: j.req, By: j.s.host.Settings.Name}
 	if j.req.CallerTimeout > 0 {
@@ -163,8 +164,8 @@
 		j.log.answered("caller gone")
 		return
 	}
-	r := brokenForward()
-	if ctx.Err() != nil {
+	r := j.s.brokenForward()
+	if ctx.Err() != nil && r.Code != outcome.CodeLeaving {
 		r.Status, r.Code = http.StatusGatewayTimeout, outcome.CodeDeadline
 	}
 	j.log.refused(r)
@@ -172,11 +173,15 @@
 }
 
 // brokenForward is the final answer to a request that another entry may have run.
-func brokenForward() *outcome.Refusal {
-	return &outcome.Refusal{
+func (s *Server) brokenForward() *outcome.Refusal {
+	r := &outcome.Refusal{
 		Status: http.StatusBadGateway, Code: outcome.CodeOutcomeUnknown, Outcome: outcome.Unknown,
 		Message: "the request was passed on to another entry and no whole answer came; it may have run",
 	}
+	if s.ended.Err() != nil {
+		r.Code = outcome.CodeLeaving
+	}
+	return r
 }
 
 // passOnAgain reports whether another entry may do better: this one guarantees that the request has
@@ -201,7 +206,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil || len(body) > maxBufferedBytes {
-		r := brokenForward()
+		r := j.s.brokenForward()
 		j.log.refused(r)
 		j.caller.Refuse(r)
 		return
@@ -227,13 +232,21 @@
 		}
 		if err != nil {
 			complete := errors.Is(err, io.EOF) && !resp.Body.CloseDelimited()
-			j.log.answered("forwarded", "status", resp.Head.Status, "complete", complete)
+			j.logForwardedStream(resp, complete)
 			j.caller.EndStream(complete)
 			return
 		}
 	}
 }
 
+func (j *job) logForwardedStream(resp *Response, complete bool) {
+	if !complete && j.s.ended.Err() != nil {
+		j.log.answered("cut", "status", resp.Head.Status, "code", outcome.CodeLeaving)
+		return
+	}
+	j.log.answered("forwarded", "status", resp.Head.Status, "complete", complete)
+}
+
 // refuseCutOff answers a forwarded request at an entry that can't reach a server either.
 func refuseCutOff() *outcome.Refusal {
 	return &outcome.Refusal{
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -18,6 +18,9 @@
 // errDeadlinePassed is the cause of a context that ended at its request's deadline.
 var errDeadlinePassed = errors.New("request deadline passed")
 
+// errEntryEnds is the cause of a context that ended with the entry's planned stop.
+var errEntryEnds = errors.New("the entry ends")
+
 // remainingTime returns the time until the request's deadline.
 func remainingTime(w *decision.Work) time.Duration { return w.FinishBy - clock.SinceBoot() }
 
@@ -33,7 +36,7 @@
 }
 
 // withDeadline returns a context that ends at the request's deadline, or transitAllowance later
-// if its stream has begun by then.
+// if its stream has begun by then, and at the end of a planned stop.
 func (j *job) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	streamTimer := time.AfterFunc(remainingTime(&j.arrived.Work)+transitAllowance, func() { cancel(errDeadlinePassed) })
@@ -42,7 +45,9 @@
 			cancel(errDeadlinePassed)
 		}
 	})
+	stopWatching := context.AfterFunc(j.s.ended, func() { cancel(errEntryEnds) })
 	return ctx, func() {
+		stopWatching()
 		timer.Stop()
 		streamTimer.Stop()
 		cancel(context.Canceled)
@@ -51,5 +56,6 @@
 
 // callerDisconnected reports whether the context ended because the caller disconnected.
 func callerDisconnected(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadlinePassed)
+	cause := context.Cause(ctx)
+	return ctx.Err() != nil && !errors.Is(cause, errDeadlinePassed) && !errors.Is(cause, errEntryEnds)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,11 +199,15 @@
 	// unableEntries are the entries, by unableKey, that have just refused a forwarded request since
 	// they could not reach a server either.
 	unableEntries recentNames
+	// ended is done once the end of a planned stop ends what still runs.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns the relay of an entry and starts its reducer.
 func New(h *host.Host, backend Backend) *Server {
 	s := &Server{host: h, backend: backend}
+	s.ended, s.end = context.WithCancel(context.Background())
 	h.Start(entry.Config{
 		AbortOnDisconnect: true, AssumedSpeed: engineSpeed(h.Settings),
 		Credentials: credentialLimits(h.Settings.Credentials),
@@ -223,6 +227,13 @@
 // Settings returns the entry's settings.
 func (s *Server) Settings() *settings.Entry { return s.host.Settings }
 
+// lastAnswersTime is how long requests still run after the deadline of a planned stop. What is left of the closing of
+// the listeners is for the final answers of the others.
+const lastAnswersTime = 500 * time.Millisecond
+
+// EndRequests gives the requests their final answer that still run at the deadline of a planned stop.
+func (s *Server) EndRequests() { time.AfterFunc(lastAnswersTime, s.end) }
+
 // idleCheckInterval is half of the time that a connection may be idle.
 const idleCheckInterval = time.Second
 
--- a/internal/relay/work_test.go
+++ b/internal/relay/work_test.go
@@ -44,7 +44,7 @@
 func TestStartedStreamOutlivesDeadlineByTransitAllowance(t *testing.T) {
 	const remaining = 30 * time.Millisecond
 	for _, streamBegun := range []bool{false, true} {
-		j := &job{}
+		j := &job{s: &Server{ended: context.Background()}}
 		j.streamBegun.Store(streamBegun)
 		j.arrived.Work.FinishBy = clock.SinceBoot() + remaining
 		ctx, cancel := j.withDeadline(t.Context())
@@ -63,7 +63,7 @@
 // Guards against a disconnect of the caller that is taken for the deadline: the request must end
 // at once, without an answer.
 func TestCallerDisconnectIsNotTakenForDeadline(t *testing.T) {
-	j := &job{}
+	j := &job{s: &Server{ended: context.Background()}}
 	j.arrived.Work.FinishBy = clock.SinceBoot() + time.Hour
 	requestCtx, disconnect := context.WithCancel(t.Context())
 	ctx, cancel := j.withDeadline(requestCtx)
