A request that is read after the reducer has ended is refused

What callers saw: a request on a connection that the stopping entry could not close in time (one that has sent nothing yet is left open, and one whose caller reads nothing holds the close up) was read whole and got no answer until the process was gone. Cause: the HTTP library goes on reading from connections that are left after the close has timed out, and the relay waited for a reducer that had ended. Change: relay asks whether the reducer has ended, before it begins and while it waits, and refuses then (not run, or may have run by whether it was sent). One refusal for an entry that stops (outcome.Leaving).

--- a/internal/entry/arrival.go
+++ b/internal/entry/arrival.go
@@ -65,7 +65,7 @@
 	case r.view.declaration == nil:
 		return outcome.NoConfiguration(), nil
 	case r.stop.Refuses(r.now, q.lastsUntil(), q.forwarded):
-		return refuseLeaving(), nil
+		return outcome.Leaving(outcome.NotRun), nil
 	}
 	if refusal := r.authorize(q); refusal != nil {
 		return refusal, nil
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -5,6 +5,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/placement"
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
@@ -44,7 +45,7 @@
 		return
 	}
 	if r.tooLateToSend(q) {
-		r.refuse(q, refuseStopped(q))
+		r.refuse(q, outcome.Leaving(outcomeOf(q)))
 		return
 	}
 	if r.suspects.byKey[q.key()].inDoubt() {
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -101,7 +101,7 @@
 	case q.hardDeadline && r.now >= q.work.FinishBy:
 		r.refuse(q, refuseTimeout(q))
 	case q.hardDeadline && r.stop.ended(r.now):
-		r.refuse(q, refuseStopped(q))
+		r.refuse(q, outcome.Leaving(outcomeOf(q)))
 	case (q.hardDeadline || q.work.Origin != nil) && !r.anyCandidate(q):
 		r.refuse(q, refuseNoCandidate(q))
 	case q.hardDeadline && ev.Outcome == outcome.NotRun && r.refuseIfBlocked(q):
--- a/internal/entry/final.go
+++ b/internal/entry/final.go
@@ -22,7 +22,7 @@
 func (r *Reducer) deadlineExpired(ev DeadlineExpired) {
 	if q := r.requests[ev.RequestID]; q != nil {
 		if r.now < q.work.FinishBy && r.stop.ended(r.now) {
-			r.refuse(q, refuseStopped(q))
+			r.refuse(q, outcome.Leaving(outcomeOf(q)))
 			return
 		}
 		r.refuse(q, refuseTimeout(q))
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -47,21 +47,6 @@
 	return unavailable(outcome.CodeStaleView, "this entry is cut off and can't tell which credentials still count; ask another", retrySoon)
 }
 
-func refuseLeaving() *outcome.Refusal {
-	return unavailable(outcome.CodeLeaving, "this entry stops; ask another", retrySoon)
-}
-
-// refuseStopped ends a request that may have run, or is not sent any more, as the entry ends.
-func refuseStopped(q *request) *outcome.Refusal {
-	if !q.mayHaveRun {
-		return refuseLeaving()
-	}
-	return &outcome.Refusal{
-		Status: http.StatusBadGateway, Code: outcome.CodeLeaving,
-		Message: "this entry stops and no whole answer came before its end; it may have run",
-	}
-}
-
 func refuseFull() *outcome.Refusal {
 	return &outcome.Refusal{
 		Status: http.StatusTooManyRequests, Code: outcome.CodeOverloaded,
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/outcome"
+)
 
 // StopPlan bounds what an entry that stops as planned still accepts, sends to servers and passes on to other entries.
 // The zero plan is that of an entry that does not stop.
@@ -88,7 +92,7 @@
 			continue
 		}
 		if ended || q.pendingEnd == nil && r.tooLateToSend(q) {
-			r.refuse(q, refuseStopped(q))
+			r.refuse(q, outcome.Leaving(outcomeOf(q)))
 		}
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -191,6 +191,9 @@
 	return h.loop.snapshot.Load()
 }
 
+// Stopped is closed once the reducer has ended: who waits for an effect then gets none any more.
+func (h *Host) Stopped() <-chan struct{} { return h.loop.stopped }
+
 // AwaitConfiguration waits up to the given time until the entry has a configuration. It returns
 // false on timeout and if ctx has ended.
 func (h *Host) AwaitConfiguration(ctx context.Context, wait time.Duration) bool {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -79,6 +79,23 @@
 	RetryAfter time.Duration
 }
 
+// leavingRetryAfter is the RetryAfter of an entry that stops: another one may take the request at once.
+const leavingRetryAfter = time.Second
+
+// Leaving refuses a request at an entry that stops as planned. The outcome says what is known of its execution.
+func Leaving(o Outcome) *Refusal {
+	if o == NotRun {
+		return &Refusal{
+			Status: http.StatusServiceUnavailable, Code: CodeLeaving, Outcome: o, RetryAfter: leavingRetryAfter,
+			Message: "this entry stops; ask another",
+		}
+	}
+	return &Refusal{
+		Status: http.StatusBadGateway, Code: CodeLeaving, Outcome: o,
+		Message: "this entry stops and no whole answer came before its end; it may have run",
+	}
+}
+
 // viewRetryAfter is the RetryAfter of an entry without a current view, that is the state of the
 // deployment as control distributes it. Control sends one within about a second.
 const viewRetryAfter = time.Second
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -73,6 +73,10 @@
 // caller disconnects.
 func (s *Server) serve(ctx context.Context, req *Request, caller *trackedCaller) {
 	at := clock.SinceBoot()
+	if s.reducerEnded() {
+		s.refuse(req, caller, outcome.Leaving(outcome.NotRun))
+		return
+	}
 	if !s.awaitConfiguration(ctx, req) {
 		s.refuse(req, caller, outcome.NoConfiguration())
 		return
@@ -100,6 +104,17 @@
 	j.run(ctx)
 }
 
+// reducerEnded reports whether nobody decides any more. A process that ends still reads requests from connections that it could not
+// close in time.
+func (s *Server) reducerEnded() bool {
+	select {
+	case <-s.host.Stopped():
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitConfiguration reports whether the entry has a configuration; it waits a limited time for
 // one.
 func (s *Server) awaitConfiguration(ctx context.Context, req *Request) bool {
@@ -171,6 +186,9 @@
 			if j.handleEffect(ctx, e) {
 				return
 			}
+		case <-j.s.host.Stopped():
+			j.endWithoutReducer()
+			return
 		}
 	}
 }
@@ -181,6 +199,15 @@
 	return stop.Refuses(clock.SinceBoot(), j.arrived.Work.FinishBy, j.req.ForwardedBy != "")
 }
 
+// endWithoutReducer ends a request that the reducer has not ended before its own end.
+func (j *job) endWithoutReducer() {
+	known := outcome.NotRun
+	if j.caller.dispatched {
+		known = outcome.Unknown
+	}
+	j.refuse(outcome.Leaving(known))
+}
+
 // endCutOff ends a request of a service whose servers this entry can't reach: another entry serves
 // it. It returns false if none can; its servers may just not answer anybody.
 func (j *job) endCutOff() bool {
