A stopping entry looks before it closes a kept connection

Cause: at the end of a planned stop the library closes each connection that has been idle for a moment. A request that has arrived and that the entry had no processor time to read is lost with it: its caller reads a reset, whenever the request was sent.

Change: once a stopping entry takes no more requests it marks the kept connections that wait for a request. The goroutine that reads such a connection decides: it ends the wait if there is nothing to read, else the request is read and answered like any other, and the connection closed with the answer. The listeners close when no connection is undecided, at the latest at the end of the stop.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,9 +1,13 @@
-// Package callerconn handles callers' connections: it bounds writes to them, and reports when
-// they are closed while a request runs.
+// Package callerconn handles callers' connections: it bounds writes to them, reports when
+// they are closed while a request runs, and closes kept ones between two requests.
 package callerconn
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
+	"sync"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/peek"
@@ -14,6 +18,9 @@
 // stream and the engine's slot for ever: the write neither succeeds nor fails.
 const writeTimeout = 30 * time.Second
 
+// markedReadTimeout bounds the reading of a request that has arrived when its connection was to be closed.
+const markedReadTimeout = 30 * time.Second
+
 // Listener accepts connections whose writes are bounded.
 type Listener struct{ net.Listener }
 
@@ -31,6 +38,47 @@
 	net.Conn
 	// WriteTimeout bounds each write.
 	WriteTimeout time.Duration
+
+	mu sync.Mutex
+	// closing is set if the connection is to be closed unless it has something to read.
+	closing bool
+}
+
+// Read reads as net.Conn does. At a connection that CloseUnlessReadable has marked it ends with io.EOF once there is
+// nothing to read.
+//
+// The goroutine that reads decides, not the one that marks: a request may have arrived that the reader had no
+// processor time for, or be read already and not yet be known as one.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.unmark(time.Now().Add(markedReadTimeout)) {
+			return n, err
+		}
+		if peek.Idle(c.Conn) {
+			return 0, io.EOF
+		}
+	}
+}
+
+// CloseUnlessReadable lets the Read in progress, or the next one, end with io.EOF unless there is something to read.
+func (c *Conn) CloseUnlessReadable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// unmark ends what CloseUnlessReadable began and sets the read deadline; false if the connection is not marked.
+func (c *Conn) unmark(deadline time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		return false
+	}
+	c.closing = false
+	_ = c.Conn.SetReadDeadline(deadline)
+	return true
 }
 
 // Write writes p within WriteTimeout.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -220,6 +220,9 @@
 	PeerHandler http.Handler
 	// OpenRequests returns how many requests a graceful stop has to wait for.
 	OpenRequests func() int
+	// CloseKept closes the connections between two requests that have nothing to read, or is nil. It is called
+	// repeatedly while a graceful stop waits; OpenRequests includes those it has not closed yet.
+	CloseKept func()
 	// CancelRequests ends the requests that still run at the deadline of a graceful stop. It may do so until
 	// Shutdown ends.
 	CancelRequests func()
@@ -227,6 +230,14 @@
 	Shutdown func(ctx context.Context)
 }
 
+// closeKept closes the connections that no request is on and returns how many requests are open after it.
+func (f *Frontend) closeKept() int {
+	if f.CloseKept != nil {
+		f.CloseKept()
+	}
+	return f.OpenRequests()
+}
+
 // Run serves until ctx ends, then stops gracefully: it withdraws the entry from the
 // addresses that callers get, still serves callers with older addresses, finishes
 // running requests, and only then closes the listeners. Errors: Failed.
@@ -282,7 +293,7 @@
 	})
 	time.Sleep(acceptFor)
 	deadline := time.Now().Add(h.Settings.StopTimeout)
-	for frontend.OpenRequests() > 0 && time.Now().Before(deadline) {
+	for frontend.closeKept() > 0 && time.Now().Before(deadline) {
 		time.Sleep(StopPollInterval)
 	}
 	h.Log.Info("entry closes its listeners", "requests", frontend.OpenRequests(), "after_ms", time.Since(begun).Milliseconds())
