An entry passes large answers on as they come

What callers saw: a server that sends bytes without end to many requests at once fills the memory of the entry; the process ends and with it the requests of all other callers.

Cause: each answer that is no stream was held whole, up to 16 MiB a request, and each event up to 1 MiB; nothing bounded their sum.

Change: up to 64 KiB of an answer are held, as before. A longer one begins at its caller and is copied in pieces, up to 16 MiB; where the server breaks off or goes beyond that, the caller's connection ends without the end of the body, and no other attempt follows (AttemptEnded.AnswerBegun). A longer failure that may be sent again is dropped and counts as a failed attempt. A length above the bound is refused from the head on; as that costs no memory, it does not make the server faulty. The answers of another entry take the same way. Events above 64 KiB share a budget of the process, a sixteenth of memory_mb (16 MiB without one), each in one acquisition; a wait for it has a line and the counter event_memory_waits. A server that goes over a bound while it sends gets no new work for its cool-down, whatever the retry rule.

The price: an idempotent answer above 64 KiB that breaks off is not replaced by another server's any more, and at the deadline it is cut.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -55,6 +55,9 @@
 	if ev.ServerDied {
 		r.serverDied(s, q, ev)
 	}
+	if ev.Oversized && r.now >= s.coolUntil {
+		s.fail(r.now)
+	}
 	r.learnFromAttempt(q, ev)
 	if ev.Tokens > 0 {
 		q.begin()
@@ -96,6 +99,8 @@
 		r.decisions.admission.RecordServed(q.work.Profile, q.retryBudget)
 		r.clearSuspect(q)
 		r.finish(q)
+	case ev.AnswerBegun:
+		r.refuse(q, refuseFailed())
 	case ev.Invalid:
 		r.refuse(q, refuseInvalid())
 	case q.hardDeadline && r.now >= q.work.FinishBy:
@@ -139,7 +144,7 @@
 //
 // A server that answered, even with its own failure, is alive and takes other requests.
 func (r *Reducer) retryCall(q *request, s *server, ev AttemptEnded) {
-	if ev.Outcome != outcome.Ran {
+	if ev.Outcome != outcome.Ran && !ev.Oversized {
 		s.fail(r.now)
 	}
 	if q.attempts >= maxCallAttempts || !r.decisions.admission.AllowRetry(q.work.Profile) {
@@ -159,7 +164,7 @@
 		r.dispatch(q, s, placement.Choice{Reason: "reconnect to the same server"}, true)
 		return
 	}
-	if r.cfg.AbortOnDisconnect && !ev.ServerDied {
+	if r.cfg.AbortOnDisconnect && !ev.ServerDied && !ev.Oversized {
 		s.fail(r.now)
 	}
 	if !mustRestart {
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -173,6 +173,11 @@
 	// PrefillBroken is set if the connection to the engine of the separate prefill broke while it
 	// had the request.
 	PrefillBroken bool
+	// AnswerBegun is set if the caller has received a part of an answer that can't be resumed, so that no other attempt
+	// can follow.
+	AnswerBegun bool
+	// Oversized is set if the server sent more than an answer may have.
+	Oversized bool
 	// Unsent is set if no server received any byte of this attempt.
 	Unsent bool
 	Tokens int
--- a/internal/entry/hard_deadline_test.go
+++ b/internal/entry/hard_deadline_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -288,3 +289,39 @@
 		t.Errorf("%d deliveries beyond the first: nothing was sent again", extra)
 	}
 }
+
+// Guards against a request that is sent to another server, or refused as not run, once its caller has a part of an answer
+// that can't be resumed.
+func TestNoAttemptFollowsAnAnswerThatHasBegun(t *testing.T) {
+	for _, retry := range []RetryRule{RetryResuming, RetryAllowed, RetryNever} {
+		w := newDeadlineHarness(t)
+		w.view(serving(2)...)
+		w.arriveWithDeadline("r", func(a *RequestArrived) { a.Retry = retry })
+		w.endAttempt(w.singleDispatch(), func(ev *AttemptEnded) { ev.AnswerBegun = true })
+		if sent := effectsOf[Dispatch](w.effects); len(sent) != 0 {
+			t.Errorf("retry rule %v: sent again: %+v", retry, sent)
+		}
+		if r := w.singleRefusal(); r.Outcome == outcome.NotRun {
+			t.Errorf("retry rule %v: refusal %+v", retry, r)
+		}
+	}
+}
+
+// Guards against a server that sends bytes without end to each of many requests: it counts as faulty from the first.
+func TestServerThatSendsTooMuchGetsNoNewWork(t *testing.T) {
+	for _, retry := range []RetryRule{RetryResuming, RetryAllowed, RetryNever} {
+		w := newDeadlineHarness(t)
+		w.view(serving(2)...)
+		w.arriveWithDeadline("first", func(a *RequestArrived) { a.Retry = retry })
+		faulty := w.singleDispatch()
+		w.endAttempt(faulty, func(ev *AttemptEnded) { ev.AnswerBegun, ev.Oversized = true, true })
+		for n := range 6 {
+			w.arriveWithDeadline(fmt.Sprintf("next-%d", n), nil)
+			for _, d := range effectsOf[Dispatch](w.effects) {
+				if d.Server == faulty.Server {
+					t.Errorf("retry rule %v: the faulty server got another request", retry)
+				}
+			}
+		}
+	}
+}
--- a/internal/obs/lines.go
+++ b/internal/obs/lines.go
@@ -5,6 +5,7 @@
 const (
 	LineDecision             = "decision"
 	LineAwaitedConfiguration = "waited for a configuration"
+	LineAwaitedMemory        = "waited for the memory of a large event"
 	LinePrefillFailed        = "prefill apart failed"
 	LineLateDecodeEngine     = "decoding engine named after the attempt had ended"
 	LineTaskPanicked         = "a task panicked"
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -204,15 +204,21 @@
 		j.relayForwardedStream(resp)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil || len(body) > maxBufferedBytes {
+	oversized := resp.Body.Length() > maxAnswerBytes
+	body, whole, err := readHeld(resp.Body)
+	switch {
+	case err != nil || oversized:
 		r := j.s.brokenForward()
 		j.log.refused(r)
 		j.caller.Refuse(r)
-		return
+	case whole:
+		j.log.answered("forwarded", "status", resp.Head.Status)
+		j.caller.Respond(&resp.Head, body)
+	default:
+		complete := j.passOn(resp, body) == nil
+		j.logForwardedStream(resp, complete)
+		j.caller.EndStream(complete)
 	}
-	j.log.answered("forwarded", "status", resp.Head.Status)
-	j.caller.Respond(&resp.Head, body)
 }
 
 func (j *job) relayForwardedStream(resp *Response) {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -23,9 +22,6 @@
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
-// maxBufferedBytes bounds the body of a response that is not a stream.
-const maxBufferedBytes = 16 << 20
-
 // job is one request, driven by one goroutine.
 type job struct {
 	s     *Server
@@ -52,7 +48,7 @@
 	from decision.Origin
 	// expected is where control was told that the stream will begin, nil for nothing.
 	expected *host.ExpectedOrigin
-	// streamed is what the caller has received of a stream, nil before the first event.
+	// streamed is what the caller has received of a stream, or of an answer that is passed on as it comes; nil before.
 	streamed *streamProgress
 	// streamBegun is set with streamed; the timers of withDeadline read it.
 	streamBegun atomic.Bool
@@ -287,7 +283,12 @@
 }
 
 func (j *job) finish() {
-	if j.streamed != nil {
+	switch {
+	case j.streamed != nil && j.streamed.plain:
+		j.log.answered("answer", "status", j.log.status)
+		j.caller.EndStream(true)
+		return
+	case j.streamed != nil:
 		j.log.answered("stream", "events", j.streamed.events)
 		j.caller.EndStream(true)
 		return
@@ -346,6 +347,9 @@
 	if errorx.IsOfType(err, httpconn.NotSent) {
 		return
 	}
+	if ended.Outcome == outcome.Ran {
+		return
+	}
 	if ended.AtPrefillServer {
 		ended.PrefillBroken = true
 		return
@@ -392,9 +396,9 @@
 		return httpconn.Mismatched.New("success response without the server's seal")
 	case success && j.route.Stream:
 		j.from = decision.Origin{Pool: d.Pool, Version: d.Version, Incarnation: d.Incarnation}
-		return j.relayStream(resp, ended, start)
+		return j.relayStream(ctx, resp, ended, start)
 	}
-	return j.readBuffered(resp, ended, success)
+	return j.relayAnswer(resp, ended)
 }
 
 func (j *job) newAttempt(address, incarnation string) Attempt {
@@ -408,27 +412,3 @@
 		Member: j.member, Rank: j.rank, ResumeAfter: j.resumeAfter(),
 	}
 }
-
-// readBuffered reads a response that is not a stream.
-func (j *job) readBuffered(resp *Response, ended *entry.AttemptEnded, success bool) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > maxBufferedBytes {
-		return httpconn.Broken.New("response body exceeds %d bytes", maxBufferedBytes)
-	}
-	buffered := &bufferedResponse{head: resp.Head, body: body}
-	ended.Outcome = outcome.Ran
-	retryable := resp.Head.Status >= http.StatusInternalServerError && j.arrived.Retry != entry.RetryNever
-	if !success && retryable && j.streamed == nil {
-		j.serverError = buffered
-		return nil
-	}
-	if j.streamed != nil {
-		// The head of the stream has been sent, so this response can't be passed on.
-		return nil
-	}
-	j.response, ended.Complete = buffered, true
-	return nil
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,8 +84,8 @@
 	Refuse(r *outcome.Refusal)
 	// BeginStream sends the head of a stream. It fails if the caller has disconnected.
 	BeginStream(h *Head) error
-	// SendEvent sends bytes of the stream without delay. It fails if the caller has
-	// disconnected.
+	// SendEvent sends bytes of the stream without delay. They may still be read after it has returned, until it has
+	// returned for the next ones. It fails if the caller has disconnected.
 	SendEvent(data []byte) error
 	// EndStream ends the stream, either as complete or such that the caller can tell that it is
 	// truncated.
@@ -160,6 +160,8 @@
 // Body is the body of a Response.
 type Body interface {
 	Read(p []byte) (int, error)
+	// Length returns the length of what is still to be read, negative if it is unknown.
+	Length() int
 	// CloseDelimited reports that the body ends only where the connection does, so that a
 	// truncated body can't be told from a complete one.
 	CloseDelimited() bool
@@ -199,6 +201,8 @@
 	// unableEntries are the entries, by unableKey, that have just refused a forwarded request since
 	// they could not reach a server either.
 	unableEntries recentNames
+	// events bounds the memory for large events.
+	events *eventBudget
 	// ended is done once the end of a planned stop ends what still runs.
 	ended context.Context
 	end   context.CancelFunc
@@ -206,7 +210,7 @@
 
 // New returns the relay of an entry and starts its reducer.
 func New(h *host.Host, backend Backend) *Server {
-	s := &Server{host: h, backend: backend}
+	s := &Server{host: h, backend: backend, events: newEventBudget(h)}
 	s.ended, s.end = context.WithCancel(context.Background())
 	h.Start(entry.Config{
 		AbortOnDisconnect: true, AssumedSpeed: engineSpeed(h.Settings),
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -12,11 +13,10 @@
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
-// streamProgress is what the caller has received of a stream.
+// streamProgress is what the caller has received of an answer that has begun.
 type streamProgress struct {
+	// plain is set if the answer is no stream of events.
+	plain bool
 	// events counts the events; lastID is the id of the last one that had an id.
 	events int
 	lastID string
@@ -35,16 +35,18 @@
 // A stream may have neither a length nor chunks and end with its connection; then it is whole if that
 // is closed between two events. Only complete events are forwarded: after half an event from a server that fails, the rest of
 // the stream from another server could not follow.
-func (j *job) relayStream(resp *Response, ended *entry.AttemptEnded, start time.Time) error {
+func (j *job) relayStream(ctx context.Context, resp *Response, ended *entry.AttemptEnded, start time.Time) error {
 	ended.Outcome = outcome.Unknown
-	r := bufio.NewReader(resp.Body)
+	r := j.eventReader(resp)
+	defer r.release()
 	for {
-		event, err := readEvent(r)
+		event, err := r.next(ctx)
 		if errors.Is(err, io.EOF) && j.streamed != nil {
 			ended.Complete, ended.Outcome = true, outcome.Ran
 			return nil
 		}
 		if err != nil {
+			ended.Oversized = errors.Is(err, bufio.ErrTooLong)
 			return httpconn.Broken.Wrap(err, "stream")
 		}
 		if ended.FirstToken == 0 {
@@ -54,6 +56,7 @@
 		if err := j.sendEvent(resp, event); err != nil {
 			return err
 		}
+		r.release()
 		j.s.host.Post(entry.AttemptProgress{
 			RequestID: ended.RequestID, Attempt: ended.Attempt, Tokens: j.streamed.events,
 		})
@@ -74,7 +77,7 @@
 			return err
 		}
 	}
-	if err := j.caller.SendEvent(event); err != nil {
+	if err := j.sendPieces(event); err != nil {
 		return err
 	}
 	j.streamed.events++
@@ -84,34 +87,25 @@
 	return nil
 }
 
-// readEvent reads one server-sent event with the empty line that ends it. It returns io.EOF
-// between two events and io.ErrUnexpectedEOF within one.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for len(event) <= maxEventBytes {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(event) > 0:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
-		}
+func (j *job) eventReader(resp *Response) *eventReader {
+	return &eventReader{
+		r:    bufio.NewReader(resp.Body),
+		take: func(ctx context.Context) error { return j.s.events.take(ctx, j.req.ID, j.log.server) },
+		put:  j.s.events.put,
 	}
-	return nil, bufio.ErrTooLong
 }
 
-// eventID returns the id of an event, if it has one.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
+// sendPieces sends an event to the caller. Of a large one, only a copy of its last piece is still in use afterwards, so that
+// a caller that reads slowly does not keep the whole of it in memory.
+func (j *job) sendPieces(event []byte) error {
+	if len(event) <= maxHeldBytes {
+		return j.caller.SendEvent(event)
+	}
+	for len(event) > passOnBytes {
+		if err := j.caller.SendEvent(event[:passOnBytes]); err != nil {
+			return err
 		}
+		event = event[passOnBytes:]
 	}
-	return "", false
+	return j.caller.SendEvent(bytes.Clone(event))
 }
