An entry bounds the calls of other entries

What operators would see: an entry that runs out of memory, as a process that counts as another entry sends it a call without end.

Cause: the generated handlers read a call whole, and nothing bounded that on the entry's own listener; control's calls have such a bound.

Change: 4 MiB a call.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -47,6 +47,8 @@
 	// shutdownTimeout bounds the closing of the listeners after all requests have
 	// ended. Idle connections would otherwise hold it up.
 	shutdownTimeout = 800 * time.Millisecond
+	// maxPeerCallBytes bounds a call of another entry: the largest lists suspects and their crashes.
+	maxPeerCallBytes = 4 << 20
 	// readHeaderTimeout bounds how long another process of the system may take
 	// to send the headers of a call.
 	readHeaderTimeout = 5 * time.Second
@@ -298,7 +300,7 @@
 	if frontendHandler != nil {
 		mux.Handle("/", h.Auth.RequireKey(frontendHandler))
 	}
-	mux.Handle(pb.PeerLoadPathPrefix, h.Auth.RequireKey(pb.NewPeerLoadServer(h.peers)))
+	mux.Handle(pb.PeerLoadPathPrefix, h.Auth.RequireKey(http.MaxBytesHandler(pb.NewPeerLoadServer(h.peers), maxPeerCallBytes)))
 	mux.Handle("GET /metrics", h.Metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if h.NotReadyReason() != "" {
