A server that announces an answer beyond the bound counts as faulty at once

Cause: the length in the head was refused, but the attempt didn't say that the server had gone over the bound, so calls that may run once only each found out. Change: the attempt is marked as oversized there, too.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -29,7 +29,7 @@
 	success := resp.Head.Status >= http.StatusOK && resp.Head.Status < http.StatusMultipleChoices
 	retryable := resp.Head.Status >= http.StatusInternalServerError && j.arrived.Retry != entry.RetryNever
 	if resp.Body.Length() > maxAnswerBytes {
-		ended.Outcome = outcome.Ran
+		ended.Outcome, ended.Oversized = outcome.Ran, true
 		return errAnswerTooLarge
 	}
 	body, whole, err := readHeld(resp.Body)
