--- a/internal/entry/crash_simulation_test.go
+++ b/internal/entry/crash_simulation_test.go
@@ -74,6 +74,8 @@
 	// crashers is how many different requests crash servers that callers send again and again, each with a
 	// harmless part; only with noFirstPart.
 	crashers int
+	// crasherBegins is how long a server works on one before its first token, 0 for simPrefill.
+	crasherBegins time.Duration
 	// noFirstPart is set if requests begin with one of the rare parts each.
 	noFirstPart bool
 	// restart is how long a server takes to come back, 0 for never.
@@ -400,7 +402,11 @@
 		})
 	}
 	s.step(e, AttemptProgress{RequestID: d.RequestID, Attempt: d.Attempt})
-	s.after(simPrefill, func() { s.chunk(a) })
+	prefill := simPrefill
+	if s.badWork[d.RequestID] {
+		prefill = cmp.Or(s.crasherBegins, simPrefill)
+	}
+	s.after(prefill, func() { s.chunk(a) })
 }
 
 func (s *crashSim) chunk(a *simAttempt) {
--- a/internal/entry/crash_storm_test.go
+++ b/internal/entry/crash_storm_test.go
@@ -96,3 +96,21 @@
 		}
 	}
 }
+
+// Guards against a request in doubt that several entries send at once, as none knows that another one's attempt is on its
+// way to end a server.
+func TestRequestInDoubtRunsAtOneEntryAtATime(t *testing.T) {
+	const seeds = 6
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := playCrashes(t, crashScenario{
+				entries: 9, servers: 9, rate: 60, duration: 22 * time.Second, kills: storms["a quarter each 1.2 s, nine times"], crashers: 1,
+				crasherBegins: 600 * time.Millisecond, restart: 2 * time.Second, parts: 24, noFirstPart: true, seed: seed,
+			})
+			if late := s.sentAfterThirdCrash(); late > allowedCrashSends || s.harmlessQuarantined > 0 {
+				t.Errorf("%d servers ended, the request reached servers %d times too late; %d harmless requests were refused", len(s.crashTimes), late, s.harmlessQuarantined)
+			}
+		})
+	}
+}
--- a/internal/entry/doubt_review_test.go
+++ b/internal/entry/doubt_review_test.go
@@ -150,3 +150,33 @@
 		t.Errorf("%d more copies were sent within 100 ms of the moment in which the caller of the first one left", len(sent)-1)
 	}
 }
+
+// Guards against a request in doubt that ends one server after the other uncharged, since its callers leave before the
+// servers end.
+func TestEndUnderACopyWhoseCallerLeftIsCharged(t *testing.T) {
+	w := newHarness(t)
+	w.view(serving(1)...)
+	copyOf, beside := w.arrival("copy-1", "hotels"), w.arrival("other", "hotels")
+	w.inDoubtAfter(copyOf.Fingerprint, 2)
+	w.step(beside)
+	other := w.singleDispatch()
+	w.startAttempt(other)
+	w.step(copyOf)
+	for range 50 {
+		w.advance(100 * time.Millisecond)
+		w.renew()
+		sent := effectsOf[Dispatch](w.effects)
+		if len(sent) == 0 {
+			continue
+		}
+		w.startAttempt(sent[0])
+		w.step(CallerDisconnected{RequestID: sent[0].RequestID})
+		w.advance(150 * time.Millisecond)
+		w.endAttempt(other, func(ev *AttemptEnded) { ev.ServerDied = true })
+		if n := w.r.suspects.byKey[quarantineKey{member: "hotels", fingerprint: copyOf.Fingerprint}].counted(); n != 3 {
+			t.Errorf("charged with %d ends after the server ended 150 ms after its caller had left, want 3", n)
+		}
+		return
+	}
+	t.Fatal("the copy was not sent")
+}
