A native call that runs at the end of a planned stop gets its answer, and its key is settled

What callers saw: an entry that speaks the native protocol stops as planned while a server still runs a call of a plain service. Where the call has more time than the stop, its connection closes without an answer; the key of a call that may run once stays claimed. Cause: the handler waits in the attempt itself, which knows only its own timeout. The end of the entry's tasks, which ends such calls, is looked at only between attempts. Change: the handler waits for the attempt or for the end of the tasks, and answers then that the call may have run; the attempt is left alone. The claim is settled as unknown by the same way as after any broken attempt.

--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -167,7 +167,12 @@
 		case e := <-effects:
 			switch e := e.(type) {
 			case entry.Dispatch:
-				j.server.host.Post(j.runAttempt(e))
+				ended, ok := j.awaitAttempt(ctx, e)
+				if !ok {
+					j.server.host.Post(entry.CallerDisconnected{RequestID: key})
+					return handOffRefusal()
+				}
+				j.server.host.Post(ended)
 			case entry.Refuse:
 				return e.Refusal
 			case entry.Finish:
@@ -177,6 +182,19 @@
 	}
 }
 
+// awaitAttempt runs an attempt and waits for its end; false if ctx ends first. The attempt then goes on without its caller.
+func (j *plainJob) awaitAttempt(ctx context.Context, dispatch entry.Dispatch) (ended entry.AttemptEnded, ok bool) {
+	result := make(chan entry.AttemptEnded, 1)
+	// No task of the host: a stopping entry waits for those.
+	go j.server.host.ExitOnPanic(func() { result <- j.runAttempt(dispatch) })
+	select {
+	case ended = <-result:
+		return ended, true
+	case <-ctx.Done():
+		return ended, false
+	}
+}
+
 func (j *plainJob) runAttempt(dispatch entry.Dispatch) entry.AttemptEnded {
 	startedAt := time.Now()
 	result := entry.AttemptEnded{RequestID: dispatch.RequestID, Attempt: dispatch.Attempt, Outcome: outcome.NotRun}
