A caller that reads nothing keeps no slot and no memory after its time

A caller that did not read a large answer held the slot of its server, and a large event's share of the memory, until the write to it timed out (30 s a write): the goroutine of the request waited in SendEvent and did not see that its deadline had passed, or that a planned stop ended it. Others got 503 from a server that was free, and with 16 such callers no large event passed at all. Since large answers are passed on as they come, this holds for answers that are no streams, too.

SendEvent now ends with the context of the attempt. As a piece of a large event may then still be in use, each piece is a copy of its own.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -25,7 +26,7 @@
 
 // relayAnswer reads an answer that is not a stream. It holds a short one until it is whole, and passes a longer one on as it
 // comes. A longer failure that may be followed by another attempt is dropped.
-func (j *job) relayAnswer(resp *Response, ended *entry.AttemptEnded) error {
+func (j *job) relayAnswer(ctx context.Context, resp *Response, ended *entry.AttemptEnded) error {
 	success := resp.Head.Status >= http.StatusOK && resp.Head.Status < http.StatusMultipleChoices
 	retryable := resp.Head.Status >= http.StatusInternalServerError && j.arrived.Retry != entry.RetryNever
 	if resp.Body.Length() > maxAnswerBytes {
@@ -51,7 +52,7 @@
 		return nil
 	}
 	ended.AnswerBegun = true
-	err = j.passOn(resp, body)
+	err = j.passOn(ctx, resp, body)
 	ended.Complete, ended.Oversized = err == nil, errors.Is(err, errAnswerTooLarge)
 	if err != nil {
 		ended.Outcome = outcome.Unknown
@@ -66,14 +67,14 @@
 }
 
 // passOn begins the caller's answer with what was read of its body, and copies the rest as it comes. The caller of passOn
-// ends it. Errors: those of the body and of the caller, errAnswerTooLarge.
-func (j *job) passOn(resp *Response, begin []byte) error {
+// ends it. Errors: those of the body, of the caller and of ctx, errAnswerTooLarge.
+func (j *job) passOn(ctx context.Context, resp *Response, begin []byte) error {
 	j.streamed = &streamProgress{plain: true}
 	j.streamBegun.Store(true)
 	if err := j.caller.BeginStream(&resp.Head); err != nil {
 		return err
 	}
-	if err := j.caller.SendEvent(begin); err != nil {
+	if err := j.caller.SendEvent(ctx, begin); err != nil {
 		return err
 	}
 	sent := len(begin)
@@ -86,7 +87,7 @@
 			return errAnswerTooLarge
 		}
 		if size > 0 {
-			if sendErr := j.caller.SendEvent(piece[:size]); sendErr != nil {
+			if sendErr := j.caller.SendEvent(ctx, piece[:size]); sendErr != nil {
 				return sendErr
 			}
 		}
--- a/internal/relay/fault_test.go
+++ b/internal/relay/fault_test.go
@@ -24,11 +24,11 @@
 	ends      []bool
 }
 
-func (h *recordingCaller) Respond(*Head, []byte)     { h.responses++ }
-func (h *recordingCaller) Refuse(r *outcome.Refusal) { h.refusals = append(h.refusals, r) }
-func (h *recordingCaller) BeginStream(*Head) error   { return nil }
-func (h *recordingCaller) SendEvent([]byte) error    { h.events++; return nil }
-func (h *recordingCaller) EndStream(complete bool)   { h.ends = append(h.ends, complete) }
+func (h *recordingCaller) Respond(*Head, []byte)                   { h.responses++ }
+func (h *recordingCaller) Refuse(r *outcome.Refusal)               { h.refusals = append(h.refusals, r) }
+func (h *recordingCaller) BeginStream(*Head) error                 { return nil }
+func (h *recordingCaller) SendEvent(context.Context, []byte) error { h.events++; return nil }
+func (h *recordingCaller) EndStream(complete bool)                 { h.ends = append(h.ends, complete) }
 
 // newTestServer returns a relay whose reducer does not run: the test supplies its effects.
 func newTestServer(t *testing.T, logOutput *bytes.Buffer) *Server {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -148,7 +148,7 @@
 		return true
 	}
 	defer closeBody(resp)
-	j.relayForwarded(resp)
+	j.relayForwarded(ctx, resp)
 	return true
 }
 
@@ -198,10 +198,10 @@
 }
 
 // relayForwarded passes the other entry's answer on to the caller.
-func (j *job) relayForwarded(resp *Response) {
+func (j *job) relayForwarded(ctx context.Context, resp *Response) {
 	success := resp.Head.Status >= http.StatusOK && resp.Head.Status < http.StatusMultipleChoices
 	if success && j.route.Stream {
-		j.relayForwardedStream(resp)
+		j.relayForwardedStream(ctx, resp)
 		return
 	}
 	oversized := resp.Body.Length() > maxAnswerBytes
@@ -215,13 +215,13 @@
 		j.log.answered("forwarded", "status", resp.Head.Status)
 		j.caller.Respond(&resp.Head, body)
 	default:
-		complete := j.passOn(resp, body) == nil
+		complete := j.passOn(ctx, resp, body) == nil
 		j.logForwardedStream(resp, complete)
 		j.caller.EndStream(complete)
 	}
 }
 
-func (j *job) relayForwardedStream(resp *Response) {
+func (j *job) relayForwardedStream(ctx context.Context, resp *Response) {
 	if err := j.caller.BeginStream(&resp.Head); err != nil {
 		j.log.answered("caller gone")
 		j.caller.EndStream(false)
@@ -232,7 +232,7 @@
 		chunk := make([]byte, forwardChunkBytes)
 		n, err := resp.Body.Read(chunk)
 		if n > 0 {
-			if sendErr := j.caller.SendEvent(chunk[:n]); sendErr != nil {
+			if sendErr := j.caller.SendEvent(ctx, chunk[:n]); sendErr != nil {
 				err = sendErr
 			}
 		}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -425,7 +425,7 @@
 		j.from = decision.Origin{Pool: d.Pool, Version: d.Version, Incarnation: d.Incarnation}
 		return j.relayStream(ctx, resp, ended, start)
 	}
-	return j.relayAnswer(resp, ended)
+	return j.relayAnswer(ctx, resp, ended)
 }
 
 func (j *job) newAttempt(address, incarnation string) Attempt {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,8 +85,8 @@
 	// BeginStream sends the head of a stream. It fails if the caller has disconnected.
 	BeginStream(h *Head) error
 	// SendEvent sends bytes of the stream without delay. They may still be read after it has returned, until it has
-	// returned for the next ones. It fails if the caller has disconnected.
-	SendEvent(data []byte) error
+	// returned for the next ones. It fails if the caller has disconnected, and once ctx ends before the caller takes them.
+	SendEvent(ctx context.Context, data []byte) error
 	// EndStream ends the stream, either as complete or such that the caller can tell that it is
 	// truncated.
 	EndStream(complete bool)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -53,7 +53,7 @@
 			ended.FirstToken = time.Since(start)
 			j.log.firstEvent()
 		}
-		if err := j.sendEvent(resp, event); err != nil {
+		if err := j.sendEvent(ctx, resp, event); err != nil {
 			return err
 		}
 		r.release()
@@ -64,7 +64,7 @@
 }
 
 // sendEvent sends one event to the caller, and the head before the first one.
-func (j *job) sendEvent(resp *Response, event []byte) error {
+func (j *job) sendEvent(ctx context.Context, resp *Response, event []byte) error {
 	if j.streamed == nil {
 		if j.arrived.Retry == entry.RetryResuming {
 			if err := j.rememberOrigin(); err != nil {
@@ -77,7 +77,7 @@
 			return err
 		}
 	}
-	if err := j.sendPieces(event); err != nil {
+	if err := j.sendPieces(ctx, event); err != nil {
 		return err
 	}
 	j.streamed.events++
@@ -95,17 +95,17 @@
 	}
 }
 
-// sendPieces sends an event to the caller. Of a large one, only a copy of its last piece is still in use afterwards, so that
-// a caller that reads slowly does not keep the whole of it in memory.
-func (j *job) sendPieces(event []byte) error {
+// sendPieces sends an event to the caller. Of a large one, only a copy of a piece is still in use afterwards, so that a
+// caller that reads slowly does not keep the whole of it in memory.
+func (j *job) sendPieces(ctx context.Context, event []byte) error {
 	if len(event) <= maxHeldBytes {
-		return j.caller.SendEvent(event)
+		return j.caller.SendEvent(ctx, event)
 	}
 	for len(event) > passOnBytes {
-		if err := j.caller.SendEvent(event[:passOnBytes]); err != nil {
+		if err := j.caller.SendEvent(ctx, bytes.Clone(event[:passOnBytes])); err != nil {
 			return err
 		}
 		event = event[passOnBytes:]
 	}
-	return j.caller.SendEvent(bytes.Clone(event))
+	return j.caller.SendEvent(ctx, bytes.Clone(event))
 }
