A planned stop answers requests that wait for a configuration

A request that waits for a configuration, or for a view in force, waits up to 1.5 s and asked nothing of a planned stop: the end of the stop gave an answer only to requests that the reducer knows. Such a request stayed open until the process ended, and its answer raced with the exit.

The wait ends with the stop, so the caller gets its 503 with the others.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -138,8 +138,8 @@
 	return snap, nil, noRoute()
 }
 
-// await waits a limited time for something that the entry must know before it can answer the
-// request. At most MaxStreams requests wait at a time.
+// await waits a limited time, and until the end of a planned stop, for something that the entry must know before it can
+// answer the request. At most MaxStreams requests wait at a time.
 func (s *Server) await(
 	ctx context.Context, req *Request, awaited string, wait func(context.Context, time.Duration) bool,
 ) bool {
@@ -148,6 +148,9 @@
 		return false
 	}
 	defer s.waiting.Add(-1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ended, cancel)()
 	limit, start := admission.StartupWait(req.CallerTimeout), time.Now()
 	ok := wait(ctx, limit)
 	s.host.Log.Info(obs.LineAwaitedConfiguration, "request_id", req.ID, "for", awaited, "came", ok,
