--- a/internal/control/runner/introduction_test.go
+++ b/internal/control/runner/introduction_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -89,10 +90,11 @@
 }
 
 func (g *replicaGroup) stopAll() {
-	for _, stop := range g.stops {
+	running := slices.DeleteFunc(slices.Clone(g.stops), func(stop func()) bool { return stop == nil })
+	for _, stop := range running {
 		go stop()
 	}
-	for _, stop := range g.stops {
+	for _, stop := range running {
 		stop()
 	}
 }
