Event of an attempt: an oversized answer may also only be announced

Cause: the comment was older than the mark of an announced length. Change: one comment. Measured: gofmt and vet are clean; nothing else ran.

--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -176,7 +176,7 @@
 	// AnswerBegun is set if the caller has received a part of an answer that can't be resumed, so that no other attempt
 	// can follow.
 	AnswerBegun bool
-	// Oversized is set if the server sent more than an answer may have.
+	// Oversized is set if the server sent, or announced, more than an answer may have.
 	Oversized bool
 	// Unsent is set if no server received any byte of this attempt.
 	Unsent bool
