--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a process of the test bed, which can be restarted.
@@ -30,6 +31,8 @@
 	binary string
 	args   []string
 	wg     *conc.WaitGroup
+	// MaxFiles bounds the descriptors of the process; 0 leaves the limit of this one.
+	MaxFiles uint64
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -67,6 +70,11 @@
 	if err := cmd.Start(); err != nil {
 		return Failed.Wrap(err, "start %s", p.Name)
 	}
+	if p.MaxFiles > 0 {
+		if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: p.MaxFiles, Max: p.MaxFiles}, nil); err != nil {
+			return Failed.Wrap(err, "descriptors of %s", p.Name)
+		}
+	}
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.exitExpected = cmd, exited, false
 	p.wg.Go(func() {
