A listener outlives errors of single connections, and an entry bounds its callers' connections

Callers saw: all entries gone after a return of power, with control led. fasthttp takes any error of Accept but a time-out for final, the host then ends the process; and nothing bounded an entry's connections, so callers that keep connections open took its last descriptor, in each of its lives.

Every listener that listen.Open returns now goes on after an error of Accept (callers, look-ups, readiness, other entries, control, metrics, native entries), and frees a descriptor by closing the connection that is idle the longest. At the limit the longest idle one makes room; with a request in progress none is closed, and a new one gets 503 at once. A line a second at most, and a counter.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -44,6 +44,9 @@
 	closing bool
 }
 
+// Unwrap returns the connection below.
+func (c *Conn) Unwrap() net.Conn { return c.Conn }
+
 // Read reads as net.Conn does. At a connection that CloseUnlessReadable has marked it ends with io.EOF once there is
 // nothing to read.
 //
--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -18,7 +18,6 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
-	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -241,7 +240,7 @@
 	wg.Go(r.loop.disk.run)
 	wg.Go(func() { r.join(serving) })
 	wg.Go(func() {
-		if err := r.server.Serve(listen.LimitListener(listener, 0, r.log)); err != http.ErrServerClosed {
+		if err := r.server.Serve(listener); err != http.ErrServerClosed {
 			r.loop.fail(Failed.Wrap(err, "serve"))
 		}
 	})
--- a/internal/host/readiness.go
+++ b/internal/host/readiness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/callerconn"
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 )
 
@@ -110,12 +112,21 @@
 	return max(0, clock.SinceBoot()-since)
 }
 
-// CallerListener wraps the listener for callers: writes to its connections have a time limit,
-// accepted connections are counted, and the hand-over of each connection is timed for
+// callerRefusal is the answer to a connection beyond the limit, in HTTP since all callers speak it.
+const callerRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// CallerListener wraps the listener for callers: its open connections are bounded, writes to them have a time
+// limit, accepted connections are counted, and the hand-over of each connection is timed for
 // NotReadyReason.
 func (h *Host) CallerListener(ln net.Listener) net.Listener {
+	limited := listen.LimitListener(ln, listen.Limit{
+		Connections: h.Settings.MaxCallerConnections(), Refusal: []byte(callerRefusal),
+		OnClosed: func(refused bool) {
+			h.Metrics.Scope.Tagged(map[string]string{"refused": strconv.FormatBool(refused)}).Counter("caller_connections_over_limit").Inc(1)
+		},
+	}, h.Log)
 	return &callerListener{
-		Listener: callerconn.Listener{Listener: ln}, handOver: &h.callerHandOver,
+		Listener: callerconn.Listener{Listener: limited}, handOver: &h.callerHandOver,
 		accepted: h.Metrics.Scope.Counter("caller_connections"),
 	}
 }
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -36,7 +37,7 @@
 // Guards against a process that exits because it has no file descriptor left for a connection:
 // HTTP servers return on any error of Accept.
 func TestListenerSurvivesAcceptErrors(t *testing.T) {
-	ln := LimitListener(&failingListener{Listener: newListener(t)}, 0, slog.New(slog.DiscardHandler))
+	ln := LimitListener(&failingListener{Listener: newListener(t)}, Limit{}, slog.New(slog.DiscardHandler))
 	for range 3 {
 		caller, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
@@ -58,7 +59,7 @@
 // Guards against more open connections than the limit, and against closing a connection that is
 // in use in favour of a new one.
 func TestIdlestConnectionIsClosedAtLimit(t *testing.T) {
-	ln := LimitListener(newListener(t), 2, slog.New(slog.DiscardHandler))
+	ln := LimitListener(newListener(t), Limit{Connections: 2}, slog.New(slog.DiscardHandler))
 	accepted := make(chan net.Conn, 8)
 	go func() {
 		for {
@@ -96,3 +97,50 @@
 		t.Errorf("%d connections are open", n)
 	}
 }
+
+// Guards against a connection that is closed in favour of a new one while its request waits for a slow answer,
+// and against a new one that gets silence where all others are in use.
+func TestBusyConnectionsStayAndNewOnesAreRefusedAtOnce(t *testing.T) {
+	var closed []bool
+	limit := Limit{Connections: 1, Refusal: []byte("full"), OnClosed: func(refused bool) { closed = append(closed, refused) }}
+	ln := LimitListener(newListener(t), limit, slog.New(slog.DiscardHandler))
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	dial()
+	busy, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	MarkBusy(busy, true)
+	time.Sleep(2 * minIdleTime)
+	refused := dial()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, _ := ln.Accept()
+		accepted <- c
+	}()
+	if answer, err := io.ReadAll(refused); string(answer) != "full" || err != nil {
+		t.Errorf("the new connection got %q, %v", answer, err)
+	}
+	if _, err := busy.Write([]byte("x")); err != nil {
+		t.Errorf("the busy connection: %v", err)
+	}
+	MarkBusy(busy, false)
+	time.Sleep(2 * minIdleTime)
+	dial()
+	if c := <-accepted; c == nil {
+		t.Error("no connection is accepted once the other one is idle")
+	}
+	if _, err := busy.Write([]byte("x")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the idle connection was kept: %v", err)
+	}
+	if !slices.Equal(closed, []bool{true, false}) {
+		t.Errorf("reported %v", closed)
+	}
+}
--- a/internal/listen/open.go
+++ b/internal/listen/open.go
@@ -25,7 +25,7 @@
 	takenRetryDelay = 50 * time.Millisecond
 )
 
-// Open listens on a TCP address, host:port. If the address is taken, it tries again for
+// Open listens on a TCP address, host:port. The listener outlives errors of Accept, as LimitedListener does. If the address is taken, it tries again for
 // takenRetryTime or until ctx ends: a process that is started again at once would otherwise end
 // because the killed one has not gone yet. Errors: AddressTaken, those of net.Listen.
 func Open(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
@@ -43,7 +43,7 @@
 			if attempt > 1 {
 				log.Info("the address is free now", "address", address, "attempts", attempt, "waited_ms", waited.Milliseconds())
 			}
-			return ln, nil
+			return LimitListener(ln, Limit{}, log), nil
 		case !errors.Is(err, syscall.EADDRINUSE):
 			return nil, err
 		case waited >= retryTime:
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -32,6 +32,9 @@
 	// MaxBodyBytes is the size limit of a request body; a larger one gets status 413.
 	// Default 4194304.
 	MaxBodyBytes int `yaml:"max_body_bytes"`
+	// MaxFiles is the process's limit of file descriptors, from which the limits on connections of callers
+	// are computed. Default 0: unknown.
+	MaxFiles int `yaml:"max_files"`
 	// MaxStreams is the limit of concurrent streams, running or waiting. Default 2000.
 	MaxStreams int `yaml:"max_streams"`
 	// EntryListTTL is how long callers cache an answer of /v1/entries. A planned shutdown keeps
@@ -149,12 +152,29 @@
 	if s.CallerAddress == s.PeerAddress {
 		file.Add("peer_address", "is the same as caller_address; use another port")
 	}
+	if s.MaxFiles < 0 {
+		file.Add("max_files", "is less than 0")
+	}
 	checkPositive(file, "max_body_bytes", s.MaxBodyBytes)
 	checkPositive(file, "max_streams", s.MaxStreams)
 	checkDuration(file, "answer_keep", s.EntryListTTL, time.Second, time.Hour)
 	checkDuration(file, "stop_timeout", s.StopTimeout, time.Second, 24*time.Hour)
 }
 
+const (
+	// callerConnectionShare and lookUpConnectionShare are the shares of an entry's file descriptors that
+	// connections of callers, and those at each address for look-ups and checks, may use. The rest is for backend
+	// servers, control, other entries and files.
+	callerConnectionShare = 0.5
+	lookUpConnectionShare = 0.05
+)
+
+// MaxCallerConnections returns the limit on callers' connections; 0: no limit.
+func (s *Entry) MaxCallerConnections() int { return int(callerConnectionShare * float64(s.MaxFiles)) }
+
+// MaxLookUpConnections returns the limit on connections at each address for look-ups and readiness checks; 0: no limit.
+func (s *Entry) MaxLookUpConnections() int { return int(lookUpConnectionShare * float64(s.MaxFiles)) }
+
 func (e *Engines) check(file *yamlfile.File) {
 	if e.PrefillRate < 0 || e.TokenTime < 0 {
 		file.Add("engines", "prefill_rate and token_time must be more than 0")
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net"
 	"net/http"
 	"regexp"
 	"strings"
@@ -10,10 +11,12 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
 
@@ -53,6 +56,9 @@
 		ErrorHandler:          s.httpError,
 		DisableKeepalive:      false,
 	})
+	app.Server().ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+		listen.MarkBusy(conn, state == fasthttp.StateActive)
+	}
 	app.Get("/healthz", s.getHealth)
 	app.Get("/v1/entries", s.getEntries)
 	app.Post(engineapi.PathAnnounce, s.postAnnounce)
