Consensus: a group elects soon once messages are quick again

Callers would see up to half of their recovery time go by while two voters, both up, wait for each other in silence. A candidate remembered the slowest answer to any of its requests for votes and waited up to eight election timeouts, drawn up to twice that; only a leader's contact ended it.

Four causes, in turn: answers of earlier campaigns counted as the present speed (now the latest request that has an answer does, and a quicker one brings the next campaign forward); nothing was sent while it waited (requests are repeated each two election timeouts, in the same term); a replica whose own log is longer refused the candidate and waited on (it stands itself); and a follower refused the very leader that had stepped down, for as long as that one's old heartbeats came in (a leader that stands for election leads no more).

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -25,6 +25,23 @@
 	n.electionDeadline = n.now + wait + time.Duration(n.random.Int64N(int64(wait)))
 }
 
+// askAgainAfter is after how many ElectionTimeouts a candidate repeats its requests.
+const askAgainAfter = 2
+
+// askAgain repeats the requests of an election that waits for longer than usual. Its answers show when messages are
+// quick again; without them a replica that has met slow ones would wait in silence for several seconds.
+func (n *Node) askAgain() {
+	if n.now < n.votesRequestedAt+askAgainAfter*n.cfg.ElectionTimeout || n.now >= n.electionDeadline {
+		return
+	}
+	switch n.role {
+	case preCandidate:
+		n.requestVotes(pb.MessageKind_MESSAGE_KIND_PRE_VOTE, n.term+1, false)
+	case candidate:
+		n.requestVotes(pb.MessageKind_MESSAGE_KIND_VOTE, n.term, n.forcedElection)
+	}
+}
+
 // canCampaign reports whether this replica may start an election: it is a voter, or
 // its removal is not committed yet. In the latter case it may be the only one whose
 // log is complete enough to lead; it then needs the votes of the remaining voters,
@@ -51,6 +68,12 @@
 	return n.now < n.lastLeaderContact+n.cfg.ElectionTimeout || n.now < n.leaderState.reportedLeaseEnd
 }
 
+// mustRefuse reports whether the leader that this replica follows may be active beside the candidate. A leader that
+// stands for election itself leads no more, whatever messages of its are still on their way.
+func (n *Node) mustRefuse(candidate *pb.Message) bool {
+	return n.leaderMayBeActive() && candidate.From != n.leader
+}
+
 // startPreVote asks the voters whether they would vote for this replica, without
 // raising the term. A replica that returns from a partition thus disturbs no
 // leader, since its term has not grown.
@@ -75,12 +98,13 @@
 	n.votedFor = n.cfg.ID
 	n.persist.hardStateDirty = true
 	n.role, n.leader = candidate, 0
-	n.votes = map[uint64]bool{}
+	n.votes, n.forcedElection = map[uint64]bool{}, force
 	n.resetElectionDeadline()
 	n.requestVotes(pb.MessageKind_MESSAGE_KIND_VOTE, n.term, force)
 }
 
 func (n *Node) requestVotes(kind pb.MessageKind, term uint64, force bool) {
+	n.votesRequestedAt = n.now
 	for _, id := range voterIDs(n.members.current()) {
 		if id == n.cfg.ID {
 			continue
@@ -111,7 +135,7 @@
 		n.becomeFollower(m.Term, 0)
 		return false
 	case pb.MessageKind_MESSAGE_KIND_VOTE:
-		if n.leaderMayBeActive() && !m.Force {
+		if n.mustRefuse(m) && !m.Force {
 			n.sendVoteResponse(m, false)
 			return false
 		}
@@ -158,11 +182,22 @@
 }
 
 func (n *Node) onPreVote(m *pb.Message) {
-	granted := n.canVote() && m.Term > n.term && (!n.leaderMayBeActive() || m.Force) &&
+	granted := n.canVote() && m.Term > n.term && (!n.mustRefuse(m) || m.Force) &&
 		n.log.upToDate(m.Index, m.LogTerm) && !n.campaignsBefore(m)
+	n.standInsteadOf(m)
 	n.sendPreVoteResponse(m, granted)
 }
 
+// standInsteadOf makes a replica without a leader stand for election soon if it must refuse a candidate for its shorter
+// log: that one can't win by this replica's vote.
+func (n *Node) standInsteadOf(candidate *pb.Message) {
+	if n.role != follower || n.leaderMayBeActive() || n.log.upToDate(candidate.Index, candidate.LogTerm) {
+		return
+	}
+	soon := n.now + time.Duration(n.random.Int64N(int64(n.cfg.ElectionTimeout)))
+	n.electionDeadline = min(n.electionDeadline, soon)
+}
+
 // campaignsBefore reports whether this replica stands for election itself, with the same log as the
 // sender of a pre-vote and a higher id. If two such replicas granted each other's pre-vote, both
 // would vote for themselves; where two voters are left, that can repeat for seconds.
@@ -181,14 +216,26 @@
 	n.send(resp)
 }
 
-// observeVoteRoundTrip learns from an answer how long a round of votes takes. The answer returns
-// this replica's own time; one of before a loss of power may bear a later time than the present.
+// observeVoteRoundTrip learns from an answer how long a round of votes takes at present: from the answers to the
+// latest request that has any. The answer returns this replica's own time; one of before a loss of power may bear a
+// later time than the present.
+//
+// If that shows that messages are quicker than was thought, the next campaign need not wait any longer.
 func (n *Node) observeVoteRoundTrip(m *pb.Message) {
 	sentAt := time.Duration(m.Context)
-	if n.role != preCandidate && n.role != candidate || sentAt <= 0 || sentAt > n.now {
+	if n.role != preCandidate && n.role != candidate || sentAt <= 0 || sentAt > n.now || sentAt < n.roundTripSentAt {
 		return
 	}
+	before := n.answerTimeout()
+	if sentAt > n.roundTripSentAt {
+		n.roundTrip, n.roundTripSentAt = 0, sentAt
+	}
 	n.roundTrip = max(n.now-sentAt, n.roundTrip)
+	if n.answerTimeout() < before {
+		deadline := n.electionDeadline
+		n.resetElectionDeadline()
+		n.electionDeadline = min(deadline, n.electionDeadline)
+	}
 }
 
 // observeHeartbeatRoundTrip learns the same from an answer to a leader's heartbeat. Each answer counts
@@ -214,6 +261,7 @@
 func (n *Node) onVote(m *pb.Message) {
 	voteAvailable := n.votedFor == m.From || n.votedFor == 0 && n.leader == 0
 	if !n.canVote() || !voteAvailable || !n.log.upToDate(m.Index, m.LogTerm) {
+		n.standInsteadOf(m)
 		n.sendVoteResponse(m, false)
 		return
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -73,6 +73,12 @@
 	// roundTrip is how long answers to this replica's requests for votes, or to its heartbeats,
 	// took of late; zero while it follows a leader.
 	roundTrip time.Duration
+	// roundTripSentAt is when the request was sent whose answer roundTrip is from, in an election.
+	roundTripSentAt time.Duration
+	// votesRequestedAt is when this replica last asked for votes or pre-votes, forcedElection whether it
+	// did so for a transfer of leadership.
+	votesRequestedAt time.Duration
+	forcedElection   bool
 
 	leaderState      leaderState
 	incomingSnapshot snapshotReceiver
@@ -173,6 +179,7 @@
 		n.leaderTick()
 		return
 	}
+	n.askAgain()
 	if n.now >= n.electionDeadline {
 		n.startPreVote()
 	}
--- a/internal/consensus/slow_election_test.go
+++ b/internal/consensus/slow_election_test.go
@@ -120,3 +120,62 @@
 		}
 	}
 }
+
+// Guards against a group whose replicas wait for seconds after messages are quick again, since they remember how
+// slow the votes of their elections were.
+func TestGroupElectsSoonAfterSlowMessagesEnd(t *testing.T) {
+	t.Parallel()
+	const (
+		quick = 20 * time.Millisecond
+		// bound is what the users ask for.
+		bound = 3 * time.Second
+		seeds = 300
+	)
+	for _, slow := range []struct{ delay, lasts time.Duration }{
+		{50 * time.Millisecond, 2 * time.Second}, {900 * time.Millisecond, 2 * time.Second}, {900 * time.Millisecond, 5 * time.Second},
+		{2 * time.Second, 2 * time.Second}, {2 * time.Second, 5 * time.Second},
+		{4 * time.Second, 2 * time.Second}, {4 * time.Second, 5 * time.Second},
+	} {
+		t.Run(fmt.Sprint(slow.delay, " for ", slow.lasts), func(t *testing.T) {
+			t.Parallel()
+			longest := time.Duration(0)
+			for seed := uint64(1); seed <= seeds; seed++ {
+				longest = max(longest, timeToLeaderAfterSlowMessages(t, seed, slow.delay, slow.lasts, quick))
+			}
+			if longest > bound {
+				t.Errorf("no leader for up to %v after messages are quick again", longest)
+			}
+			t.Logf("longest %v", longest)
+		})
+	}
+}
+
+// timeToLeaderAfterSlowMessages restarts two of three voters up to 3 s apart, with messages that take up to delay for a
+// while and then up to quick, and returns how long there is no leader from then on.
+func timeToLeaderAfterSlowMessages(t *testing.T, seed uint64, delay, lasts, quick time.Duration) time.Duration {
+	t.Helper()
+	const (
+		maxApart = 3 * time.Second
+		patience = 20 * time.Second
+		step     = 20 * time.Millisecond
+	)
+	c := newCluster(seed, 3)
+	c.run(time.Second)
+	for _, id := range c.ids {
+		c.crash(c.hosts[id])
+	}
+	c.packets, c.maxDelay = nil, delay
+	c.start(c.hosts[c.ids[1]])
+	c.run(time.Duration(c.random.Int64N(int64(maxApart))))
+	c.start(c.hosts[c.ids[2]])
+	c.run(lasts)
+	c.maxDelay = quick
+	begun := c.now
+	for c.leader() == nil && c.now < begun+patience && len(c.violations) == 0 {
+		c.run(step)
+	}
+	if len(c.violations) > 0 {
+		t.Fatalf("seed %d: %v", seed, c.violations)
+	}
+	return c.now - begun
+}
