--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -39,6 +40,10 @@
 // bufferBytes is the size of a read buffer.
 const bufferBytes = 32 << 10
 
+// acceptRetryDelay is the pause after a connection that could not be accepted, as no descriptor was free. An address
+// that nobody accepts at any more would look like a process that answers nobody.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // dialTimeout bounds the dial to the target.
 const dialTimeout = time.Second
 
@@ -98,7 +103,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listener = ln
+	// Not the listener of package listen: what it accepts can't be reset.
+	f.listener = ln.(*listen.LimitedListener).Listener
+	ln = f.listener
 	f.wg.Go(func() { f.accept(ln) })
 	return nil
 }
@@ -188,9 +195,14 @@
 func (f *Forwarder) accept(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			slog.Warn("forwarder accepts no connection", "address", f.address, "target", f.target, "error", err.Error())
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		f.wg.Go(func() { f.serve(conn) })
 	}
 }
