--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -83,7 +83,7 @@
 		return
 	}
 	n.role, n.leader = preCandidate, 0
-	n.preVotes = map[uint64]bool{n.cfg.ID: true}
+	n.preVotes, n.refusedBy = map[uint64]bool{n.cfg.ID: true}, map[uint64]bool{}
 	if n.hasQuorum(n.preVotes) {
 		n.startElection(false)
 		return
@@ -98,7 +98,7 @@
 	n.votedFor = n.cfg.ID
 	n.persist.hardStateDirty = true
 	n.role, n.leader = candidate, 0
-	n.votes, n.forcedElection = map[uint64]bool{}, force
+	n.votes, n.refusedBy, n.forcedElection = map[uint64]bool{}, map[uint64]bool{}, force
 	n.resetElectionDeadline()
 	n.requestVotes(pb.MessageKind_MESSAGE_KIND_VOTE, n.term, force)
 }
@@ -247,6 +247,7 @@
 
 func (n *Node) onPreVoteResponse(m *pb.Message) {
 	n.observeVoteRoundTrip(m)
+	n.noteRefusal(m)
 	if n.role != preCandidate || m.Reject || m.Term != n.term+1 {
 		return
 	}
@@ -284,11 +285,19 @@
 // timeout for a round of votes would hold elections forever.
 func (n *Node) onVoteResponse(m *pb.Message) {
 	n.observeVoteRoundTrip(m)
+	n.noteRefusal(m)
 	if n.votes != nil && !m.Reject {
 		n.recordVote(m.From, true)
 	}
 }
 
+// noteRefusal records who refuses this campaign, for its log line.
+func (n *Node) noteRefusal(m *pb.Message) {
+	if m.Reject && (n.role == preCandidate || n.role == candidate) {
+		n.refusedBy[m.From] = true
+	}
+}
+
 func (n *Node) recordVote(voter uint64, granted bool) {
 	n.votes[voter] = granted
 	if n.hasQuorum(n.votes) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -70,6 +70,8 @@
 	// are those of the present campaign.
 	votes    map[uint64]bool
 	preVotes map[uint64]bool
+	// refusedBy are the voters that have refused the present campaign.
+	refusedBy map[uint64]bool
 	// roundTrip is how long answers to this replica's requests for votes, or to its heartbeats,
 	// took of late; zero while it follows a leader.
 	roundTrip time.Duration
--- a/internal/consensus/standing.go
+++ b/internal/consensus/standing.go
@@ -1,5 +1,10 @@
 package consensus
 
+import (
+	"maps"
+	"slices"
+)
+
 // Standing is the part that a replica has in elections.
 type Standing string
 
@@ -48,6 +53,8 @@
 type ElectionStatus struct {
 	// VotesGranted and VotesNeeded count pre-votes while the replica is a pre-candidate.
 	VotesGranted, VotesNeeded int
+	// RefusedBy lists the voters that refused this campaign; the others that have not granted it are silent.
+	RefusedBy []uint64
 }
 
 func (n *Node) electionStatus() ElectionStatus {
@@ -60,5 +67,5 @@
 		return ElectionStatus{}
 	}
 	voters := voterIDs(n.members.current())
-	return ElectionStatus{VotesGranted: countVotes(votes, voters), VotesNeeded: quorumSize(len(voters))}
+	return ElectionStatus{VotesGranted: countVotes(votes, voters), VotesNeeded: quorumSize(len(voters)), RefusedBy: slices.Sorted(maps.Keys(n.refusedBy))}
 }
--- a/internal/control/standing.go
+++ b/internal/control/standing.go
@@ -47,7 +47,7 @@
 	r.log(slog.LevelInfo, "replica's standing", Field{"standing", string(now.part)}, Field{"role", now.role.String()},
 		Field{"leader", now.leader}, Field{"term", st.Term}, Field{"since_ms", (r.now - now.since).Milliseconds()},
 		Field{"before", string(last.part)}, Field{"before_role", last.role.String()}, Field{"before_ms", (r.now - last.since).Milliseconds()},
-		Field{"votes", st.Election.VotesGranted}, Field{"votes_needed", st.Election.VotesNeeded},
+		Field{"votes", st.Election.VotesGranted}, Field{"votes_needed", st.Election.VotesNeeded}, Field{"refused_by", st.Election.RefusedBy},
 		Field{"awaited_replicas", r.describeAwaited(st.AwaitedPeers)}, Field{"members", len(r.members.GetMembers())}, Field{"last_index", st.LastIndex})
 }
 
