Store: a torn meta page no longer costs the folder

What callers see: no service for good after all lose power with one disk lost. A replica that is not needed for the majority is within its own commit right after a confirmation; if the disk wrote a part of its meta page, the folder was taken for damaged and given up, so two of three had forgotten.

What stays in the database file can't tell a torn page from one that was damaged after its sync. A small second file now names the newest synced transaction, written and synced within 100 ms after it (in the commit itself it would have been a third sync): a page that can't be read is a torn write unless that file names a newer transaction than the page that is whole. Without the file, as in folders of earlier builds, the folder is given up as before. Open: damage to the newest page within 100 ms of its sync, beside a loss of power, passes for a torn write.

--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -16,6 +16,8 @@
 	Failed = Namespace.NewType("failed")
 	// Corrupt: the folder's content is not what was written.
 	Corrupt = Namespace.NewType("corrupt")
+	// tornPage: a page whose write was torn, or that was damaged after it.
+	tornPage = Namespace.NewType("torn_page")
 	// WrongOwner: the folder belongs to another cluster or replica.
 	WrongOwner = Namespace.NewType("foreign")
 	// Locked: another process has the folder open.
--- a/internal/store/power_loss_test.go
+++ b/internal/store/power_loss_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/testing/protocmp"
@@ -100,3 +101,144 @@
 		t.Errorf("%d of %d Saves were kept, want some", kept, saves*cuts)
 	}
 }
+
+// tearMeta returns the file as a loss of power within the write of a Save's meta page may leave it, where a disk writes no
+// part of it whole: the first bytes of the page's record are new, the others old. All other pages are synced by then.
+func tearMeta(before, after []byte, written int) []byte {
+	left := bytes.Clone(after)
+	for at := pageHeaderBytes + written; at < pageSize; at++ {
+		for page := range metaPages {
+			left[page*pageSize+at] = before[page*pageSize+at]
+		}
+	}
+	return left
+}
+
+// mustWrite writes the files of a folder, by name.
+func mustWrite(t *testing.T, dir string, files map[string][]byte) {
+	t.Helper()
+	for name, data := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), data, fileMode); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// mustRecord waits until the folder's record of synced transactions is up to date, and returns it.
+func mustRecord(t *testing.T, s *Store) []byte {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(syncedDelay / 10) {
+		s.synced.mu.Lock()
+		upToDate := s.synced.latest == s.synced.written
+		s.synced.mu.Unlock()
+		if upToDate {
+			data, err := os.ReadFile(filepath.Join(s.dir, syncedName))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return data
+		}
+	}
+	t.Fatal("the record is never up to date")
+	return nil
+}
+
+// Guards against a folder that is given up, beside another disk that is lost, since the power failed within the write of a
+// meta page and the disk wrote a part of it: two of three replicas have then forgotten what they held, for good.
+func TestTornMetaPageKeepsTheFolder(t *testing.T) {
+	r := rand.New(rand.NewPCG(95, 1))
+	o := options(t.TempDir())
+	s, _ := mustOpen(t, o)
+	before := saveAtRandom(t, s, savedState{}, r)
+	record := mustRecord(t, s)
+	after := saveAtRandom(t, s, before, r)
+	const step = 3
+	for written := 0; written <= metaBytes; written += step {
+		o.Dir = t.TempDir()
+		mustWrite(t, o.Dir, map[string][]byte{databaseName: tearMeta(before.file, after.file, written), syncedName: record})
+		got := reopen(t, o)
+		want := before
+		if got.HardState.GetTerm() == after.hard.GetTerm() {
+			want = after
+		}
+		if d := cmp.Diff(want.entries, got.Entries, protocmp.Transform()) + cmp.Diff(want.hard, got.HardState, protocmp.Transform()); d != "" {
+			t.Fatalf("after %d bytes of the page's record: %s", written, d)
+		}
+	}
+}
+
+// Guards against a synced vote that is undone in silence, since the newest meta page was damaged after its sync and passes
+// for one whose write was torn.
+func TestDamagedNewestMetaPageIsNoticed(t *testing.T) {
+	r := rand.New(rand.NewPCG(95, 2))
+	o := options(t.TempDir())
+	s, _ := mustOpen(t, o)
+	before := saveAtRandom(t, s, savedState{}, r)
+	for range 2 {
+		after := saveAtRandom(t, s, before, r)
+		record := mustRecord(t, s)
+		newest := int64(0)
+		for page := range int64(metaPages) {
+			if !bytes.Equal(before.file[page*pageSize:][:pageSize], after.file[page*pageSize:][:pageSize]) {
+				newest = page
+			}
+		}
+		for at := range int64(metaBytes) {
+			o.Dir = t.TempDir()
+			damaged := bytes.Clone(after.file)
+			damaged[newest*pageSize+pageHeaderBytes+at] ^= 0x10
+			mustWrite(t, o.Dir, map[string][]byte{databaseName: damaged, syncedName: record})
+			mustFailToOpen(t, o, Corrupt)
+		}
+		before = after
+	}
+}
+
+// Guards against a folder without a record, of an earlier build or with a lost name, in which damage passes for a torn write.
+func TestTornMetaPageWithoutARecordIsNoticed(t *testing.T) {
+	r := rand.New(rand.NewPCG(95, 3))
+	o := options(t.TempDir())
+	s, _ := mustOpen(t, o)
+	before := saveAtRandom(t, s, savedState{}, r)
+	after := saveAtRandom(t, s, before, r)
+	o.Dir = t.TempDir()
+	mustWrite(t, o.Dir, map[string][]byte{databaseName: tearMeta(before.file, after.file, metaChecksumOffset)})
+	mustFailToOpen(t, o, Corrupt)
+}
+
+// Guards against a record that a torn write makes name a transaction that was never synced, or none.
+func TestTornRecordLeavesTheOneBefore(t *testing.T) {
+	dir := t.TempDir()
+	s, err := openSynced(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.note(7)
+	s.close()
+	path := filepath.Join(dir, syncedName)
+	before, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err = openSynced(dir); err != nil {
+		t.Fatal(err)
+	}
+	s.note(8)
+	s.close()
+	after, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, transaction := readSynced(path); n != 2 || transaction != 8 {
+		t.Fatalf("record %d of transaction %d", n, transaction)
+	}
+	for written := range len(after) {
+		torn := bytes.Clone(after[:max(written, len(before))])
+		copy(torn, before)
+		copy(torn, after[:written])
+		mustWrite(t, dir, map[string][]byte{syncedName: torn})
+		if _, transaction := readSynced(path); transaction != 7 && transaction != 8 {
+			t.Errorf("after %d bytes: transaction %d", written, transaction)
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,8 +65,9 @@
 
 // Store is an open data folder. Its methods may be called from any goroutine.
 type Store struct {
-	db  *bolt.DB
-	dir string
+	db     *bolt.DB
+	dir    string
+	synced *synced
 
 	// writing is held while log or snapshot are written, admitting while a peer's identity is. Neither
 	// is needed to send and take heartbeats: a disk that is slow must not cost the leader its lead.
@@ -95,7 +96,7 @@
 	}
 	r, err := s.initialize(o)
 	if err != nil {
-		_ = s.db.Close()
+		_ = s.Close()
 		return nil, nil, err
 	}
 	r.CopyError = copyErr
@@ -129,6 +130,7 @@
 
 // Close releases the folder.
 func (s *Store) Close() error {
+	s.synced.close()
 	if err := s.db.Close(); err != nil {
 		return Failed.Wrap(err, "close")
 	}
@@ -265,6 +267,10 @@
 		_ = db.Close()
 		return nil, Corrupt.Wrap(err, "%s", databaseName)
 	}
+	if s.synced, err = openSynced(dir); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -347,7 +353,14 @@
 }
 
 func (s *Store) update(fn func(*bolt.Tx) error) error {
-	err := s.db.Update(fn)
+	transaction := uint64(0)
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		transaction = uint64(tx.ID())
+		return fn(tx)
+	})
+	if err == nil {
+		s.synced.note(transaction)
+	}
 	if err == nil || errorx.IsOfType(err, Corrupt) {
 		return err
 	}
