--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -34,6 +34,16 @@
 	return ln
 }
 
+func mustDial(t *testing.T, ln net.Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
 // Guards against a process that exits because it has no file descriptor left for a connection:
 // HTTP servers return on any error of Accept.
 func TestListenerSurvivesAcceptErrors(t *testing.T) {
@@ -71,14 +81,7 @@
 			accepted <- c
 		}
 	}()
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = c.Close() })
-		return c
-	}
+	dial := func() net.Conn { return mustDial(t, ln) }
 	active := dial()
 	<-accepted
 	dial()
@@ -104,14 +107,7 @@
 	var closed []bool
 	limit := Limit{Connections: 1, Refusal: []byte("full"), OnClosed: func(refused bool) { closed = append(closed, refused) }}
 	ln := LimitListener(newListener(t), limit, slog.New(slog.DiscardHandler))
-	dial := func() net.Conn {
-		c, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = c.Close() })
-		return c
-	}
+	dial := func() net.Conn { return mustDial(t, ln) }
 	dial()
 	busy, err := ln.Accept()
 	if err != nil {
