--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -10,12 +10,10 @@
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 )
 
-// How a connection's idleness is known.
+// What the server that reads requests from a connection says of it. Zero, while it has said nothing: the connection
+// is idle from when bytes were last read or written.
 const (
-	// byTransfer: from when bytes were last read or written, until somebody marks it.
-	byTransfer = iota
-	// markedIdle and markedBusy: from the server that reads requests from it.
-	markedIdle
+	markedIdle = iota + 1
 	markedBusy
 )
 
