--- a/internal/consensus/slow_election_test.go
+++ b/internal/consensus/slow_election_test.go
@@ -8,15 +8,20 @@
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
+// crashAll ends all replicas; from then on a message takes up to maxDelay, and none of before arrives.
+func (c *cluster) crashAll(maxDelay time.Duration) {
+	for _, id := range c.ids {
+		c.crash(c.hosts[id])
+	}
+	c.packets, c.maxDelay = nil, maxDelay
+}
+
 // restartWithSlowMessages ends all replicas of a group of five at once, and starts them again in a
 // network in which a message takes up to maxDelay.
 func restartWithSlowMessages(seed uint64, maxDelay time.Duration) *cluster {
 	c := newCluster(seed, 5)
 	c.run(3 * time.Second)
-	for _, id := range c.ids {
-		c.crash(c.hosts[id])
-	}
-	c.packets, c.maxDelay = nil, maxDelay
+	c.crashAll(maxDelay)
 	for _, id := range c.ids {
 		c.start(c.hosts[id])
 	}
@@ -105,10 +110,7 @@
 	for seed := uint64(1); seed <= seeds; seed++ {
 		c := newCluster(seed, 3)
 		c.run(time.Second)
-		for _, id := range c.ids {
-			c.crash(c.hosts[id])
-		}
-		c.packets, c.maxDelay = nil, busyDelay
+		c.crashAll(busyDelay)
 		for _, id := range c.ids[1:] {
 			c.start(c.hosts[id])
 		}
@@ -161,10 +163,7 @@
 	)
 	c := newCluster(seed, 3)
 	c.run(time.Second)
-	for _, id := range c.ids {
-		c.crash(c.hosts[id])
-	}
-	c.packets, c.maxDelay = nil, delay
+	c.crashAll(delay)
 	c.start(c.hosts[c.ids[1]])
 	c.run(time.Duration(c.random.Int64N(int64(maxApart))))
 	c.start(c.hosts[c.ids[2]])
--- a/internal/listen/open.go
+++ b/internal/listen/open.go
@@ -25,9 +25,10 @@
 	takenRetryDelay = 50 * time.Millisecond
 )
 
-// Open listens on a TCP address, host:port. The listener outlives errors of Accept, as LimitedListener does. If the address is taken, it tries again for
-// takenRetryTime or until ctx ends: a process that is started again at once would otherwise end
-// because the killed one has not gone yet. Errors: AddressTaken, those of net.Listen.
+// Open listens on a TCP address, host:port. The listener outlives errors of Accept, as LimitedListener
+// does. If the address is taken, Open tries again for takenRetryTime or until ctx ends: a process that is
+// started again at once would otherwise end because the killed one has not gone yet. Errors: AddressTaken,
+// those of net.Listen.
 func Open(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
 	return open(ctx, address, log, takenRetryTime)
 }
