--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -30,6 +30,9 @@
 	Broken = Namespace.NewType("broken")
 	// Closed: the connection was opened and then closed without a response.
 	Closed = Broken.NewSubtype("closed")
+	// Malformed: the server sent bytes that are no response by the grammar and the framing of HTTP. It is
+	// there, but what it did with the request is unknown.
+	Malformed = Broken.NewSubtype("malformed")
 	// Mismatched: the response is not to this request and attempt.
 	Mismatched = Namespace.NewType("mixed")
 )
@@ -46,6 +49,9 @@
 // Classify wraps an error of a call in its error type. The wrapping hides the cause from
 // errors.Is, so a refused connection gets an error type of its own.
 func Classify(err error) error {
+	if known := errorx.Cast(err); known != nil && Namespace.IsNamespaceOf(known.Type()) {
+		return err
+	}
 	var dial *DialError
 	if errors.As(err, &dial) && errors.Is(err, syscall.ECONNREFUSED) {
 		return Refused.Wrap(err, "no connection")
@@ -84,9 +90,10 @@
 }
 
 // NoAnswer reports whether a call failed since the server did not answer it: no connection could be
-// opened, or it broke or timed out. It is not meant for a response that broke off.
+// opened, or it broke or timed out. A server that sent a malformed response did answer. It is not meant for a
+// response that broke off.
 func NoAnswer(err error) bool {
-	if errorx.IsOfType(err, Withheld) {
+	if errorx.IsOfType(err, Withheld) || errorx.IsOfType(err, Malformed) {
 		return false
 	}
 	return errorx.IsOfType(err, NotSent) || errorx.IsOfType(err, Broken)
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -61,18 +61,20 @@
 func (resp *Response) readHead(skipBody bool) error {
 	resp.complete = false
 	resp.Header.Reset()
-	// The library's reader returns 1xx heads as responses, but they only precede one.
-	for {
-		if err := resp.Header.Read(resp.conn.r); err != nil {
-			return Classify(err)
-		}
-		if status := resp.Header.StatusCode(); status >= 200 {
-			break
-		}
+	h, err := peekFinalHead(resp.conn.r)
+	if err != nil {
+		return Classify(err)
+	}
+	if err := resp.Header.Read(resp.conn.r); err != nil {
+		// The library's error quotes the bytes that follow the head.
+		return Malformed.New("the head of status %d can't be read", h.status)
+	}
+	if h.chunked && h.length >= 0 {
+		// A server and a proxy before it may take different ends of such a response for its own.
+		resp.Header.SetConnectionClose()
 	}
-	resp.length = resp.Header.ContentLength()
-	status := resp.Header.StatusCode()
-	if skipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	resp.length = h.bodyLength()
+	if skipBody {
 		resp.length = 0
 	}
 	resp.chunked = resp.length == lengthChunked
@@ -134,7 +136,7 @@
 
 // keepsAlive reports whether another response may follow on the connection.
 func (resp *Response) keepsAlive() bool {
-	return resp.complete && resp.Header.ContentLength() != lengthUntilClose && !resp.Header.ConnectionClose()
+	return resp.complete && !resp.CloseDelimited() && resp.Header.ContentLength() != lengthUntilClose && !resp.Header.ConnectionClose()
 }
 
 // reusable reports whether the connection can carry another request: no unrequested bytes have
