--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -172,6 +172,24 @@
 	}
 }
 
+// Guards against answers whose trailer is none: what follows the last chunk may be a part of another message.
+func TestBrokenTrailerIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n"
+	for name, trailer := range map[string]string{
+		"blank within a name": "X End: 1\r\n\r\n", "blank behind a name": "X-End : 1\r\n\r\n", "folded line": "X-End: 1\r\n 2\r\n\r\n",
+		"control byte": "X-End: \x01\r\n\r\n", "no colon": "X-End\r\n\r\n", "line feed alone": "X-End: 1\n\r\n", "end without CR": "\n",
+		"another answer": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", "without an end": strings.Repeat("X-End: 1\r\n", maxTrailerBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, head+trailer, func(what string, _ int, body string, err error) {
+				if !errorx.IsOfType(err, Malformed) {
+					t.Errorf("%s: %q, %v; want an error that is Malformed", what, body, err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a request that waits for its deadline while its server has sent bytes that can't become an answer.
 func TestBrokenHeadIsRefusedAtOnce(t *testing.T) {
 	for _, begin := range []string{"not HTTP", "HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"} {
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -15,6 +15,9 @@
 	lengthUntilClose = -2
 )
 
+// maxTrailerBytes bounds what may follow the last chunk of a body.
+const maxTrailerBytes = 8 << 10
+
 // Response is a response whose head has been read. Close must be called.
 type Response struct {
 	Header       fasthttp.ResponseHeader
@@ -117,17 +120,24 @@
 	return n, nil
 }
 
-// readTrailer reads what follows the last chunk of a body.
+// readTrailer reads what follows the last chunk of a body: fields, which are checked and dropped, and an empty line.
 func (resp *Response) readTrailer() error {
-	if resp.chunked {
-		for {
-			line, err := resp.conn.r.ReadSlice('\n')
-			if err != nil {
-				return Broken.Wrap(err, "trailer")
-			}
-			if len(line) <= 2 {
-				break
-			}
+	for left := maxTrailerBytes; resp.chunked; {
+		line, err := resp.conn.r.ReadSlice('\n')
+		if err != nil {
+			return Broken.Wrap(err, "trailer")
+		}
+		if left -= len(line); left < 0 {
+			return Malformed.New("the trailer exceeds %d bytes", maxTrailerBytes)
+		}
+		if line, err = cutLineEnd(line); err != nil {
+			return err
+		}
+		if len(line) == 0 {
+			break
+		}
+		if _, _, err := splitField(line); err != nil {
+			return err
 		}
 	}
 	resp.complete = true
