--- a/internal/relay/effects.go
+++ b/internal/relay/effects.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 )
 
 // probeTimeout bounds one health probe. Probes of a failing server are sent every 200 ms.
@@ -30,7 +33,7 @@
 	target := Target{Address: p.Address, Incarnation: p.Incarnation}
 	healthy, err := s.backend.Health(ctx, target, service.HealthPath)
 	if !healthy {
-		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation, Answered: err == nil})
+		s.host.Post(entry.ProbeFailed{Server: p.Server, Incarnation: p.Incarnation, Answered: err == nil || errorx.IsOfType(err, httpconn.Malformed)})
 		return
 	}
 	s.host.Post(entry.ServerReported{Server: p.Server, Incarnation: p.Incarnation, State: engineapi.StateServing})
