--- a/internal/control/runner/engines.go
+++ b/internal/control/runner/engines.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net"
@@ -13,6 +14,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 )
 
 // LeaseExpired is the type of errors of writes that were not made because this leader's
@@ -147,11 +149,12 @@
 // the connection drops the bytes of the call that have not been sent yet.
 func callOnce(c leasedCall, write func(*fasthttp.Request) error, read func(*fasthttp.Response) error) (bool, error) {
 	guard := &leaseGuard{leaseUntil: c.leaseUntil}
+	connections := httpconn.New()
+	connections.OneCallPerConnection, connections.DialContext = true, guard.dialer(c.timeout)
 	client := &fasthttp.HostClient{
-		Addr: c.address, Dial: guard.dialer(c.timeout),
+		Addr: c.address, Transport: &httpconn.Transport{Client: connections},
 		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: c.maxAnswerBytes,
 	}
-	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -203,10 +206,10 @@
 	firstWrite chan struct{}
 }
 
-func (g *leaseGuard) dialer(timeout time.Duration) fasthttp.DialFunc {
+func (g *leaseGuard) dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	g.firstWrite = make(chan struct{}, 1)
-	return func(address string) (net.Conn, error) {
-		conn, err := net.DialTimeout("tcp", address, timeout)
+	return func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.DialTimeout(network, address, timeout)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/control/runner/engines_test.go
+++ b/internal/control/runner/engines_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,9 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 )
 
 func orderTo(server *httptest.Server, until time.Duration) control.SendOrder {
@@ -83,3 +88,50 @@
 		engine.Close()
 	}
 }
+
+// Guards against an answer that HTTP calls faulty and that counts: an order that passes for done, a duty for accepted, an
+// address for that of an incarnation.
+func TestBrokenAnswerCountsForNothing(t *testing.T) {
+	const body = `{"id":"o1","result":"done"}`
+	fields := engineapi.HeaderIncarnation + ": i-1\r\n"
+	length := fmt.Sprintf(": %d\r\n\r\n%s", len(body), body)
+	for name, text := range map[string]string{
+		"status 000":                     "HTTP/1.1 000 \r\n" + fields + "Content-Length" + length,
+		"status 099 before an answer":    "HTTP/1.1 099 \r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length" + length,
+		"blank within a name":            "HTTP/1.1 200 OK\r\n" + fields + "X Trouble: 1\r\nContent-Length" + length,
+		"blank behind the length's name": "HTTP/1.1 200 OK\r\n" + fields + "Content-Length " + length,
+		"control byte within a name":     "HTTP/1.1 200 OK\r\n" + fields + "X\x01Trouble: 1\r\nContent-Length" + length,
+		"chunks in HTTP/1.0":             "HTTP/1.0 200 OK\r\n" + fields + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"blank in the trailer":           "HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX End: 1\r\n\r\n", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+					_, _ = conn.Write([]byte(text))
+					_ = conn.Close()
+				}
+			}))
+			defer engine.Close()
+			if answer, notSent, err := deliver(nativeOrders{}, orderTo(engine, clock.SinceBoot()+time.Minute)); err == nil || notSent {
+				t.Errorf("order: %+v, not sent %v", answer, notSent)
+			}
+			address := strings.TrimPrefix(engine.URL, "http://")
+			call := control.DutyCall{Duty: control.DutyUsage, Usage: &pb.UsageWindow{Window: 1}, Timeout: time.Second, LeaseUntil: clock.SinceBoot() + time.Minute}
+			if result, reason := newDutyCaller(nil, address, nil).deliver(call); result != control.DutyUnanswered {
+				t.Errorf("duty: %s, %s", result, reason)
+			}
+			var incarnation string
+			_, err := callOnce(leasedCall{address: address, leaseUntil: math.MaxInt64, timeout: time.Second, maxAnswerBytes: maxOrderAnswerBytes},
+				func(req *fasthttp.Request) error {
+					return nativeIdentity{}.WriteCheck(req, control.CheckAddress{Address: address})
+				},
+				func(resp *fasthttp.Response) (err error) {
+					incarnation, err = nativeIdentity{}.ReadCheck(resp)
+					return err
+				})
+			if err == nil {
+				t.Errorf("identity: %q", incarnation)
+			}
+		})
+	}
+}
--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -41,7 +41,10 @@
 type Client struct {
 	// DialContext opens connections. It may be replaced before the first call.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
-	dialer      net.Dialer
+	// OneCallPerConnection closes each connection after its response. It may be set before the first call.
+	OneCallPerConnection bool
+
+	dialer net.Dialer
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -157,7 +157,7 @@
 // closes the connection, which makes the server stop its work.
 func (resp *Response) Close() {
 	watchStopped := resp.stopCtxWatch()
-	if watchStopped && resp.reusable() {
+	if watchStopped && resp.reusable() && !resp.client.OneCallPerConnection {
 		resp.client.putIdle(resp.conn, maxIdleTime(&resp.Header))
 		return
 	}
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -24,16 +26,12 @@
 	// prefills, so longer silence means that the connection or the engine has
 	// failed.
 	streamIdleTimeout = 1500 * time.Millisecond
-	// maxConnIdle is how long an idle connection is kept for reuse. Middleboxes
-	// may drop the state of connections that are idle for longer.
-	maxConnIdle = 2 * time.Second
+	// idleCheckInterval is how often connections are closed that have been idle for too long.
+	idleCheckInterval = time.Second
 	// maxConnsPerServer bounds the connections to one server.
 	maxConnsPerServer = 1024
 	// maxResponseBytes bounds the answer of a plain service.
 	maxResponseBytes = 16 << 20
-	// readBufferBytes is the size of a connection's read buffer. The response
-	// headers must fit into it.
-	readBufferBytes = 8 << 10
 )
 
 // Namespace holds the error types of this package.
@@ -46,6 +44,8 @@
 	unpooled *fasthttp.Client
 	// pooled reuses connections. It serves first attempts of idempotent calls.
 	pooled *fasthttp.Client
+	// idle are the connections that pooled keeps.
+	idle *httpconn.Client
 	// streams and reconnects open streaming connections with a deadline on each
 	// read: streams for new streams, reconnects for streams that already run.
 	streams    *fasthttp.Client
@@ -53,7 +53,26 @@
 }
 
 func newEngineClient() *engineClient {
-	return &engineClient{unpooled: newHTTPClient(), pooled: newHTTPClient(), streams: newStreamClient(firstReadTimeout), reconnects: newStreamClient(reconnectReadTimeout)}
+	kept := newConnections(dialServer, true)
+	return &engineClient{
+		unpooled: newHTTPClient(newConnections(dialServer, false)), pooled: newHTTPClient(kept), idle: kept,
+		streams: newStreamClient(firstReadTimeout), reconnects: newStreamClient(reconnectReadTimeout),
+	}
+}
+
+// newConnections returns the connections to servers that a client sends over; kept ones carry several calls.
+func newConnections(dial fasthttp.DialFunc, kept bool) *httpconn.Client {
+	c := httpconn.New()
+	c.OneCallPerConnection = !kept
+	c.DialContext = func(_ context.Context, _, address string) (net.Conn, error) { return dial(address) }
+	return c
+}
+
+// closeIdle closes idle connections until ctx ends.
+func (c *engineClient) closeIdle(ctx context.Context) {
+	for host.Sleep(ctx, idleCheckInterval) {
+		c.idle.CloseIdle()
+	}
 }
 
 // newHTTPClient returns a client that never retries a call by itself.
@@ -63,26 +82,20 @@
 // that must run at most once; if the server dies after running it, an automatic
 // retry would run it a second time. RetryIfErr and MaxIdemponentCallAttempts
 // turn these retries off.
-func newHTTPClient() *fasthttp.Client {
+func newHTTPClient(connections *httpconn.Client) *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                      dialServer,
+		Transport:                 &httpconn.Transport{Client: connections},
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdemponentCallAttempts: 1,
-		MaxIdleConnDuration:       maxConnIdle,
 		MaxConnsPerHost:           maxConnsPerServer,
 		MaxResponseBodySize:       maxResponseBytes,
-		ReadBufferSize:            readBufferBytes,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
 	}
 }
 
 func dialServer(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, serverDialTimeout)
-	if err != nil {
-		return nil, &httpconn.DialError{Cause: err}
-	}
-	return conn, nil
+	return net.DialTimeout("tcp", address, serverDialTimeout)
 }
 
 // serverStatus is the status that a backend server attaches to every answer as
--- a/internal/traffic/model.go
+++ b/internal/traffic/model.go
@@ -160,7 +160,7 @@
 	}
 	stream, err := a.openStream(handle)
 	if err != nil {
-		a.recordFailure(err)
+		a.connectionFailed(a.dispatch.Server, err)
 		return nil
 	}
 	defer stream.close()
@@ -188,6 +188,12 @@
 	return req
 }
 
+// connectionFailed logs and records why a connection to a server failed.
+func (a *modelAttempt) connectionFailed(server string, err error) {
+	a.server.logAttemptFailed(a.wireID, server, a.dispatch.Attempt, err)
+	a.recordFailure(err)
+}
+
 // recordFailure records why a connection failed. If it could not be opened,
 // nothing was sent. If it was refused, the server's process is gone.
 func (a *modelAttempt) recordFailure(err error) {
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -201,6 +201,9 @@
 	answer, err := j.sendAttempt(dispatch)
 	result.Elapsed = time.Since(startedAt)
 	result.NoAnswer = httpconn.NoAnswer(err)
+	if err != nil {
+		j.server.logAttemptFailed(j.wireID, dispatch.Server, dispatch.Attempt, err)
+	}
 	switch {
 	case err == nil:
 		j.answer, result.Complete, result.Outcome = answer, true, outcome.Ran
--- a/internal/traffic/prefill.go
+++ b/internal/traffic/prefill.go
@@ -33,7 +33,7 @@
 	stream, err := a.server.engines.openStream(a.dispatch.PrefillAddress, req)
 	if err != nil {
 		a.result.AtPrefillServer = true
-		a.recordFailure(err)
+		a.connectionFailed(a.dispatch.PrefillServer, err)
 		return "", nil
 	}
 	defer stream.close()
--- a/internal/traffic/regenerate.go
+++ b/internal/traffic/regenerate.go
@@ -38,7 +38,7 @@
 	req.GeneratedText, req.GeneratedTokens = a.knownPrefix.text, a.knownPrefix.tokens
 	stream, err := a.server.engines.openStream(a.dispatch.Address, req)
 	if err != nil {
-		a.recordFailure(err)
+		a.connectionFailed(a.dispatch.Server, err)
 		return nil
 	}
 	defer func() { stream.close() }()
@@ -58,7 +58,7 @@
 	// sends the tokens from the offset on.
 	remaining, err := a.server.engines.reconnectStream(a.dispatch.Address, a.wireID, a.dispatch.EngineAttempt, a.offset)
 	if err != nil {
-		a.recordFailure(err)
+		a.connectionFailed(a.dispatch.Server, err)
 		return nil
 	}
 	stream.close()
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -17,6 +17,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/listen"
+	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 )
@@ -95,6 +96,7 @@
 			func(ctx context.Context) { s.peers.runRenewals(ctx, s.records) },
 			func(ctx context.Context) { s.claims.runClaims(ctx, s.host.Spawn) },
 			s.claims.runSettlements,
+			s.engines.closeIdle,
 		},
 		Serve:          []func() error{func() error { return s.app.Listener(s.host.CallerListener(s.callerListener)) }},
 		PeerHandler:    pb.NewPeerServer(peerService{s}),
@@ -145,3 +147,8 @@
 		FromResponse: true, SentAt: status.sentAt, Backpressure: status.backpressure,
 	})
 }
+
+// logAttemptFailed writes a line for an attempt whose server gave no whole answer.
+func (s *Server) logAttemptFailed(requestID, server string, attempt uint32, err error) {
+	s.host.Log.Info(obs.LineAttemptFailed, "request_id", requestID, "server", server, "attempt", attempt, "error", err.Error())
+}
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -55,18 +55,24 @@
 	return n, err
 }
 
+// Write sets a deadline of streamIdleTimeout for each write, too.
+func (c *deadlineConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(streamIdleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 func newStreamClient(firstTimeout time.Duration) *fasthttp.Client {
-	c := newHTTPClient()
-	c.Dial = func(address string) (net.Conn, error) {
+	c := newHTTPClient(newConnections(func(address string) (net.Conn, error) {
 		conn, err := dialServer(address)
 		if err != nil {
 			return nil, err
 		}
 		return &deadlineConn{Conn: conn, firstTimeout: firstTimeout}, nil
-	}
+	}, false))
 	c.StreamResponseBody = true
 	c.MaxResponseBodySize = 0
-	c.WriteTimeout = streamIdleTimeout
 	return c
 }
 
