--- a/internal/traffic/broken_answer_test.go
+++ b/internal/traffic/broken_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -82,3 +83,50 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that passes for the whole: a server answers a long upload at once, without a length,
+// and resets the connection while the upload is still being written.
+func TestAnswerThatIsResetDuringAnUploadIsNotWhole(t *testing.T) {
+	const uploads = 30
+	for _, reset := range []bool{true, false} {
+		t.Run(fmt.Sprintf("reset %v", reset), func(t *testing.T) {
+			address := answerEarly(t, reset)
+			for n := range uploads {
+				upload := make([]byte, 200<<10+n*(400<<10))
+				if status, body, err := newEngineClient().callBytes("POST", "http://"+address+"/x", upload, testTimeout); err == nil {
+					t.Errorf("an upload of %d bytes: %d %q", len(upload), status, body)
+				}
+			}
+		})
+	}
+}
+
+// answerEarly starts a server that answers before it has read the body, and ends the connection with bytes unread.
+func answerEarly(t *testing.T, reset bool) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			tcp := conn.(*net.TCPConn)
+			_ = tcp.SetReadBuffer(8 << 10)
+			go func() {
+				_, _ = conn.Read(make([]byte, 512))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the body")
+				time.Sleep(time.Duration(n%5) * 10 * time.Millisecond)
+				if reset {
+					_ = tcp.SetLinger(0)
+				}
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
