--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -99,7 +99,7 @@
 
 // Do sends the request and reads the head of the response. When ctx ends the connection is
 // closed, also while the body is read. Errors: NotSent, Refused, Reset, Broken, Closed,
-// Mismatched.
+// Malformed, Mismatched.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	cn, err := c.connection(ctx, call)
 	if err != nil {
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -75,13 +75,16 @@
 	}
 }
 
+// peekVersion waits for the first bytes of a response, and refuses others as soon as one differs.
 func peekVersion(r *bufio.Reader) error {
-	begin, err := r.Peek(len(httpVersion))
-	if err != nil {
-		return err
-	}
-	if string(begin) != httpVersion {
-		return Malformed.New("the response does not begin with " + httpVersion)
+	for n := range len(httpVersion) {
+		begin, err := r.Peek(n + 1)
+		if err != nil {
+			return err
+		}
+		if begin[n] != httpVersion[n] {
+			return Malformed.New("the response does not begin with " + httpVersion)
+		}
 	}
 	return nil
 }
@@ -110,17 +113,17 @@
 func cutLineEnd(line []byte) ([]byte, error) {
 	line, found := bytes.CutSuffix(line, []byte("\r\n"))
 	if !found {
-		return nil, Malformed.New("a line of the head ends without CR")
+		return nil, Malformed.New("a line ends without CR")
 	}
 	return line, nil
 }
 
-// readStatusLine reads version and status. Blanks behind a status without a reason may be missing, as many servers omit them.
+// readStatusLine reads version and status. The blank behind a status without a reason may be missing: many servers omit it.
 func (h *head) readStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	code, reason, _ := bytes.Cut(rest, []byte(" "))
-	minor, found := bytes.CutPrefix(version, []byte(httpVersion))
-	if !found || len(minor) != 1 || !isDigit(minor[0]) {
+	minor := bytes.TrimPrefix(version, []byte(httpVersion))
+	if len(minor) != 1 || !isDigit(minor[0]) {
 		return Malformed.New("the version is not HTTP/1 and a digit")
 	}
 	status, ok := parseDigits(code, len("200"))
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -27,6 +27,8 @@
 	"status of two digits":                    "HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nfour",
 	"status of four digits":                   "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nfour",
 	"status with a sign":                      "HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\nfour",
+	"four bytes":                              "junk",
+	"a line of four bytes":                    "junk\n",
 	"switched protocols":                      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\nfour",
 	"switched protocols before an answer":     "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour",
 	"too many interim answers":                strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour",
@@ -61,6 +63,7 @@
 	"carriage return in a value":              "HTTP/1.1 200 OK\r\nX-Trouble: a\rContent-Length: 2\r\nContent-Length: 4\r\n\r\nfour",
 	"line feeds alone":                        "HTTP/1.1 200 OK\nContent-Length: 4\n\nfour",
 	"two lengths":                             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nfour",
+	"two equal lengths":                       "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nfour",
 	"list of lengths":                         "HTTP/1.1 200 OK\r\nContent-Length: 4, 2\r\n\r\nfour",
 	"length with a sign":                      "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nfour",
 	"negative length":                         "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nfour",
@@ -118,26 +121,27 @@
 		status int
 		answer string
 	}{
-		"empty reason":               {200, "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nfour"},
-		"no blank behind the status": {200, "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nfour"},
-		"reason above 127":           {200, "HTTP/1.1 200 \xe9t\xe9\tok\r\nContent-Length: 4\r\n\r\nfour"},
-		"all bytes of a token":       {200, "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 4\r\n\r\nfour"},
-		"values above 127 and tabs":  {200, "HTTP/1.1 200 OK\r\nX-Value:\ta\t\xe9\xff\t\r\nContent-Length: 4\r\n\r\nfour"},
-		"empty value":                {200, "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Blank: \r\nContent-Length: 4\r\n\r\nfour"},
-		"lower case":                 {200, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour"},
-		"no blank behind the colon":  {200, "HTTP/1.1 200 OK\r\nContent-Length:4\r\n\r\nfour"},
-		"blanks around a value":      {200, "HTTP/1.1 200 OK\r\nContent-Length: \t 4 \t \r\n\r\nfour"},
-		"colons in a value":          {200, "HTTP/1.1 200 OK\r\nX-Time: 1:2:3\r\nContent-Length: 4\r\n\r\nfour"},
-		"chunks with extensions":     {200, "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2;a=b\r\nfo\r\n2;c=\"d\"\r\nur\r\n0\r\n\r\n"},
-		"trailer":                    {200, "HTTP/1.1 200 OK\r\nTrailer: X-End\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\nX-End: 1\r\nX-Empty:\r\n\r\n"},
-		"100 and 103":                {200, "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
-		"status 299":                 {299, "HTTP/1.1 299 Odd\r\nContent-Length: 4\r\n\r\nfour"},
-		"status 599":                 {599, "HTTP/1.1 599 Odd\r\nContent-Length: 4\r\n\r\nfour"},
-		"HTTP/1.0":                   {200, "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
-		"chunks in HTTP/1.2":         {200, "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n"},
-		"length beside chunks":       {200, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n"},
-		"until the connection ends":  {200, "HTTP/1.1 200 OK\r\n\r\nfour"},
-		"no fields, HTTP/1.0":        {200, "HTTP/1.0 200 OK\r\n\r\nfour"},
+		"empty reason":                {200, "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nfour"},
+		"no blank behind the status":  {200, "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nfour"},
+		"reason above 127":            {200, "HTTP/1.1 200 \xe9t\xe9\tok\r\nContent-Length: 4\r\n\r\nfour"},
+		"all bytes of a token":        {200, "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 4\r\n\r\nfour"},
+		"values above 127 and tabs":   {200, "HTTP/1.1 200 OK\r\nX-Value:\ta\t\xe9\xff\t\r\nContent-Length: 4\r\n\r\nfour"},
+		"empty value":                 {200, "HTTP/1.1 200 OK\r\nX-Empty:\r\nX-Blank: \r\nContent-Length: 4\r\n\r\nfour"},
+		"lower case":                  {200, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfour"},
+		"no blank behind the colon":   {200, "HTTP/1.1 200 OK\r\nContent-Length:4\r\n\r\nfour"},
+		"blanks around a value":       {200, "HTTP/1.1 200 OK\r\nContent-Length: \t 4 \t \r\n\r\nfour"},
+		"colons in a value":           {200, "HTTP/1.1 200 OK\r\nX-Time: 1:2:3\r\nContent-Length: 4\r\n\r\nfour"},
+		"chunks with extensions":      {200, "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2;a=b\r\nfo\r\n2;c=\"d\"\r\nur\r\n0\r\n\r\n"},
+		"blank behind a chunk's size": {200, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 \r\nfour\r\n0\r\n\r\n"},
+		"trailer":                     {200, "HTTP/1.1 200 OK\r\nTrailer: X-End\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\nX-End: 1\r\nX-Empty:\r\n\r\n"},
+		"100 and 103":                 {200, "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
+		"status 299":                  {299, "HTTP/1.1 299 Odd\r\nContent-Length: 4\r\n\r\nfour"},
+		"status 599":                  {599, "HTTP/1.1 599 Odd\r\nContent-Length: 4\r\n\r\nfour"},
+		"HTTP/1.0":                    {200, "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfour"},
+		"chunks in HTTP/1.2":          {200, "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n"},
+		"length beside chunks":        {200, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n"},
+		"until the connection ends":   {200, "HTTP/1.1 200 OK\r\n\r\nfour"},
+		"no fields, HTTP/1.0":         {200, "HTTP/1.0 200 OK\r\n\r\nfour"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachWay(t, c.answer, func(what string, status int, body string, err error) {
@@ -172,6 +176,21 @@
 	}
 }
 
+// Guards against a body in faulty chunks that passes for whole.
+func TestBrokenChunksAreNoAnswer(t *testing.T) {
+	for _, chunks := range []string{
+		"4\nfour\r\n0\r\n\r\n", "4\r\nfour\n0\r\n\r\n", "4\r\nfour\r\n0\n\r\n", "4\r\nfour0\r\n\r\n", "4\r\nfour more\r\n0\r\n\r\n", "+4\r\nfour\r\n0\r\n\r\n",
+		"-4\r\nfour\r\n0\r\n\r\n", "0x4\r\nfour\r\n0\r\n\r\n", "\r\nfour\r\n0\r\n\r\n", ";a=b\r\nfour\r\n0\r\n\r\n", "10000000000000004\r\nfour\r\n0\r\n\r\n",
+		"4\rx\r\nfour\r\n0\r\n\r\n", "g\r\nfour\r\n0\r\n\r\n", "four",
+	} {
+		eachWay(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks, func(what string, _ int, body string, err error) {
+			if !errorx.IsOfType(err, Broken) {
+				t.Errorf("%q, %s: %q, %v", chunks, what, body, err)
+			}
+		})
+	}
+}
+
 // Guards against answers whose trailer is none: what follows the last chunk may be a part of another message.
 func TestBrokenTrailerIsNoAnswer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n"
@@ -192,7 +211,7 @@
 
 // Guards against a request that waits for its deadline while its server has sent bytes that can't become an answer.
 func TestBrokenHeadIsRefusedAtOnce(t *testing.T) {
-	for _, begin := range []string{"not HTTP", "HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"} {
+	for _, begin := range []string{"junk", "HTTP?", "not HTTP", "HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n"} {
 		p := newPeer(t, func(conn net.Conn, _ int, _ *http.Request) bool {
 			write(conn, begin)
 			_, _ = io.ReadAll(conn)
--- a/internal/traffic/broken_answer_test.go
+++ b/internal/traffic/broken_answer_test.go
@@ -19,6 +19,7 @@
 // brokenAnswers are answers that HTTP calls faulty. FIELDS stands for those that name the request. Package httpconn has more.
 var brokenAnswers = map[string]string{
 	"status 000":                     "HTTP/1.1 000 \r\nFIELDSContent-Length: 2\r\n\r\n{}",
+	"no HTTP":                        "junk\n",
 	"status 099 before an answer":    "HTTP/1.1 099 \r\n\r\nHTTP/1.1 200 OK\r\nFIELDSContent-Length: 2\r\n\r\n{}",
 	"blank within a name":            "HTTP/1.1 200 OK\r\nFIELDSX Trouble: 1\r\nContent-Length: 2\r\n\r\n{}",
 	"blank behind the length's name": "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 2\r\n\r\n{} and more",
