--- a/internal/control/runner/engines.go
+++ b/internal/control/runner/engines.go
@@ -153,7 +153,7 @@
 	connections.OneCallPerConnection, connections.DialContext = true, guard.dialer(c.timeout)
 	client := &fasthttp.HostClient{
 		Addr: c.address, Transport: &httpconn.Transport{Client: connections},
-		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, MaxResponseBodySize: c.maxAnswerBytes,
+		MaxResponseBodySize: c.maxAnswerBytes,
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -191,8 +191,6 @@
 	return answer, nil
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
 // leaseGuard checks the lease directly before each write.
 //
 // Failure: the process is paused, or waits long for a connection, after the reducer issued
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -146,7 +146,7 @@
 
 // keepsAlive reports whether another response may follow on the connection.
 func (resp *Response) keepsAlive() bool {
-	return resp.complete && !resp.CloseDelimited() && resp.Header.ContentLength() != lengthUntilClose && !resp.Header.ConnectionClose()
+	return resp.complete && resp.Header.ContentLength() != lengthUntilClose && !resp.Header.ConnectionClose()
 }
 
 // reusable reports whether the connection can carry another request: no unrequested bytes have
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -11,6 +11,10 @@
 // Transport lets a client of the HTTP library send over a Client, which reads its responses too: the library accepts
 // responses that HTTP calls faulty. It implements fasthttp.RoundTripper. Of the library's settings it heeds the limits of
 // connections and of a body's size, and a request's timeout; connections are the Client's to open and to keep.
+//
+// No call is sent twice. By default the library sends GET and other idempotent calls up to five times when a reused
+// connection closes without an answer. A balance lookup is a GET that must run at most once; if the server dies after running
+// it, an automatic retry would run it a second time. The library retries only what RoundTrip asks it to.
 type Transport struct{ Client *Client }
 
 var _ fasthttp.RoundTripper = (*Transport)(nil)
--- a/internal/httpconn/transport_test.go
+++ b/internal/httpconn/transport_test.go
@@ -16,10 +16,7 @@
 func libraryClient(oneCall bool) *fasthttp.Client {
 	connections := New()
 	connections.OneCallPerConnection = oneCall
-	return &fasthttp.Client{
-		Transport: &Transport{Client: connections}, MaxResponseBodySize: 100, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 2,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
+	return &fasthttp.Client{Transport: &Transport{Client: connections}, MaxResponseBodySize: 100, MaxConnsPerHost: 2}
 }
 
 // get sends a request with the library and returns the body.
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -75,22 +75,14 @@
 	}
 }
 
-// newHTTPClient returns a client that never retries a call by itself.
-//
-// By default the library sends GET and other idempotent calls up to five times
-// when a reused connection closes without an answer. A balance lookup is a GET
-// that must run at most once; if the server dies after running it, an automatic
-// retry would run it a second time. RetryIfErr and MaxIdemponentCallAttempts
-// turn these retries off.
+// newHTTPClient returns a client that sends over the connections and never retries a call by itself.
 func newHTTPClient(connections *httpconn.Client) *fasthttp.Client {
 	return &fasthttp.Client{
-		Transport:                 &httpconn.Transport{Client: connections},
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxIdemponentCallAttempts: 1,
-		MaxConnsPerHost:           maxConnsPerServer,
-		MaxResponseBodySize:       maxResponseBytes,
-		NoDefaultUserAgentHeader:  true,
-		DisablePathNormalizing:    true,
+		Transport:                &httpconn.Transport{Client: connections},
+		MaxConnsPerHost:          maxConnsPerServer,
+		MaxResponseBodySize:      maxResponseBytes,
+		NoDefaultUserAgentHeader: true,
+		DisablePathNormalizing:   true,
 	}
 }
 
