--- a/internal/decision/placement/limit_test.go
+++ b/internal/decision/placement/limit_test.go
@@ -46,3 +46,33 @@
 		})
 	}
 }
+
+// Guards against a plain server that is sent no request any more since one call took long, as the first one over a new
+// connection may.
+func TestPlainServerIsChosenAgainAfterOneSlowCall(t *testing.T) {
+	const requests, interval = 30_000, 20 * time.Millisecond
+	const slowCall, usualCall = 26 * time.Millisecond, 12 * time.Millisecond
+	p, fleet := New(), &decision.Fleet{Entries: 1}
+	for i := range 2 {
+		fleet.Servers = append(fleet.Servers, decision.Server{
+			ID: fmt.Sprint("plain-", i), Kind: declaration.KindPlain, Services: []string{"calls"}, Usable: true, Slots: 64,
+		})
+	}
+	now, slow, chosen := time.Duration(0), fleet.Servers[0].ID, 0
+	p.Observe(now, slow, Result{TotalTime: slowCall})
+	for n := range requests {
+		now += interval
+		w := &decision.Work{RequestID: fmt.Sprint("request-", n), Kind: declaration.KindPlain, Service: "calls", Arrived: now}
+		choice, ok := p.Pick(now, w, fleet)
+		if !ok {
+			t.Fatalf("request %d: no server has capacity", n)
+		}
+		if choice.Server.ID == slow {
+			chosen++
+		}
+		p.Observe(now, choice.Server.ID, Result{TotalTime: usualCall})
+	}
+	if chosen == 0 {
+		t.Errorf("the server is sent none of %d requests in %v", requests, now)
+	}
+}
