--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -182,6 +182,8 @@
 		"4\nfour\r\n0\r\n\r\n", "4\r\nfour\n0\r\n\r\n", "4\r\nfour\r\n0\n\r\n", "4\r\nfour0\r\n\r\n", "4\r\nfour more\r\n0\r\n\r\n", "+4\r\nfour\r\n0\r\n\r\n",
 		"-4\r\nfour\r\n0\r\n\r\n", "0x4\r\nfour\r\n0\r\n\r\n", "\r\nfour\r\n0\r\n\r\n", ";a=b\r\nfour\r\n0\r\n\r\n", "10000000000000004\r\nfour\r\n0\r\n\r\n",
 		"4\rx\r\nfour\r\n0\r\n\r\n", "g\r\nfour\r\n0\r\n\r\n", "four",
+		"4;a=\rb\r\nfour\r\n0\r\n\r\n", "4;a=\nb\r\nfour\r\n0\r\n\r\n", "4;a=\"\r\n\"\r\nfour\r\n0\r\n\r\n", "4 4\r\nfour\r\n0\r\n\r\n", "4:a\r\nfour\r\n0\r\n\r\n",
+		"4;" + strings.Repeat("a", bufferBytes) + "\r\nfour\r\n0\r\n\r\n",
 	} {
 		eachWay(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks, func(what string, _ int, body string, err error) {
 			if !errorx.IsOfType(err, Broken) {
