--- a/internal/httpconn/client.go
+++ b/internal/httpconn/client.go
@@ -225,9 +225,8 @@
 	c.discard(cn)
 }
 
-// CloseIdle closes the connections that have been idle too long. It is to be called
-// periodically.
-func (c *Client) CloseIdle() {
+// closeExpired closes the connections that have been idle for too long.
+func (c *Client) closeExpired() {
 	c.mu.Lock()
 	var expired []*conn
 	for _, h := range c.hosts {
--- a/internal/httpconn/idle.go
+++ b/internal/httpconn/idle.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,16 @@
 // so that no request is in flight at that time.
 const idleMargin = 150 * time.Millisecond
 
+// idleCheckInterval is half of the time that a connection may be idle.
+const idleCheckInterval = defaultMaxIdleTime / 2
+
+// CloseIdle closes connections that have been idle for too long, until ctx ends.
+func (c *Client) CloseIdle(ctx context.Context) {
+	for sleep(ctx, idleCheckInterval) {
+		c.closeExpired()
+	}
+}
+
 // maxIdleTime returns how long a connection may be idle after this response: defaultMaxIdleTime,
 // or less if the server announces with Keep-Alive that it closes it sooner.
 func maxIdleTime(h *fasthttp.ResponseHeader) time.Duration {
--- a/internal/httpconn/listens.go
+++ b/internal/httpconn/listens.go
@@ -54,9 +54,12 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d; it returns false as soon as ctx ends.
+func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
+		return false
 	case <-time.After(d):
+		return true
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -187,8 +187,8 @@
 	// NothingListens reports whether new connections to the server are refused, as they are once
 	// its process has ended.
 	NothingListens(ctx context.Context, t Target) bool
-	// CloseIdle closes connections that have been idle too long.
-	CloseIdle()
+	// CloseIdle closes connections that have been idle for too long, until ctx ends.
+	CloseIdle(ctx context.Context)
 }
 
 // Server relays callers' requests.
@@ -238,12 +238,5 @@
 // EndRequests gives the requests their final answer that still run at the deadline of a planned stop.
 func (s *Server) EndRequests() { time.AfterFunc(lastAnswersTime, s.end) }
 
-// idleCheckInterval is half of the time that a connection may be idle.
-const idleCheckInterval = time.Second
-
 // CloseIdle closes idle connections to servers until ctx ends.
-func (s *Server) CloseIdle(ctx context.Context) {
-	for host.Sleep(ctx, idleCheckInterval) {
-		s.backend.CloseIdle()
-	}
-}
+func (s *Server) CloseIdle(ctx context.Context) { s.backend.CloseIdle(ctx) }
--- a/internal/traffic/engine.go
+++ b/internal/traffic/engine.go
@@ -12,7 +12,6 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/decision/backpressure"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
-	"goldcrestseam.dev/goldcrestseam/internal/host"
 	"goldcrestseam.dev/goldcrestseam/internal/httpconn"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -26,8 +25,6 @@
 	// prefills, so longer silence means that the connection or the engine has
 	// failed.
 	streamIdleTimeout = 1500 * time.Millisecond
-	// idleCheckInterval is how often connections are closed that have been idle for too long.
-	idleCheckInterval = time.Second
 	// maxConnsPerServer bounds the connections to one server.
 	maxConnsPerServer = 1024
 	// maxResponseBytes bounds the answer of a plain service.
@@ -44,8 +41,8 @@
 	unpooled *fasthttp.Client
 	// pooled reuses connections. It serves first attempts of idempotent calls.
 	pooled *fasthttp.Client
-	// idle are the connections that pooled keeps.
-	idle *httpconn.Client
+	// kept are the connections that pooled reuses.
+	kept *httpconn.Client
 	// streams and reconnects open streaming connections with a deadline on each
 	// read: streams for new streams, reconnects for streams that already run.
 	streams    *fasthttp.Client
@@ -55,7 +52,7 @@
 func newEngineClient() *engineClient {
 	kept := newConnections(dialServer, true)
 	return &engineClient{
-		unpooled: newHTTPClient(newConnections(dialServer, false)), pooled: newHTTPClient(kept), idle: kept,
+		unpooled: newHTTPClient(newConnections(dialServer, false)), pooled: newHTTPClient(kept), kept: kept,
 		streams: newStreamClient(firstReadTimeout), reconnects: newStreamClient(reconnectReadTimeout),
 	}
 }
@@ -68,13 +65,6 @@
 	return c
 }
 
-// closeIdle closes idle connections until ctx ends.
-func (c *engineClient) closeIdle(ctx context.Context) {
-	for host.Sleep(ctx, idleCheckInterval) {
-		c.idle.CloseIdle()
-	}
-}
-
 // newHTTPClient returns a client that sends over the connections and never retries a call by itself.
 func newHTTPClient(connections *httpconn.Client) *fasthttp.Client {
 	return &fasthttp.Client{
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -96,7 +96,7 @@
 			func(ctx context.Context) { s.peers.runRenewals(ctx, s.records) },
 			func(ctx context.Context) { s.claims.runClaims(ctx, s.host.Spawn) },
 			s.claims.runSettlements,
-			s.engines.closeIdle,
+			s.engines.kept.CloseIdle,
 		},
 		Serve:          []func() error{func() error { return s.app.Listener(s.host.CallerListener(s.callerListener)) }},
 		PeerHandler:    pb.NewPeerServer(peerService{s}),
