--- /dev/null
+++ b/internal/proof/uploads_test.go
@@ -0,0 +1,69 @@
+package proof
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/standin/uploads"
+	"goldcrestseam.dev/goldcrestseam/internal/testbed"
+)
+
+// The lowered limits of the entries. A crowd holds several times that memory, and more connections than an entry takes.
+const (
+	crowdMemoryMB = 96
+	crowdFiles    = 200
+	crowdClients  = 150
+	// sendingLimit bounds the wait for clients whose bodies nobody reads.
+	sendingLimit = 8 * time.Second
+)
+
+// Guards against an entry that runs out of memory, or of connections, by clients that send large, slow or endless bodies
+// over the system's own protocol.
+func TestNativeEntryBearsCrowdsOfUploads(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+	defer cancel()
+	dir := filepath.Join(filepath.Dir(bin), "uploads")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	b, err := testbed.New(testbed.Options{
+		BinDir: bin, Dir: dir, Deployment: Deployment, DeployDir: root + "/deploy", EnginesPerDataCentre: 1, EntriesPerDataCentre: 1,
+		EntryMemoryMB: crowdMemoryMB, EntryFiles: crowdFiles,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	if err := b.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	entry := b.Entries[0]
+	for _, line := range []string{"POST /v1/completions", "POST " + engineapi.PathAnnounce, "GET /v1/entries", "GET /healthz", "POST /svc/portal/x", "POST /no/such/path"} {
+		for _, kind := range uploads.Kinds() {
+			t.Run(line+" "+kind.Name, func(t *testing.T) {
+				entry.Kill()
+				if err := entry.Start(); err != nil {
+					t.Fatal(err)
+				}
+				if err := b.WaitReady(ctx); err != nil {
+					t.Fatal(err)
+				}
+				check := uploads.Watch(t, entry, uploads.Limits{MemoryMB: crowdMemoryMB, Files: crowdFiles})
+				crowd := uploads.Open(entry.Address, crowdClients, func(int) string {
+					return line + " HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nAuthorization: Bearer " + testbed.MemberToken(Deployment, Members[0]) + "\r\n"
+				}, kind.Upload)
+				defer crowd.Close()
+				crowd.AwaitSent(sendingLimit)
+				if err := b.WaitReady(ctx); err != nil {
+					t.Errorf("no ordinary request is answered beside the crowd, which got %v: %v", crowd.Statuses(), err)
+				}
+				check()
+				t.Logf("the crowd got %v", crowd.Statuses())
+			})
+		}
+	}
+}
--- a/internal/testbed/options.go
+++ b/internal/testbed/options.go
@@ -52,6 +52,9 @@
 	// MaxOrderPause is the setting order_pause of the control replicas: the
 	// longest pause of a control process that orders must tolerate. Default 2s.
 	MaxOrderPause time.Duration
+	// EntryMemoryMB and EntryFiles are the memory and the descriptors of each entry, the latter enforced. Default: no
+	// limit.
+	EntryMemoryMB, EntryFiles int
 	// LogLevel is the log level of entries and control replicas. Default info.
 	LogLevel string
 }
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -116,15 +116,17 @@
 		for n := range b.options.EntriesPerDataCentre {
 			name, address, peer := nodeName("entry", dc, n), b.ports.address(), b.ports.address()
 			dataCentre := b.options.dataCentre(dc)
+			common := b.commonSettings(name, dataCentre)
+			common.MemoryMB = b.options.EntryMemoryMB
 			p, err := b.newProcess(binEntry, name, dataCentre, address, settings.Entry{
-				Common: b.commonSettings(name, dataCentre), CallerAddress: address, PeerAddress: peer,
+				Common: common, CallerAddress: address, PeerAddress: peer, MaxFiles: b.options.EntryFiles,
 				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxStreams: settings.DefaultMaxStreams,
 				EntryListTTL: b.options.EntryListTTL, StopTimeout: stopTimeout,
 			})
 			if err != nil {
 				return err
 			}
-			p.MetricsAddress = peer
+			p.MetricsAddress, p.MaxFiles = peer, uint64(b.options.EntryFiles)
 			b.Entries = append(b.Entries, p)
 		}
 	}
