--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/peek"
@@ -39,6 +40,9 @@
 	// WriteTimeout bounds each write.
 	WriteTimeout time.Duration
 
+	// lingers is set if Close reads what is on its way.
+	lingers atomic.Bool
+
 	mu sync.Mutex
 	// closing is set if the connection is to be closed unless it has something to read.
 	closing bool
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -82,6 +82,15 @@
 	return sc.SyscallConn()
 }
 
+// CloseWrite ends the sending side of the connection.
+func (c *conn) CloseWrite() error {
+	sender, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return sender.CloseWrite()
+}
+
 func (c *conn) Close() error {
 	c.listener.remove(c)
 	return c.Conn.Close()
--- /dev/null
+++ b/internal/settings/body_memory.go
@@ -0,0 +1,18 @@
+package settings
+
+const (
+	// entryBodyShare and controlBodyShare are the parts of a process's memory that the bodies of requests may take
+	// together, as divisors.
+	entryBodyShare   = 6
+	controlBodyShare = 8
+	// defaultBodyMemory is what they may take where the memory is unknown.
+	defaultBodyMemory = 256 << 20
+)
+
+// bodyMemory returns a part of the memory in bytes, or the default where the memory is unknown.
+func bodyMemory(memoryMB, share int) int {
+	if memoryMB == 0 {
+		return defaultBodyMemory
+	}
+	return memoryMB << 20 / share
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -32,6 +32,9 @@
 	// MaxBodyBytes is the size limit of a request body; a larger one gets status 413.
 	// Default 4194304.
 	MaxBodyBytes int `yaml:"max_body_bytes"`
+	// BodyMemoryMB is how much memory the bodies of requests may take together, in MB of 2^20 bytes. Default 0: a sixth of
+	// MemoryMB, or 256 if that is unknown. A single body is always taken.
+	BodyMemoryMB int `yaml:"body_memory_mb"`
 	// MaxFiles is the process's limit of file descriptors, from which the limits on connections of callers
 	// are computed. Default 0: unknown.
 	MaxFiles int `yaml:"max_files"`
@@ -156,6 +159,9 @@
 		file.Add("max_files", "is less than 0")
 	}
 	checkPositive(file, "max_body_bytes", s.MaxBodyBytes)
+	if s.BodyMemoryMB < 0 {
+		file.Add("body_memory_mb", "is less than 0")
+	}
 	checkPositive(file, "max_streams", s.MaxStreams)
 	checkDuration(file, "answer_keep", s.EntryListTTL, time.Second, time.Hour)
 	checkDuration(file, "stop_timeout", s.StopTimeout, time.Second, 24*time.Hour)
@@ -175,6 +181,14 @@
 // MaxLookUpConnections returns the limit on connections at each address for look-ups and readiness checks; 0: no limit.
 func (s *Entry) MaxLookUpConnections() int { return int(lookUpConnectionShare * float64(s.MaxFiles)) }
 
+// BodyMemory returns how many bytes the bodies of requests may take together.
+func (s *Entry) BodyMemory() int {
+	if s.BodyMemoryMB > 0 {
+		return s.BodyMemoryMB << 20
+	}
+	return bodyMemory(s.MemoryMB, entryBodyShare)
+}
+
 func (e *Engines) check(file *yamlfile.File) {
 	if e.PrefillRate < 0 || e.TokenTime < 0 {
 		file.Add("engines", "prefill_rate and token_time must be more than 0")
