--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -59,6 +59,9 @@
 	// QuarantineCrashes is the number of server crashes with the same suspected request after which
 	// that request is quarantined. Default 2.
 	QuarantineCrashes int `yaml:"quarantine_deaths" json:"quarantine_deaths"`
+	// MaxBodyBytes is the size of the largest body of a caller's request on a host route; a larger one gets status 413.
+	// Default 0: the entries' own limit applies.
+	MaxBodyBytes int `yaml:"body_bytes" json:"body_bytes,omitempty"`
 }
 
 // Profile sets how requests of a kind are served: their class, deadlines, limits and share of the
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"os"
 	"strconv"
 	"strings"
@@ -154,6 +155,7 @@
 	c.checkDuration("limits.quarantine_time", l.QuarantineTime, time.Second, maxWindow)
 	c.checkRange("limits.once_answer_bytes", float64(l.MaxIdempotentAnswerBytes), 1, maxAnswerBytes)
 	c.checkRange("limits.quarantine_deaths", float64(l.QuarantineCrashes), 1, 100)
+	c.checkRange("limits.body_bytes", float64(l.MaxBodyBytes), 0, math.MaxInt32)
 }
 
 func (c *checker) checkProfiles() {
