--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -10,11 +10,18 @@
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 )
 
-// What the server that reads requests from a connection says of it. Zero, while it has said nothing: the connection
+// Use is what the server that reads requests from a connection says of it. Zero, while it has said nothing: the connection
 // is idle from when bytes were last read or written.
+type Use int32
+
 const (
-	markedIdle = iota + 1
-	markedBusy
+	// Idle connections wait for a request.
+	Idle Use = iota + 1
+	// Arriving is the use while a request is read. Such a connection counts as idle from when the request began to
+	// arrive, whatever is read since: its caller may never send the end.
+	Arriving
+	// Busy connections have a request in progress that was read to its end.
+	Busy
 )
 
 // conn records when it was last used.
@@ -25,13 +32,14 @@
 	lastUsed atomic.Int64
 }
 
-// MarkBusy tells whether a request is in progress on a connection that a LimitedListener has accepted, also
-// below other layers that have an Unwrap method. Until the first call a connection counts as idle whenever
-// nothing is transferred, also while its caller waits for a slow answer.
-func MarkBusy(c net.Conn, busy bool) {
+// Mark tells the use of a connection that a LimitedListener has accepted, also below other layers that have an Unwrap
+// method. Until the first call a connection counts as idle whenever nothing is transferred, also while its caller waits
+// for a slow answer.
+func Mark(c net.Conn, use Use) {
 	for c != nil {
 		if tracked, ok := c.(*conn); ok {
-			tracked.mark(busy)
+			tracked.touch()
+			tracked.use.Store(int32(use))
 			return
 		}
 		layer, ok := c.(interface{ Unwrap() net.Conn })
@@ -42,34 +50,28 @@
 	}
 }
 
-func (c *conn) mark(busy bool) {
-	c.touch()
-	if busy {
-		c.use.Store(markedBusy)
-		return
-	}
-	c.use.Store(markedIdle)
-}
-
 // idleSince returns since when nothing happens on the connection; false while a request is in progress.
 func (c *conn) idleSince() (time.Duration, bool) {
-	return time.Duration(c.lastUsed.Load()), c.use.Load() != markedBusy
+	return time.Duration(c.lastUsed.Load()), Use(c.use.Load()) != Busy
+}
+
+// touchUnlessMarked records a transfer, except where the server has said since when the connection is in use.
+func (c *conn) touchUnlessMarked() {
+	if use := Use(c.use.Load()); use != Busy && use != Arriving {
+		c.touch()
+	}
 }
 
 func (c *conn) touch() { c.lastUsed.Store(int64(clock.SinceBoot())) }
 
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.use.Load() != markedBusy {
-		c.touch()
-	}
+	c.touchUnlessMarked()
 	return n, err
 }
 
 func (c *conn) Write(p []byte) (int, error) {
-	if c.use.Load() != markedBusy {
-		c.touch()
-	}
+	c.touchUnlessMarked()
 	return c.Conn.Write(p)
 }
 
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	MarkBusy(busy, true)
+	Mark(busy, Busy)
 	time.Sleep(2 * minIdleTime)
 	refused := dial()
 	accepted := make(chan net.Conn, 1)
@@ -127,7 +127,7 @@
 	if _, err := busy.Write([]byte("x")); err != nil {
 		t.Errorf("the busy connection: %v", err)
 	}
-	MarkBusy(busy, false)
+	Mark(busy, Idle)
 	time.Sleep(2 * minIdleTime)
 	dial()
 	if c := <-accepted; c == nil {
@@ -140,3 +140,30 @@
 		t.Errorf("reported %v", closed)
 	}
 }
+
+// Guards against callers that hold all connections by requests that never end, a byte at a time.
+func TestConnectionWithAnUnfinishedRequestYields(t *testing.T) {
+	ln := LimitListener(newListener(t), Limit{Connections: 1}, slog.New(slog.DiscardHandler))
+	caller := mustDial(t, ln)
+	arriving, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	Mark(arriving, Arriving)
+	for range 8 {
+		if _, err := caller.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := arriving.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(minIdleTime / 4)
+	}
+	mustDial(t, ln)
+	if _, err := ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := arriving.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the connection was kept: %v", err)
+	}
+}
--- a/internal/standin/uploads/kinds.go
+++ b/internal/standin/uploads/kinds.go
@@ -10,6 +10,8 @@
 	sentBytes      = 64 << 20
 	// beyondBytes is more than the documents allow, and less than readers may have as a bound of their own.
 	beyondBytes = 15 << 20
+	// smallBytes is the size of a small body.
+	smallBytes = 1000
 	// largeChunk and smallChunk are sizes of chunks; a body in small ones has smallChunksBytes.
 	largeChunk       = 1 << 20
 	smallChunk       = 16
@@ -48,6 +50,9 @@
 		{"somewhat over the limit, at once", func(int) Upload {
 			return Upload{Length: beyondBytes, Size: beyondBytes - 1, Piece: largeChunk}
 		}},
+		{"small, a byte short of the end", func(int) Upload {
+			return Upload{Length: smallBytes, Size: smallBytes - 1, Piece: smallBytes - 1}
+		}},
 		{"of legal size, at once", func(n int) Upload {
 			return Upload{Length: LegalBytes, Size: LegalBytes - missing(n), Piece: LegalBytes - 1}
 		}},
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -57,7 +57,11 @@
 		DisableKeepalive:      false,
 	})
 	app.Server().ConnState = func(conn net.Conn, state fasthttp.ConnState) {
-		listen.MarkBusy(conn, state == fasthttp.StateActive)
+		if state == fasthttp.StateActive {
+			listen.Mark(conn, listen.Busy)
+			return
+		}
+		listen.Mark(conn, listen.Idle)
 	}
 	app.Get("/healthz", s.getHealth)
 	app.Get("/v1/entries", s.getEntries)
