--- a/cmd/goldcrest-control/main.go
+++ b/cmd/goldcrest-control/main.go
@@ -11,9 +11,11 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
 
 	"goldcrestseam.dev/goldcrestseam/internal/cli"
 	"goldcrestseam.dev/goldcrestseam/internal/control/runner"
+	"goldcrestseam.dev/goldcrestseam/internal/intake"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/settings"
 	"goldcrestseam.dev/goldcrestseam/internal/store"
@@ -101,8 +103,9 @@
 		return runner.Drivers{}
 	}
 	engines := platform.EngineSettings{Roles: s.Roles, IgnoreFencing: s.EnginesIgnoreFencing}
+	bodies := intake.NewBudget(s.BodyMemory(), tally.NoopScope, log)
 	return runner.Drivers{
-		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, engines, s.MaxRegistryConnections(), log)},
+		Calls:  []runner.Driver{platform.NewRegistry(s.RegistryAddress, engines, s.MaxRegistryConnections(), bodies, log)},
 		Orders: platform.OrderProtocol{}, Identity: platform.IdentityProtocol{},
 		Duties: platform.DutyProtocol{},
 	}
--- a/internal/control/runner/port.go
+++ b/internal/control/runner/port.go
@@ -76,6 +76,9 @@
 	return p.documents.reserve(bytes)
 }
 
+// DocumentLimit returns the size in bytes of the largest document that AdmitDocument admits.
+func (p *Port) DocumentLimit() int { return p.documents.limit }
+
 // ApplyNewest puts a declaration into force unless a newer one is in force.
 func (p *Port) ApplyNewest(ctx context.Context, d *pb.Declaration) (*pb.ApplyResponse, error) {
 	req := &pb.ApplyRequest{ClusterId: p.cluster, Declaration: proto.CloneOf(d), NewestWins: true}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -57,6 +57,9 @@
 	// RegistryAddress is the listen address, host:port, for announcements of backend servers and
 	// for calls of the operators of a deployment with host routes; empty for none.
 	RegistryAddress string `yaml:"registry_address"`
+	// BodyMemoryMB is how much memory the bodies of calls at RegistryAddress may take together, in MB of 2^20 bytes.
+	// Default 0: an eighth of MemoryMB, or 256 if that is unknown. A single body is always taken.
+	BodyMemoryMB int `yaml:"body_memory_mb"`
 	// MaxFiles is the process's limit of file descriptors, from which the limit on connections of
 	// backend servers is computed. Default 0: unknown.
 	MaxFiles int `yaml:"max_files"`
@@ -142,6 +145,9 @@
 	if s.DiskMB < 0 {
 		file.Add("disk_mb", "is less than 0")
 	}
+	if s.BodyMemoryMB < 0 {
+		file.Add("body_memory_mb", "is less than 0")
+	}
 	if s.MaxFiles < 0 {
 		file.Add("max_files", "is less than 0")
 	}
@@ -207,6 +213,14 @@
 	return int(registryConnectionShare * float64(s.MaxFiles))
 }
 
+// BodyMemory returns how many bytes the bodies of calls may take together.
+func (s *Control) BodyMemory() int {
+	if s.BodyMemoryMB > 0 {
+		return s.BodyMemoryMB << 20
+	}
+	return bodyMemory(s.MemoryMB, controlBodyShare)
+}
+
 // TargetVoters returns the number of voters that the group maintains; 0: operators decide.
 func (s *Control) TargetVoters() int {
 	if s.ToleratedReplicaLosses == 0 {
