--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -74,6 +74,7 @@
 // a model that needs its own chat template needs it added here.
 func (s *Server) postChat(c *fiber.Ctx) error {
 	call, refusal := s.readCall(c)
+	defer call.release()
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -41,6 +41,7 @@
 
 func (s *Server) postCompletions(c *fiber.Ctx) error {
 	call, refusal := s.readCall(c)
+	defer call.release()
 	if refusal != nil {
 		return refusal
 	}
@@ -119,12 +120,23 @@
 	}
 	j.record = newStreamRecord(&pb.StreamRecord{
 		Member: call.member.Name, RequestId: call.requestID, WireId: wireID, Service: service.Name,
-		Owner: s.host.Identity.Name, Body: call.body, CreatedUnixMs: time.Now().UnixMilli(),
+		Owner: s.host.Identity.Name, Body: encodeCompletion(req), CreatedUnixMs: time.Now().UnixMilli(),
 	})
 	s.records.addOwn(j.record)
 	return j
 }
 
+// encodeCompletion returns the body of the request as a record keeps it: what the entry has understood of it, whatever
+// else its caller has sent.
+func encodeCompletion(req *completionRequest) []byte {
+	body, err := json.Marshal(req)
+	if err != nil {
+		// Strings and numbers can always be encoded.
+		panic("traffic: " + err.Error())
+	}
+	return body
+}
+
 // maxSharedParts bounds the parts of a prompt that are told apart if it crashes servers.
 const maxSharedParts = 32
 
--- a/internal/traffic/entries.go
+++ b/internal/traffic/entries.go
@@ -62,8 +62,13 @@
 // postAnnounce handles the announcement of a backend server. A malformed one,
 // or one for another cluster, has no effect.
 func (s *Server) postAnnounce(c *fiber.Ctx) error {
+	body, refusal := s.readBody(c, maxAnnouncementBytes)
+	if refusal != nil {
+		return refusal
+	}
+	defer body.Release()
 	var a engineapi.Announcement
-	decoder := json.NewDecoder(bytes.NewReader(c.Request().Body()))
+	decoder := json.NewDecoder(bytes.NewReader(body.Bytes()))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&a); err != nil || decoder.More() {
 		return invalid("the announcement is not the JSON that is expected")
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -1,7 +1,6 @@
 package traffic
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"net/http"
@@ -11,11 +10,14 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"goldcrestseam.dev/goldcrestseam/internal/callerconn"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/intake"
 	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/outcome"
 )
@@ -29,11 +31,8 @@
 	// callerBufferBytes is the size of the read buffer of a caller's
 	// connection. Requests whose headers do not fit are refused.
 	callerBufferBytes = 16 << 10
-	// readLimitFactor is the multiple of the body limit up to which a body is
-	// read before it is refused. The library closes the connection on a larger
-	// body without reading it; the caller then often sees a connection reset in
-	// place of the 413.
-	readLimitFactor = 4
+	// maxAnnouncementBytes bounds the announcement of a backend server.
+	maxAnnouncementBytes = 64 << 10
 )
 
 // requestIDPattern matches the request ids that callers may choose.
@@ -49,20 +48,24 @@
 		DisableStartupMessage: true,
 		CaseSensitive:         true,
 		StrictRouting:         true,
-		BodyLimit:             readLimitFactor * s.host.Settings.MaxBodyBytes,
+		StreamRequestBody:     true,
 		ReadBufferSize:        callerBufferBytes,
 		ReadTimeout:           callerReadTimeout,
 		IdleTimeout:           callerIdleTimeout,
 		ErrorHandler:          s.httpError,
 		DisableKeepalive:      false,
+
+		DisablePreParseMultipartForm: true,
 	})
-	app.Server().ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+	server := app.Server()
+	server.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
 		if state == fasthttp.StateActive {
-			listen.Mark(conn, listen.Busy)
+			listen.Mark(conn, listen.Arriving)
 			return
 		}
 		listen.Mark(conn, listen.Idle)
 	}
+	server.HeaderReceived = intake.RefuseLarge(func() int { return s.host.Settings.MaxBodyBytes })
 	app.Get("/healthz", s.getHealth)
 	app.Get("/v1/entries", s.getEntries)
 	app.Post(engineapi.PathAnnounce, s.postAnnounce)
@@ -90,22 +93,73 @@
 	path       string
 	query      string
 	headers    map[string]string
-	body       []byte
+	// body is nil until it is read. read holds its memory, nil if none was read.
+	body []byte
+	read *intake.Body
+}
+
+// release gives the memory of the body back.
+func (c *callerCall) release() {
+	if c.read != nil {
+		c.read.Release()
+	}
 }
 
 // forwardedHeaders are the request headers that are forwarded to plain
 // services.
 var forwardedHeaders = []string{"Content-Type", "Accept", "Accept-Language", "If-None-Match", "If-Modified-Since"}
 
-// readCall copies the request and authenticates its member by the bearer token.
-// The member is never taken from the body.
+// readCall copies the request and authenticates its member by the bearer token, before
+// its body is read. The handler must release the call, also after a refusal.
 func (s *Server) readCall(c *fiber.Ctx) (*callerCall, *outcome.Refusal) {
+	call, refusal := s.readHead(c)
+	if refusal != nil {
+		callerconn.Linger(c.Context().Conn())
+		return call, refusal
+	}
+	if call.read, refusal = s.readBody(c, s.host.Settings.MaxBodyBytes); refusal != nil {
+		return call, refusal
+	}
+	call.body = call.read.Bytes()
+	listen.Mark(c.Context().Conn(), listen.Busy)
+	return call, nil
+}
+
+// readBody reads a body of at most limit bytes. After a refusal the connection ends, since the rest of the body is on its
+// way.
+func (s *Server) readBody(c *fiber.Ctx, limit int) (*intake.Body, *outcome.Refusal) {
+	body, err := s.bodies.Read(intake.Request(c.Context()), limit)
+	if err == nil {
+		return body, nil
+	}
+	c.Context().SetConnectionClose()
+	callerconn.Linger(c.Context().Conn())
+	switch {
+	case errorx.IsOfType(err, intake.TooLarge):
+		return nil, tooLarge()
+	case errorx.IsOfType(err, intake.NoMemory):
+		return nil, &outcome.Refusal{
+			Status: http.StatusTooManyRequests, Code: outcome.CodeOverloaded, Outcome: outcome.NotRun,
+			Message: "the entry has no memory for the body", RetryAfter: intake.RetryAfter,
+		}
+	}
+	return nil, invalid("the body can't be read")
+}
+
+func tooLarge() *outcome.Refusal {
+	return &outcome.Refusal{
+		Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeTooLarge, Outcome: outcome.NotRun,
+		Message: "the request is too large",
+	}
+}
+
+// readHead copies the head of the request. The member is never taken from the body.
+func (s *Server) readHead(c *fiber.Ctx) (*callerCall, *outcome.Refusal) {
 	leaseValid := s.host.ViewLeaseValid()
 	snap := s.host.Snapshot()
 	call := &callerCall{
 		snap: snap, viewLeaseValid: leaseValid, method: strings.Clone(c.Method()), path: strings.Clone(c.Params("*")),
-		query: string(c.Request().URI().QueryString()), body: bytes.Clone(c.Request().Body()),
-		headers: make(map[string]string),
+		query: string(c.Request().URI().QueryString()), headers: make(map[string]string),
 	}
 	for _, name := range append(forwardedHeaders, outcome.HeaderIdempotencyKey, "Last-Event-ID") {
 		if v := c.Get(name); v != "" {
@@ -121,13 +175,6 @@
 		return call, invalid("X-Request-Id must be 1 to 64 letters, digits, dots, dashes or underscores")
 	}
 	c.Set(outcome.HeaderRequestID, call.requestID)
-	if len(call.body) > s.host.Settings.MaxBodyBytes {
-		call.body = nil
-		return call, &outcome.Refusal{
-			Status: http.StatusRequestEntityTooLarge, Code: outcome.CodeTooLarge, Outcome: outcome.NotRun,
-			Message: "the request is too large",
-		}
-	}
 	if !snap.Ready() {
 		return call, outcome.NoConfiguration()
 	}
--- a/internal/traffic/plain.go
+++ b/internal/traffic/plain.go
@@ -58,6 +58,7 @@
 func (s *Server) handlePlain(c *fiber.Ctx) error {
 	name := strings.Clone(c.Params("service"))
 	call, refusal := s.readCall(c)
+	defer call.release()
 	var job *plainJob
 	var route *declaration.Route
 	if refusal == nil {
--- a/internal/traffic/resume.go
+++ b/internal/traffic/resume.go
@@ -48,6 +48,7 @@
 
 func (s *Server) resume(c *fiber.Ctx) error {
 	call, refusal := s.readCall(c)
+	defer call.release()
 	if refusal != nil {
 		return refusal
 	}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -16,6 +16,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
 	"goldcrestseam.dev/goldcrestseam/internal/host"
+	"goldcrestseam.dev/goldcrestseam/internal/intake"
 	"goldcrestseam.dev/goldcrestseam/internal/listen"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -43,6 +44,7 @@
 	claims         *claimClient
 	cancels        *cancelScheduler
 	jobs           *jobRegistry
+	bodies         *intake.Budget
 	app            *fiber.App
 	callerListener net.Listener
 }
@@ -78,6 +80,7 @@
 		snapshot: h.Snapshot, log: h.Log, spawn: h.Spawn, clients: make(map[string]pb.Peer),
 	}
 	s.claims = newClaimClient(h.Control, h.Settings.Cluster)
+	s.bodies = intake.NewBudget(h.Settings.BodyMemory(), h.Metrics.Scope, h.Log)
 	s.app = s.newApp()
 }
 
