--- a/internal/control/runner/runner.go
+++ b/internal/control/runner/runner.go
@@ -225,12 +225,12 @@
 
 // Run serves until ctx ends, then transfers leadership, hands its place as a voter over and stops. Errors: Failed, Removed.
 func (r *Runner) Run(ctx context.Context) error {
-	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address), r.log)
+	listener, err := r.auth.Listen(ctx, cmp.Or(r.cfg.ListenAddress, r.cfg.Address), r.cfg.MaxCallConnections(), r.log)
 	if err != nil {
 		return Failed.Wrap(err, "listen")
 	}
 	r.server = &http.Server{
-		Handler: r.handler(), ReadHeaderTimeout: callTimeout,
+		Handler: r.handler(), ReadHeaderTimeout: callTimeout, MaxHeaderBytes: rpc.MaxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(r.log.Handler(), slog.LevelWarn),
 	}
 	serving, endServing := context.WithCancel(context.Background())
--- a/internal/control/runner/server.go
+++ b/internal/control/runner/server.go
@@ -14,6 +14,7 @@
 
 	"goldcrestseam.dev/goldcrestseam/internal/consensus"
 	"goldcrestseam.dev/goldcrestseam/internal/control"
+	"goldcrestseam.dev/goldcrestseam/internal/intake"
 	"goldcrestseam.dev/goldcrestseam/internal/origin"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/store"
@@ -37,10 +38,11 @@
 	protected.Handle(operator.PathPrefix(), operator)
 	origins := pb.NewOriginsServer(&originHolder{cluster: r.cfg.Cluster, store: origin.NewStore()})
 	protected.Handle(origins.PathPrefix(), origins)
+	bodies := intake.NewBudget(r.cfg.CallMemory(), r.metrics.Scope.SubScope("calls"), r.log)
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", r.metrics.Handler)
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.Handle("/", r.auth.RequireKey(r.loop.callCounters.Wrap(http.MaxBytesHandler(protected, maxCallBytes))))
+	mux.Handle("/", r.auth.RequireKey(r.loop.callCounters.Wrap(bodies.Handler(protected, maxCallBytes))))
 	return mux
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,6 +22,7 @@
 	"goldcrestseam.dev/goldcrestseam/internal/clock"
 	"goldcrestseam.dev/goldcrestseam/internal/decision/admission"
 	"goldcrestseam.dev/goldcrestseam/internal/entry"
+	"goldcrestseam.dev/goldcrestseam/internal/intake"
 	"goldcrestseam.dev/goldcrestseam/internal/obs"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -49,6 +50,8 @@
 	shutdownTimeout = 800 * time.Millisecond
 	// maxPeerCallBytes bounds a call of another entry: the largest lists suspects and their crashes.
 	maxPeerCallBytes = 4 << 20
+	// maxRecordCallBytes bounds a call of another entry with the record of a stream.
+	maxRecordCallBytes = 16 << 20
 	// readHeaderTimeout bounds how long another process of the system may take
 	// to send the headers of a call.
 	readHeaderTimeout = 5 * time.Second
@@ -96,7 +99,7 @@
 	h := &Host{Settings: set, Log: log, Auth: auth, Metrics: obs.NewMetrics("goldcrest_entry")}
 	auth.CountBytes(h.Metrics.Scope)
 	h.TaskContext, h.cancelTasks = context.WithCancel(context.Background())
-	if h.peerListener, err = auth.Listen(h.TaskContext, cmp.Or(set.ListenAddress, set.PeerAddress), log); err != nil {
+	if h.peerListener, err = auth.Listen(h.TaskContext, cmp.Or(set.ListenAddress, set.PeerAddress), set.MaxPeerConnections(), log); err != nil {
 		return nil, Failed.Wrap(err, "peer_address")
 	}
 	h.Identity = &pb.EntryIdentity{
@@ -249,7 +252,7 @@
 func (h *Host) Run(ctx context.Context, frontend Frontend) error {
 	loopCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	peerServer := &http.Server{Handler: h.peerHandler(frontend.PeerHandler), ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := &http.Server{Handler: h.peerHandler(frontend.PeerHandler), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: rpc.MaxHeaderBytes}
 	failed := make(chan error, len(frontend.Serve)+1)
 	var loops conc.WaitGroup
 	for _, loop := range append([]func(context.Context){h.loop.run, h.writeDecisions, h.watch, h.observeReadiness}, frontend.Loops...) {
@@ -311,10 +314,12 @@
 // peerHandler serves other entries, metrics and health on the peer address.
 func (h *Host) peerHandler(frontendHandler http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	// Callers' bodies have a budget of their own, so that they can't keep the entries from each other.
+	bodies := intake.NewBudget(h.Settings.CallMemory(), h.Metrics.Scope.SubScope("peers"), h.Log)
 	if frontendHandler != nil {
-		mux.Handle("/", h.Auth.RequireKey(frontendHandler))
+		mux.Handle("/", h.Auth.RequireKey(bodies.Handler(frontendHandler, maxRecordCallBytes)))
 	}
-	mux.Handle(pb.PeerLoadPathPrefix, h.Auth.RequireKey(http.MaxBytesHandler(pb.NewPeerLoadServer(h.peers), maxPeerCallBytes)))
+	mux.Handle(pb.PeerLoadPathPrefix, h.Auth.RequireKey(bodies.Handler(pb.NewPeerLoadServer(h.peers), maxPeerCallBytes)))
 	mux.Handle("GET /metrics", h.Metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if h.NotReadyReason() != "" {
--- /dev/null
+++ b/internal/intake/handler.go
@@ -0,0 +1,41 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Handler returns a handler that reads the bodies of calls, of at most limit bytes, before it passes them on to next.
+func (b *Budget) Handler(next http.Handler, limit int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		length := int(r.ContentLength)
+		interrupt := func() { _ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) }
+		body, err := b.Read(Source{Reader: r.Body, Length: length, Interrupt: interrupt}, limit)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		defer body.Release()
+		r.Body = io.NopCloser(bytes.NewReader(body.Bytes()))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refuse answers a call whose body was not read to its end, and ends its connection.
+func refuse(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close")
+	status := http.StatusBadRequest
+	switch {
+	case errorx.IsOfType(err, TooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errorx.IsOfType(err, NoMemory):
+		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter.Seconds())))
+		status = http.StatusServiceUnavailable
+	}
+	http.Error(w, err.Error(), status)
+}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -21,8 +21,13 @@
 // reportInterval is how often tally updates the Prometheus registry.
 const reportInterval = time.Second
 
-// readHeaderTimeout bounds how long a client may take to send the headers of a scrape.
-const readHeaderTimeout = 5 * time.Second
+const (
+	// readHeaderTimeout bounds how long a client may take to send the headers of a scrape, maxHeaderBytes their size.
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+	// maxScrapeConnections bounds the connections at the address for metrics.
+	maxScrapeConnections = 16
+)
 
 // NewLogger returns a logger that writes JSON lines, each with the name of the process.
 func NewLogger(w io.Writer, process string, s settings.Log) *slog.Logger {
@@ -63,11 +68,11 @@
 func (m *Metrics) Serve(ctx context.Context, address string, log *slog.Logger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	ln, err := listen.Open(ctx, address, log)
 	if err == nil {
-		err = server.Serve(ln)
+		err = server.Serve(listen.LimitListener(ln, listen.Limit{Connections: maxScrapeConnections}, log))
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		log.Error("metrics server failed", "address", address, "error", err.Error())
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -107,14 +107,18 @@
 	return &http.Client{Transport: &keyTransport{next: transport, keyHash: a.keyHash}}
 }
 
-// Listen opens the listener for the process's handlers, with TLS if there is a certificate. Errors:
-// those of listen.Open.
-func (a *Auth) Listen(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
+// MaxHeaderBytes bounds the heads of calls between the system's processes.
+const MaxHeaderBytes = 16 << 10
+
+// Listen opens the listener for the process's handlers, with TLS if there is a certificate. At most maxConnections are
+// open, 0 means no limit. Errors: those of listen.Open.
+func (a *Auth) Listen(ctx context.Context, address string, maxConnections int, log *slog.Logger) (net.Listener, error) {
 	tcp, err := listen.Open(ctx, address, log)
 	if err != nil {
 		return nil, err
 	}
-	ln := countedListener{Listener: tcp, auth: a}
+	limited := listen.LimitListener(tcp, listen.Limit{Connections: maxConnections}, log)
+	ln := countedListener{Listener: limited, auth: a}
 	if a.cert == nil {
 		return ln, nil
 	}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -37,7 +37,7 @@
 // address.
 func serve(t *testing.T, a *Auth) string {
 	t.Helper()
-	ln, err := a.Listen(context.Background(), "127.0.0.1:0", slog.New(slog.DiscardHandler))
+	ln, err := a.Listen(context.Background(), "127.0.0.1:0", 0, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/body_memory.go
+++ b/internal/settings/body_memory.go
@@ -5,6 +5,8 @@
 	// together, as divisors.
 	entryBodyShare   = 6
 	controlBodyShare = 8
+	// callShare is the same for calls between the system's processes.
+	callShare = 12
 	// defaultBodyMemory is what they may take where the memory is unknown.
 	defaultBodyMemory = 256 << 20
 )
@@ -16,3 +18,6 @@
 	}
 	return memoryMB << 20 / share
 }
+
+// CallMemory returns how many bytes the calls of the system's other processes may take together.
+func (s *Common) CallMemory() int { return bodyMemory(s.MemoryMB, callShare) }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -204,9 +204,16 @@
 	}
 }
 
-// registryConnectionShare is the share of the file descriptors that connections of backend servers
-// and operators may use. The rest is reserved for other replicas, entries and the disk.
-const registryConnectionShare = 0.6
+// registryConnectionShare and callConnectionShare are the shares of the file descriptors that connections of backend
+// servers and operators, and those of entries and other replicas may use. The rest is for the replica's own connections and
+// the disk.
+const (
+	registryConnectionShare = 0.6
+	callConnectionShare     = 0.3
+)
+
+// MaxCallConnections returns the limit on connections of entries and other replicas; 0: no limit.
+func (s *Control) MaxCallConnections() int { return int(callConnectionShare * float64(s.MaxFiles)) }
 
 // MaxRegistryConnections returns the limit on connections at RegistryAddress; 0: no limit.
 func (s *Control) MaxRegistryConnections() int {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -168,11 +168,12 @@
 }
 
 const (
-	// callerConnectionShare and lookUpConnectionShare are the shares of an entry's file descriptors that
-	// connections of callers, and those at each address for look-ups and checks, may use. The rest is for backend
-	// servers, control, other entries and files.
+	// callerConnectionShare, lookUpConnectionShare and peerConnectionShare are the shares of an entry's file descriptors
+	// that connections of callers, those at each address for look-ups and checks, and those of other entries may use. The
+	// rest is for backend servers, control and files.
 	callerConnectionShare = 0.5
 	lookUpConnectionShare = 0.05
+	peerConnectionShare   = 0.2
 )
 
 // MaxCallerConnections returns the limit on callers' connections; 0: no limit.
@@ -181,6 +182,9 @@
 // MaxLookUpConnections returns the limit on connections at each address for look-ups and readiness checks; 0: no limit.
 func (s *Entry) MaxLookUpConnections() int { return int(lookUpConnectionShare * float64(s.MaxFiles)) }
 
+// MaxPeerConnections returns the limit on connections of other entries; 0: no limit.
+func (s *Entry) MaxPeerConnections() int { return int(peerConnectionShare * float64(s.MaxFiles)) }
+
 // BodyMemory returns how many bytes the bodies of requests may take together.
 func (s *Entry) BodyMemory() int {
 	if s.BodyMemoryMB > 0 {
