--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -60,8 +60,8 @@
 	// BodyMemoryMB is how much memory the bodies of calls at RegistryAddress may take together, in MB of 2^20 bytes.
 	// Default 0: an eighth of MemoryMB, or 256 if that is unknown. A single body is always taken.
 	BodyMemoryMB int `yaml:"body_memory_mb"`
-	// MaxFiles is the process's limit of file descriptors, from which the limit on connections of
-	// backend servers is computed. Default 0: unknown.
+	// MaxFiles is the limit of file descriptors, from which the limits on connections are computed. Default 0: that which the
+	// process was started with; a lower one of the two holds in any case.
 	MaxFiles int `yaml:"max_files"`
 	// Roles configures role changes for documents received at RegistryAddress, which can't.
 	Roles declaration.Roles `yaml:"roles"`
@@ -213,11 +213,11 @@
 )
 
 // MaxCallConnections returns the limit on connections of entries and other replicas; 0: no limit.
-func (s *Control) MaxCallConnections() int { return int(callConnectionShare * float64(s.MaxFiles)) }
+func (s *Control) MaxCallConnections() int { return fileShare(s.MaxFiles, callConnectionShare) }
 
 // MaxRegistryConnections returns the limit on connections at RegistryAddress; 0: no limit.
 func (s *Control) MaxRegistryConnections() int {
-	return int(registryConnectionShare * float64(s.MaxFiles))
+	return fileShare(s.MaxFiles, registryConnectionShare)
 }
 
 // BodyMemory returns how many bytes the bodies of calls may take together.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -32,11 +32,14 @@
 	// MaxBodyBytes is the size limit of a request body; a larger one gets status 413.
 	// Default 4194304.
 	MaxBodyBytes int `yaml:"max_body_bytes"`
+	// MaxHeadBytes is the size limit of the head of a request on a host route; a larger one gets status 431.
+	// Default 20480.
+	MaxHeadBytes int `yaml:"max_head_bytes"`
 	// BodyMemoryMB is how much memory the bodies of requests may take together, in MB of 2^20 bytes. Default 0: a sixth of
 	// MemoryMB, or 256 if that is unknown. A single body is always taken.
 	BodyMemoryMB int `yaml:"body_memory_mb"`
-	// MaxFiles is the process's limit of file descriptors, from which the limits on connections of callers
-	// are computed. Default 0: unknown.
+	// MaxFiles is the limit of file descriptors, from which the limits on connections are computed. Default 0: that which the
+	// process was started with; a lower one of the two holds in any case.
 	MaxFiles int `yaml:"max_files"`
 	// MaxStreams is the limit of concurrent streams, running or waiting. Default 2000.
 	MaxStreams int `yaml:"max_streams"`
@@ -115,7 +118,7 @@
 func LoadEntry(path string) (*Entry, finding.List) {
 	s := &Entry{
 		Common:       Common{Log: Log{Level: "info", SampleRouting: 1}},
-		MaxBodyBytes: DefaultMaxBodyBytes, MaxStreams: DefaultMaxStreams,
+		MaxBodyBytes: DefaultMaxBodyBytes, MaxHeadBytes: DefaultMaxHeadBytes, MaxStreams: DefaultMaxStreams,
 		EntryListTTL: DefaultEntryListTTL, StopTimeout: DefaultStopTimeout,
 	}
 	file := decodeFile(path, s)
@@ -159,6 +162,7 @@
 		file.Add("max_files", "is less than 0")
 	}
 	checkPositive(file, "max_body_bytes", s.MaxBodyBytes)
+	checkPositive(file, "max_head_bytes", s.MaxHeadBytes)
 	if s.BodyMemoryMB < 0 {
 		file.Add("body_memory_mb", "is less than 0")
 	}
@@ -174,16 +178,31 @@
 	callerConnectionShare = 0.5
 	lookUpConnectionShare = 0.05
 	peerConnectionShare   = 0.2
+	// connectionBytes is what a caller's connection takes at most before its request is in progress: buffers, a small body
+	// and stacks. connectionMemoryShare is the part of the memory that all of them may take, as a divisor.
+	connectionBytes       = 64 << 10
+	connectionMemoryShare = 2
 )
 
-// MaxCallerConnections returns the limit on callers' connections; 0: no limit.
-func (s *Entry) MaxCallerConnections() int { return int(callerConnectionShare * float64(s.MaxFiles)) }
+// MaxCallerConnections returns the limit on callers' connections: by the descriptors, and by the memory that their buffers
+// may take; 0: no limit.
+func (s *Entry) MaxCallerConnections() int {
+	byFiles := fileShare(s.MaxFiles, callerConnectionShare)
+	if s.MemoryMB == 0 {
+		return byFiles
+	}
+	byMemory := max(1, s.MemoryMB<<20/connectionMemoryShare/connectionBytes)
+	if byFiles == 0 {
+		return byMemory
+	}
+	return min(byFiles, byMemory)
+}
 
 // MaxLookUpConnections returns the limit on connections at each address for look-ups and readiness checks; 0: no limit.
-func (s *Entry) MaxLookUpConnections() int { return int(lookUpConnectionShare * float64(s.MaxFiles)) }
+func (s *Entry) MaxLookUpConnections() int { return fileShare(s.MaxFiles, lookUpConnectionShare) }
 
 // MaxPeerConnections returns the limit on connections of other entries; 0: no limit.
-func (s *Entry) MaxPeerConnections() int { return int(peerConnectionShare * float64(s.MaxFiles)) }
+func (s *Entry) MaxPeerConnections() int { return fileShare(s.MaxFiles, peerConnectionShare) }
 
 // BodyMemory returns how many bytes the bodies of requests may take together.
 func (s *Entry) BodyMemory() int {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,7 @@
 // Defaults of fields that a file leaves out.
 const (
 	DefaultMaxBodyBytes     = 4 << 20
+	DefaultMaxHeadBytes     = 20 << 10
 	DefaultMaxStreams       = 2000
 	DefaultEntryListTTL     = 5 * time.Second
 	DefaultStopTimeout      = 10 * time.Minute
--- a/internal/testbed/write.go
+++ b/internal/testbed/write.go
@@ -120,7 +120,7 @@
 			common.MemoryMB = b.options.EntryMemoryMB
 			p, err := b.newProcess(binEntry, name, dataCentre, address, settings.Entry{
 				Common: common, CallerAddress: address, PeerAddress: peer, MaxFiles: b.options.EntryFiles,
-				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxStreams: settings.DefaultMaxStreams,
+				MaxBodyBytes: settings.DefaultMaxBodyBytes, MaxHeadBytes: settings.DefaultMaxHeadBytes, MaxStreams: settings.DefaultMaxStreams,
 				EntryListTTL: b.options.EntryListTTL, StopTimeout: stopTimeout,
 			})
 			if err != nil {
