--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -1,10 +1,13 @@
 package intake
 
 import (
+	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"goldcrestseam.dev/goldcrestseam/internal/listen"
 )
 
 // headerRefusedLength holds the announced length of a body that is not read; RefuseLarge sets it.
@@ -24,6 +27,16 @@
 	}
 }
 
+// RecordState is a hook for a server's ConnState. It tells the listener that a request arrives on a connection, or that it
+// waits for one. The handler that has read a request whole marks the connection as busy.
+func RecordState(conn net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateActive {
+		listen.Mark(conn, listen.Arriving)
+		return
+	}
+	listen.Mark(conn, listen.Idle)
+}
+
 // Request returns the body of a request that a server with StreamRequestBody reads.
 func Request(ctx *fasthttp.RequestCtx) Source {
 	s := Source{
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"regexp"
 	"strings"
@@ -11,7 +10,6 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
-	"github.com/valyala/fasthttp"
 
 	"goldcrestseam.dev/goldcrestseam/internal/callerconn"
 	"goldcrestseam.dev/goldcrestseam/internal/declaration"
@@ -58,13 +56,7 @@
 		DisablePreParseMultipartForm: true,
 	})
 	server := app.Server()
-	server.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
-		if state == fasthttp.StateActive {
-			listen.Mark(conn, listen.Arriving)
-			return
-		}
-		listen.Mark(conn, listen.Idle)
-	}
+	server.ConnState = intake.RecordState
 	server.HeaderReceived = intake.RefuseLarge(func() int { return s.host.Settings.MaxBodyBytes })
 	app.Get("/healthz", s.getHealth)
 	app.Get("/v1/entries", s.getEntries)
