--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -122,13 +122,14 @@
 
 // Guards against large bodies that keep small ones out.
 func TestSmallBodiesHaveAPartOfTheirOwn(t *testing.T) {
-	b := newBudget(1 << 20)
+	const quarter = 256 << 10
+	b := newBudget(4 * quarter)
 	for range 20 {
 		if _, err := b.Read(text(100<<10), 1<<20); err != nil {
 			break
 		}
 	}
-	for n := range int(smallShare*float64(b.size)) / SmallBytes {
+	for n := range quarter / SmallBytes {
 		if _, err := b.Read(text(SmallBytes), 1<<20); err != nil {
 			t.Fatalf("small body %d: %v", n, err)
 		}
