--- a/internal/proof/uploads_test.go
+++ b/internal/proof/uploads_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
+	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
 	"goldcrestseam.dev/goldcrestseam/internal/standin/uploads"
 	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
@@ -42,7 +43,14 @@
 		t.Fatal(err)
 	}
 	entry := b.Entries[0]
-	for _, line := range []string{"POST /v1/completions", "POST " + engineapi.PathAnnounce, "GET /v1/entries", "GET /healthz", "POST /svc/portal/x", "POST /no/such/path"} {
+	doors := []struct{ address, line string }{
+		{entry.Address, "POST /v1/completions"}, {entry.Address, "POST " + engineapi.PathAnnounce}, {entry.Address, "GET /v1/entries"},
+		{entry.Address, "GET /healthz"}, {entry.Address, "POST /svc/portal/x"}, {entry.Address, "POST /no/such/path"},
+		// Other entries call here, with the shared key, which the crowd does not have.
+		{entry.MetricsAddress, "POST " + pb.PeerPathPrefix + "Remember"},
+	}
+	for _, door := range doors {
+		line := door.line
 		for _, kind := range uploads.Kinds() {
 			t.Run(line+" "+kind.Name, func(t *testing.T) {
 				entry.Kill()
@@ -53,7 +61,7 @@
 					t.Fatal(err)
 				}
 				check := uploads.Watch(t, entry, uploads.Limits{MemoryMB: crowdMemoryMB, Files: crowdFiles})
-				crowd := uploads.Open(entry.Address, crowdClients, func(int) string {
+				crowd := uploads.Open(door.address, crowdClients, func(int) string {
 					return line + " HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nAuthorization: Bearer " + testbed.MemberToken(Deployment, Members[0]) + "\r\n"
 				}, kind.Upload)
 				defer crowd.Close()
