--- a/internal/callerconn/linger.go
+++ b/internal/callerconn/linger.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -12,6 +14,12 @@
 	lingerBytes = 16 << 20
 )
 
+// CloseAfterAnswer ends the connection of a request with its answer, which comes before the rest of its body: see Linger.
+func CloseAfterAnswer(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	Linger(ctx.Conn())
+}
+
 // Linger lets the next Close of a caller's connection end its sending side only, and drop what the caller still sends for
 // a limited time. A connection that is closed with unread bytes is reset, and the caller may lose the answer to that.
 func Linger(conn net.Conn) {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -65,9 +65,6 @@
 	}
 }
 
-// Size returns the size of the budget in bytes.
-func (b *Budget) Size() int { return b.size }
-
 // HasRoom reports whether a body of that many bytes could be taken now.
 func (b *Budget) HasRoom(bytes int) bool {
 	b.mu.Lock()
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -29,13 +29,20 @@
 // refuse answers a call whose body was not read to its end, and ends its connection.
 func refuse(w http.ResponseWriter, err error) {
 	w.Header().Set("Connection", "close")
-	status := http.StatusBadRequest
+	status := Status(err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter.Seconds())))
+	}
+	http.Error(w, err.Error(), status)
+}
+
+// Status returns the status for a request whose body was not read to its end: 413, 503 for lack of memory, or 400.
+func Status(err error) int {
 	switch {
 	case errorx.IsOfType(err, TooLarge):
-		status = http.StatusRequestEntityTooLarge
+		return http.StatusRequestEntityTooLarge
 	case errorx.IsOfType(err, NoMemory):
-		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter.Seconds())))
-		status = http.StatusServiceUnavailable
+		return http.StatusServiceUnavailable
 	}
-	http.Error(w, err.Error(), status)
+	return http.StatusBadRequest
 }
--- a/internal/proof/uploads_test.go
+++ b/internal/proof/uploads_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/engineapi"
 	"goldcrestseam.dev/goldcrestseam/internal/rpc/pb"
@@ -13,15 +12,6 @@
 	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
 
-// The lowered limits of the entries. A crowd holds several times that memory, and more connections than an entry takes.
-const (
-	crowdMemoryMB = 96
-	crowdFiles    = 200
-	crowdClients  = 150
-	// sendingLimit bounds the wait for clients whose bodies nobody reads.
-	sendingLimit = 8 * time.Second
-)
-
 // Guards against an entry that runs out of memory, or of connections, by clients that send large, slow or endless bodies
 // over the system's own protocol.
 func TestNativeEntryBearsCrowdsOfUploads(t *testing.T) {
@@ -33,7 +23,7 @@
 	}
 	b, err := testbed.New(testbed.Options{
 		BinDir: bin, Dir: dir, Deployment: Deployment, DeployDir: root + "/deploy", EnginesPerDataCentre: 1, EntriesPerDataCentre: 1,
-		EntryMemoryMB: crowdMemoryMB, EntryFiles: crowdFiles,
+		EntryMemoryMB: uploads.LowLimits.MemoryMB, EntryFiles: uploads.LowLimits.Files,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -60,17 +50,20 @@
 				if err := b.WaitReady(ctx); err != nil {
 					t.Fatal(err)
 				}
-				check := uploads.Watch(t, entry, uploads.Limits{MemoryMB: crowdMemoryMB, Files: crowdFiles})
-				crowd := uploads.Open(door.address, crowdClients, func(int) string {
-					return line + " HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nAuthorization: Bearer " + testbed.MemberToken(Deployment, Members[0]) + "\r\n"
-				}, kind.Upload)
-				defer crowd.Close()
-				crowd.AwaitSent(sendingLimit)
-				if err := b.WaitReady(ctx); err != nil {
-					t.Errorf("no ordinary request is answered beside the crowd, which got %v: %v", crowd.Statuses(), err)
+				trial := uploads.Trial{
+					Process: entry, Limits: uploads.LowLimits, Address: door.address, Clients: uploads.Clients, Upload: kind.Upload,
+					Head: func(int) string {
+						return line + " HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nAuthorization: Bearer " + testbed.MemberToken(Deployment, Members[0]) + "\r\n"
+					},
+					Ordinary: func() bool {
+						err := b.WaitReady(ctx)
+						if err != nil {
+							t.Log(err)
+						}
+						return err == nil
+					},
 				}
-				check()
-				t.Logf("the crowd got %v", crowd.Statuses())
+				trial.Run(t)
 			})
 		}
 	}
--- a/internal/standin/uploads/watch.go
+++ b/internal/standin/uploads/watch.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"goldcrestseam.dev/goldcrestseam/internal/testbed"
 )
@@ -11,6 +12,44 @@
 // Limits are what a process under test may use.
 type Limits struct{ MemoryMB, Files int }
 
+// Clients is the size of a crowd that holds several times the memory of LowLimits, and more connections than a process
+// takes within them.
+const Clients = 150
+
+// LowLimits are low enough for a small crowd to show what is not bounded.
+var LowLimits = Limits{MemoryMB: 96, Files: 200}
+
+// sendingLimit bounds the wait for clients whose bodies nobody reads.
+const sendingLimit = 8 * time.Second
+
+// Trial is a crowd that sends to one address of a process.
+type Trial struct {
+	Process *testbed.Process
+	Limits  Limits
+	// Address is where the clients connect; Head and Upload are as for Open.
+	Address string
+	Clients int
+	Head    func(client int) string
+	Upload  func(client int) Upload
+	// Ordinary sends a sound request while the crowd is connected, until it is answered; false if it never is.
+	Ordinary func() bool
+}
+
+// Run lets the crowd send, and checks that an ordinary request is answered beside it and that the process lives and has
+// kept to its limits.
+func (tr *Trial) Run(t *testing.T) {
+	t.Helper()
+	check := Watch(t, tr.Process, tr.Limits)
+	crowd := Open(tr.Address, tr.Clients, tr.Head, tr.Upload)
+	defer crowd.Close()
+	crowd.AwaitSent(sendingLimit)
+	if !tr.Ordinary() {
+		t.Errorf("no ordinary request is answered beside the crowd, which got %v", crowd.Statuses())
+	}
+	check()
+	t.Logf("the crowd got %v", crowd.Statuses())
+}
+
 // kbPerMB converts the unit of the kernel's figures.
 const kbPerMB = 1024
 
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -104,14 +104,10 @@
 		prompt.WriteString(m.Role + ": " + m.Content + "\n")
 	}
 	prompt.WriteString(roleAssistant + ": ")
-	body, err := json.Marshal(completionRequest{
+	call.body = encodeCompletion(&completionRequest{
 		Model: chat.Model, Prompt: prompt.String(), MaxTokens: chat.MaxTokens,
 		Stream: chat.Stream, Seed: chat.Seed, Chat: true,
 	})
-	if err != nil {
-		return invalid("the messages can't be read")
-	}
-	call.body = body
 	return nil
 }
 
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -126,7 +126,7 @@
 	return j
 }
 
-// encodeCompletion returns the body of the request as a record keeps it: what the entry has understood of it, whatever
+// encodeCompletion returns a request as a body. A record keeps it in place of the caller's own, which may hold whatever
 // else its caller has sent.
 func encodeCompletion(req *completionRequest) []byte {
 	body, err := json.Marshal(req)
--- a/internal/traffic/http.go
+++ b/internal/traffic/http.go
@@ -124,8 +124,7 @@
 	if err == nil {
 		return body, nil
 	}
-	c.Context().SetConnectionClose()
-	callerconn.Linger(c.Context().Conn())
+	callerconn.CloseAfterAnswer(c.Context())
 	switch {
 	case errorx.IsOfType(err, intake.TooLarge):
 		return nil, tooLarge()
